--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+TOOL = go tool -modfile=tools/go.mod
+PACKAGES = ./...
+# Names in the first column of KNOWN-RED.txt, joined for -skip.
+KNOWN_RED = $(shell test -s KNOWN-RED.txt && grep -v '^\#' KNOWN-RED.txt | awk '{print "^" $$1 "$$"}' | paste -sd'|')
+
+.PHONY: build check format generate generated test race soak
+
+build: ## Builds the commands into bin/.
+	go build -o bin/ ./cmd/...
+
+check: ## Checks formatting and lint.
+	@out=$$($(TOOL) gofumpt -l .); test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
+	go vet $(PACKAGES)
+	$(TOOL) staticcheck $(PACKAGES)
+
+format: ## Formats the code.
+	$(TOOL) gofumpt -w .
+
+generate: ## Writes the generated code anew (needs protoc).
+	mkdir -p bin
+	GOBIN=$(CURDIR)/bin go install -modfile=tools/go.mod google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
+	PATH="$(CURDIR)/bin:$$PATH" protoc -I . --go_out=. --go_opt=paths=source_relative \
+		--go-drpc_out=. --go-drpc_opt=paths=source_relative io/peerpb/peer.proto
+
+generated: ## Checks that the generated code is up to date, where protoc is present.
+	@if command -v protoc >/dev/null 2>&1; then \
+		$(MAKE) -s generate && git diff --exit-code -- io/peerpb; \
+	else echo "protoc is absent: generated code not compared"; fi
+
+test: ## Runs all tests.
+	go test -count=1 -timeout 300s $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $(PACKAGES)
+
+race: ## Runs all tests with the race detector (needs a C compiler).
+	go test -count=1 -race -timeout 600s $(PACKAGES)
+
+soak: ## Runs the tests again with another seed: make soak SEED=7 ROUNDS=5.
+	GENTIANWELL_SEED=$(SEED) go test -count=$(or $(ROUNDS),5) -timeout 1800s $(PACKAGES)
