Add the key-value adapter and the platform's stand-in

io/kvs speaks the published JSON gateway of etcd v3 over net/http, with the messages in io/kvwire. A failed call counts as without effect only if its connection was never written to: the connection counts begun writes and is sealed before the count is read.

Ruled out: judging by error type (a reset may come after the write), and by status 503, which the service also gives for its own timeouts.

--- /dev/null
+++ b/io/fakekv/store.go
@@ -0,0 +1,212 @@
+package fakekv
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"gentianwell/io/kvs"
+)
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+type change struct {
+	revision kvs.Revision
+	event    kvs.Event
+}
+
+// store is the state without locking and faults.
+type store struct {
+	revision  kvs.Revision
+	compacted kvs.Revision
+	entries   map[string]kvs.Entry
+	leases    map[kvs.LeaseID]lease
+	lastLease kvs.LeaseID
+	history   []change
+}
+
+func newStore() *store {
+	return &store{revision: 1, entries: map[string]kvs.Entry{}, leases: map[kvs.LeaseID]lease{}}
+}
+
+func (s *store) clone() *store {
+	c := *s
+	c.entries = maps.Clone(s.entries)
+	c.leases = maps.Clone(s.leases)
+	c.history = slices.Clone(s.history)
+	return &c
+}
+
+// next begins a change and returns its revision.
+func (s *store) next() kvs.Revision {
+	s.revision++
+	return s.revision
+}
+
+func (s *store) put(rev kvs.Revision, op kvs.Op) {
+	e := kvs.Entry{Key: op.Key, Value: bytes.Clone(op.Value), Create: rev, Mod: rev, Lease: op.Lease}
+	if old, ok := s.entries[op.Key]; ok {
+		e.Create = old.Create
+	}
+	s.entries[op.Key] = e
+	s.history = append(s.history, change{rev, kvs.Event{Kind: kvs.EventPut, Entry: e}})
+}
+
+func (s *store) remove(rev kvs.Revision, key string) {
+	if _, ok := s.entries[key]; !ok {
+		return
+	}
+	delete(s.entries, key)
+	e := kvs.Entry{Key: key, Mod: rev}
+	s.history = append(s.history, change{rev, kvs.Event{Kind: kvs.EventDelete, Entry: e}})
+}
+
+func (s *store) get(key string) kvs.Lookup {
+	e, ok := s.entries[key]
+	return kvs.Lookup{Entry: e, Found: ok, Revision: s.revision}
+}
+
+// between returns the entries of a range; the end {0} means no end.
+func (s *store) between(start, end string) kvs.Entries {
+	var out kvs.Entries
+	for key, e := range s.entries {
+		if key >= start && (end == "\x00" || key < end) {
+			out = append(out, e)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out
+}
+
+func (s *store) holds(c kvs.Compare) bool {
+	e, ok := s.entries[c.Key]
+	switch c.Target {
+	case kvs.TargetCreate:
+		return e.Create == c.Revision
+	case kvs.TargetMod:
+		return e.Mod == c.Revision
+	case kvs.TargetValue:
+		return ok && bytes.Equal(e.Value, c.Value)
+	}
+	return false
+}
+
+func (s *store) transact(txn kvs.Txn) (kvs.TxnResult, error) {
+	result := kvs.TxnResult{Succeeded: true}
+	for _, c := range txn.Compares {
+		result.Succeeded = result.Succeeded && s.holds(c)
+	}
+	ops := txn.Then
+	if !result.Succeeded {
+		ops = txn.Else
+	}
+	if err := s.check(ops); err != nil {
+		return kvs.TxnResult{}, errors.Trace(err)
+	}
+	s.apply(ops, &result)
+	result.Revision = s.revision
+	return result, nil
+}
+
+// check refuses what the real service refuses before any effect.
+func (s *store) check(ops []kvs.Op) error {
+	seen := map[string]bool{}
+	for _, op := range ops {
+		if op.Kind == kvs.OpGet {
+			continue
+		}
+		if seen[op.Key] {
+			return errors.Annotatef(kvs.ErrUnavailable, "duplicate key %q", op.Key)
+		}
+		seen[op.Key] = true
+		if _, ok := s.leases[op.Lease]; op.Lease != 0 && !ok {
+			return errors.Annotatef(kvs.ErrLeaseLapsed, "lease %d", op.Lease)
+		}
+	}
+	return nil
+}
+
+func (s *store) apply(ops []kvs.Op, result *kvs.TxnResult) {
+	writes := slices.ContainsFunc(ops, func(op kvs.Op) bool { return op.Kind != kvs.OpGet })
+	rev := s.revision
+	if writes {
+		rev = s.next()
+	}
+	for _, op := range ops {
+		switch op.Kind {
+		case kvs.OpPut:
+			s.put(rev, op)
+		case kvs.OpDelete:
+			s.remove(rev, op.Key)
+		case kvs.OpGet:
+			result.Lookups = append(result.Lookups, s.get(op.Key))
+		}
+	}
+}
+
+func (s *store) grant(now time.Time, ttl time.Duration) kvs.Lease {
+	s.lastLease++
+	s.leases[s.lastLease] = lease{ttl: ttl, expires: now.Add(ttl)}
+	return kvs.Lease{ID: s.lastLease, TTL: ttl}
+}
+
+func (s *store) renew(now time.Time, id kvs.LeaseID) (time.Duration, bool) {
+	l, ok := s.leases[id]
+	if !ok {
+		return 0, false
+	}
+	s.leases[id] = lease{ttl: l.ttl, expires: now.Add(l.ttl)}
+	return l.ttl, true
+}
+
+// revoke ends a lease and reports whether it existed.
+func (s *store) revoke(id kvs.LeaseID) bool {
+	if _, ok := s.leases[id]; !ok {
+		return false
+	}
+	delete(s.leases, id)
+	rev := s.next()
+	for key, e := range s.entries {
+		if e.Lease == id {
+			s.remove(rev, key)
+		}
+	}
+	return true
+}
+
+// expire revokes the lapsed leases and reports whether there were any.
+func (s *store) expire(now time.Time) bool {
+	lapsed := false
+	for id, l := range s.leases {
+		if !l.expires.After(now) {
+			lapsed = s.revoke(id) || lapsed
+		}
+	}
+	return lapsed
+}
+
+func (s *store) compact() {
+	s.compacted = s.revision
+	s.history = nil
+}
+
+// since returns the changes of a range from a revision on.
+func (s *store) since(start, end string, from kvs.Revision) []kvs.Event {
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].revision >= from })
+	var out []kvs.Event
+	for _, c := range s.history[first:] {
+		key := c.event.Entry.Key
+		if strings.Compare(key, start) >= 0 && (end == "\x00" || key < end) {
+			out = append(out, c.event)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/io/fakekv/watch.go
@@ -0,0 +1,90 @@
+package fakekv
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"gentianwell/io/kvs"
+	"gentianwell/io/kvwire"
+)
+
+// watcher follows one watch through the history.
+type watcher struct {
+	start, end string
+	next       kvs.Revision
+	store      *store
+}
+
+func (f *Fake) watch(ctx context.Context, prefix string, from kvs.Revision, fn func(kvs.Batch) error) error {
+	w := &watcher{start: prefix, end: string(kvwire.PrefixEnd(prefix)), next: from}
+	return f.follow(ctx, w, fn)
+}
+
+// follow calls fn for each batch and, at the progress interval, without events.
+func (f *Fake) follow(ctx context.Context, w *watcher, fn func(kvs.Batch) error) error {
+	if err := f.admit(w); err != nil {
+		return errors.Trace(err)
+	}
+	progress := time.NewTicker(f.progress)
+	defer progress.Stop()
+	tick := false
+	for {
+		batch, changed, err := f.poll(w, tick)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		if batch != nil {
+			if err := fn(*batch); err != nil {
+				return errors.Trace(err)
+			}
+		}
+		tick = false
+		select {
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		case <-changed:
+		case <-progress.C:
+			tick = true
+		}
+	}
+}
+
+func (f *Fake) admit(w *watcher) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.Watches++
+	if f.faults.Outage {
+		return errors.Annotate(kvs.ErrUnavailable, "outage")
+	}
+	if w.next == 0 {
+		w.next = f.store.revision + 1
+	}
+	w.store = f.store
+	return nil
+}
+
+// poll returns what the watch has to deliver now, or nil, and the channel that
+// tells when to look again.
+func (f *Fake) poll(w *watcher, tick bool) (*kvs.Batch, <-chan struct{}, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.expire()
+	switch {
+	case f.faults.Outage:
+		return nil, nil, errors.Annotate(kvs.ErrUnavailable, "outage")
+	case w.store != f.store:
+		return nil, nil, errors.Annotate(kvs.ErrUnavailable, "restored")
+	case f.faults.SilentWatches:
+		return nil, f.changed, nil
+	case w.next <= f.store.compacted:
+		return nil, nil, errors.Annotatef(kvs.ErrCompacted, "up to %d", f.store.compacted)
+	}
+	batch := kvs.Batch{Revision: f.store.revision, Events: f.store.since(w.start, w.end, w.next)}
+	if len(batch.Events) == 0 && !tick {
+		return nil, f.changed, nil
+	}
+	w.next = max(w.next, f.store.revision+1)
+	return &batch, f.changed, nil
+}
--- /dev/null
+++ b/io/kvs/config.go
@@ -0,0 +1,64 @@
+package kvs
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	defaultTimeout     = 2 * time.Second
+	defaultDialTimeout = 500 * time.Millisecond
+	defaultWatchSilent = 15 * time.Second
+	defaultMaxResponse = 64 << 20
+	maxIdleConnections = 32
+)
+
+// GatewayConfig configures a Gateway.
+type GatewayConfig struct {
+	// Addresses are the service's addresses. A call goes to the one that answered
+	// last, and to the next where the connection can't be made.
+	Addresses []netip.AddrPort
+	// Timeout bounds each call but a watch.
+	Timeout time.Duration
+	// DialTimeout bounds the making of a connection.
+	DialTimeout time.Duration
+	// WatchSilent is how long a watch may bring neither events nor a progress
+	// notice before it fails. It has to exceed the service's progress interval;
+	// a shorter one only makes the watch begin anew each time.
+	WatchSilent time.Duration
+	// MaxResponse bounds a response, and each message of a watch (to within the
+	// read buffer), in bytes.
+	MaxResponse int64
+}
+
+// Defaults returns the config with all unset fields filled in.
+func (c GatewayConfig) Defaults() GatewayConfig {
+	if c.Timeout == 0 {
+		c.Timeout = defaultTimeout
+	}
+	if c.DialTimeout == 0 {
+		c.DialTimeout = defaultDialTimeout
+	}
+	if c.WatchSilent == 0 {
+		c.WatchSilent = defaultWatchSilent
+	}
+	if c.MaxResponse == 0 {
+		c.MaxResponse = defaultMaxResponse
+	}
+	return c
+}
+
+// Validate checks the config.
+//
+// Errors: NotValid with the field's name.
+func (c GatewayConfig) Validate() error {
+	if len(c.Addresses) == 0 {
+		return errors.NotValidf("GatewayConfig.Validate: no Addresses")
+	}
+	if c.Timeout < 0 || c.DialTimeout < 0 || c.WatchSilent < 0 || c.MaxResponse < 0 {
+		return errors.NotValidf("GatewayConfig.Validate: negative bound")
+	}
+	return nil
+}
--- /dev/null
+++ b/io/kvs/gateway.go
@@ -0,0 +1,155 @@
+package kvs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+
+	"gentianwell/io/kvwire"
+)
+
+// maxErrorBody bounds what is read of a failed call's body, in bytes.
+const maxErrorBody = 4 << 10
+
+// Gateway speaks the JSON gateway of etcd v3.
+type Gateway struct {
+	config    GatewayConfig
+	client    *http.Client
+	preferred atomic.Uint32
+}
+
+// NewGateway returns an adapter; it makes no connection yet. A config that
+// isn't valid makes every call fail.
+func NewGateway(c GatewayConfig) *Gateway {
+	c = c.Defaults()
+	dialer := &net.Dialer{Timeout: c.DialTimeout}
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, errors.Trace(err)
+			}
+			return &countedConn{Conn: conn}, nil
+		},
+		MaxIdleConnsPerHost: maxIdleConnections,
+		DisableCompression:  true,
+	}
+	return &Gateway{config: c, client: &http.Client{Transport: transport}}
+}
+
+// Service returns the adapter's calls.
+func (g *Gateway) Service() Service {
+	return Service{
+		Get: g.get, List: g.list, Transact: g.transact,
+		Grant: g.grant, Renew: g.renew, Revoke: g.revoke, Watch: g.watch,
+	}
+}
+
+// Close closes the idle connections.
+func (g *Gateway) Close() { g.client.CloseIdleConnections() }
+
+// post makes one call and decodes its answer.
+//
+// Errors: ErrUnavailable where no address could be written to or the service
+// refused the call before doing anything, ErrLeaseLapsed, otherwise ErrUnknown.
+func (g *Gateway) post(ctx context.Context, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, g.config.Timeout)
+	defer cancel()
+	resp, err := g.open(ctx, path, in)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, g.config.MaxResponse+1))
+	if err != nil {
+		return errors.WithType(errors.Annotate(err, path), ErrUnknown)
+	}
+	if int64(len(body)) > g.config.MaxResponse {
+		return errors.Annotatef(ErrUnknown, "%s: response exceeds %d bytes", path, g.config.MaxResponse)
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return errors.WithType(errors.Annotate(err, path), ErrUnknown)
+	}
+	return nil
+}
+
+// open sends the request to the first address that takes it. A request of which
+// anything was written is never sent again.
+func (g *Gateway) open(ctx context.Context, path string, in any) (*http.Response, error) {
+	if err := g.config.Validate(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	body, err := json.Marshal(in)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	first := g.preferred.Load()
+	last := error(ErrUnavailable)
+	for i := range g.config.Addresses {
+		index := (int(first) + i) % len(g.config.Addresses)
+		resp, err := g.send(ctx, "http://"+g.config.Addresses[index].String()+path, body)
+		if err == nil {
+			g.preferred.Store(uint32(index))
+			return resp, nil
+		}
+		last = err
+		if !errors.Is(err, ErrUnavailable) || ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, errors.Annotate(last, path)
+}
+
+func (g *Gateway) send(ctx context.Context, url string, body []byte) (*http.Response, error) {
+	tracker := &writeTracker{}
+	ctx = httptrace.WithClientTrace(ctx, tracker.trace())
+	// The wrapped reader gives the request no GetBody, without which net/http
+	// never sends it a second time.
+	reader := io.NopCloser(bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, reader)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := g.client.Do(req)
+	if err != nil && tracker.nothingWritten() {
+		return nil, errors.WithType(err, ErrUnavailable)
+	}
+	if err != nil {
+		return nil, errors.WithType(err, ErrUnknown)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Trace(statusError(resp))
+	}
+	return resp, nil
+}
+
+// statusError reads the error of a response. The service reports a timeout of
+// its own as 503 too, so that only refusals before any effect are certain.
+func statusError(resp *http.Response) error {
+	defer resp.Body.Close()
+	var e kvwire.ErrorResponse
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	if err != nil {
+		return errors.WithType(err, ErrUnknown)
+	}
+	if err := json.Unmarshal(body, &e); err != nil {
+		return errors.Annotatef(ErrUnknown, "status %d", resp.StatusCode)
+	}
+	kind := ErrUnknown
+	switch {
+	case e.Code == kvwire.CodeNotFound:
+		kind = ErrLeaseLapsed
+	case e.Code == kvwire.CodeExhausted, resp.StatusCode == http.StatusBadRequest:
+		kind = ErrUnavailable
+	}
+	return errors.Annotatef(kind, "status %d: %s", resp.StatusCode, e.Message)
+}
