--- /dev/null
+++ b/core/claim/gate.go
@@ -0,0 +1,42 @@
+package claim
+
+import "time"
+
+// GateConfig configures a Gate.
+type GateConfig struct {
+	// Pause is how long attempts are refused at once after a failure.
+	Pause time.Duration
+}
+
+// Gate refuses attempts at once while the platform is known to be down. After
+// each pause it lets one through to find out.
+type Gate struct {
+	config  GateConfig
+	failed  bool
+	probing bool
+	next    time.Time
+}
+
+// NewGate returns an open gate.
+func NewGate(c GateConfig) *Gate { return &Gate{config: c} }
+
+// Admit reports whether an attempt may be made, and if not, after what time to
+// try again.
+func (g *Gate) Admit(now time.Time) (bool, time.Duration) {
+	if !g.failed {
+		return true, 0
+	}
+	if g.probing || now.Before(g.next) {
+		return false, max(g.next.Sub(now), g.config.Pause)
+	}
+	g.probing = true
+	return true, 0
+}
+
+// Report tells how a call to the platform ended.
+func (g *Gate) Report(now time.Time, ok bool) {
+	g.failed, g.probing = !ok, false
+	if !ok {
+		g.next = now.Add(g.config.Pause)
+	}
+}
