Carry out claims on the platform's service

Writes of one VM are grouped into transactions, at most one every 20 ms. A transaction that fails by one key's condition is split by what its Else branch read: only that key is refused. The retention's lease is never renewed, so that records outlive their VM.

--- /dev/null
+++ b/io/claims/claims_test.go
@@ -0,0 +1,231 @@
+package claims
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianwell/core/call"
+	"gentianwell/core/claim"
+	"gentianwell/io/fakekv"
+	"gentianwell/io/kvs"
+)
+
+var nonces atomic.Int64
+
+func nonce() string { return strconv.FormatInt(nonces.Add(1), 10) }
+
+// startVM runs Claims of one VM until the context ends.
+func startVM(ctx context.Context, vm call.VMID, svc kvs.Service) *Claims {
+	c := New(Config{Service: svc, VM: vm, Nonce: nonce})
+	go func() {
+		if err := c.Run(ctx); err != nil {
+			panic(err)
+		}
+	}()
+	return c
+}
+
+// inBubble runs a test on fake time with a stand-in and two VMs.
+func inBubble(t *testing.T, fn func(t *testing.T, fake *fakekv.Fake, a, b *Claims)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fake := fakekv.New(fakekv.Config{})
+		fn(t, fake, startVM(ctx, "a", fake.Service()), startVM(ctx, "b", fake.Service()))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func begin(t *testing.T, c *Claims, id, key string) *claim.Attempt {
+	t.Helper()
+	attempt, err := c.Begin(t.Context(), claim.Request{ID: id, Team: "t", Service: "s", Key: key, Fingerprint: 1})
+	assert.NilError(t, err)
+	return attempt
+}
+
+func wantKind(t *testing.T, a *claim.Attempt, want claim.Kind) {
+	t.Helper()
+	assert.Equal(t, a.Verdict().Kind, want, a.Verdict().Reason)
+}
+
+func TestRepeatOnAnotherVM(t *testing.T) {
+	inBubble(t, func(t *testing.T, _ *fakekv.Fake, a, b *Claims) {
+		first := begin(t, a, "r1", "k")
+		wantKind(t, first, claim.KindRun)
+		wantKind(t, begin(t, b, "r2", "k"), claim.KindInProgress)
+		assert.NilError(t, first.Send(time.Now()))
+		assert.ErrorIs(t, a.Release(t.Context(), first), claim.ErrNotHeld)
+		outcome := claim.Outcome{Status: 201, Body: []byte("plot 4")}
+		assert.NilError(t, a.Finish(t.Context(), first, outcome))
+		again := begin(t, b, "r3", "k")
+		wantKind(t, again, claim.KindReplay)
+		assert.DeepEqual(t, again.Verdict().Outcome, outcome)
+		other, err := b.Begin(t.Context(), claim.Request{ID: "r4", Team: "t", Service: "s", Key: "k", Fingerprint: 2})
+		assert.NilError(t, err)
+		wantKind(t, other, claim.KindConflict)
+	})
+}
+
+func TestReleasedKeyIsFree(t *testing.T) {
+	inBubble(t, func(t *testing.T, _ *fakekv.Fake, a, b *Claims) {
+		first := begin(t, a, "r1", "k")
+		assert.NilError(t, first.Send(time.Now()))
+		assert.NilError(t, first.NothingWritten())
+		assert.NilError(t, a.Release(t.Context(), first))
+		wantKind(t, begin(t, b, "r2", "k"), claim.KindRun)
+		assert.ErrorIs(t, first.Send(time.Now()), claim.ErrNotHeld)
+	})
+}
+
+// A holder is frozen between its claim and its send, for longer than any lease
+// of a VM. Nobody else gets the key meanwhile; thawed, the holder may send once,
+// unless the claim has become too old.
+func TestFrozenHolder(t *testing.T) {
+	tests := []struct {
+		name  string
+		pause time.Duration
+		want  error
+	}{
+		{"an hour", time.Hour, nil},
+		{"half a day", 12 * time.Hour, nil},
+		{"too long", 13 * time.Hour, claim.ErrExpired},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, _ *fakekv.Fake, a, b *Claims) {
+				holder := begin(t, a, "r1", "k")
+				time.Sleep(tt.pause)
+				wantKind(t, begin(t, b, "r2", "k"), claim.KindInProgress)
+				assert.ErrorIs(t, holder.Send(time.Now()), tt.want)
+				assert.Assert(t, holder.Send(time.Now()) != nil, "a second send")
+				wantKind(t, begin(t, b, "r3", "k"), claim.KindInProgress)
+			})
+		})
+	}
+}
+
+// Records outlive the retention without any renewal, and not by much.
+func TestRetention(t *testing.T) {
+	inBubble(t, func(t *testing.T, fake *fakekv.Fake, a, b *Claims) {
+		early := begin(t, a, "r1", "early")
+		time.Sleep(6*time.Hour - time.Minute)
+		late := begin(t, a, "r2", "late")
+		wantKind(t, early, claim.KindRun)
+		wantKind(t, late, claim.KindRun)
+		assert.Equal(t, fake.Counts().Leases, 1)
+		time.Sleep(24 * time.Hour)
+		wantKind(t, begin(t, b, "r3", "late"), claim.KindInProgress)
+		time.Sleep(time.Hour)
+		wantKind(t, begin(t, b, "r4", "late"), claim.KindRun)
+	})
+}
+
+func TestLostReply(t *testing.T) {
+	faults := map[string]fakekv.Faults{
+		"reply": {LoseReplies: 1}, "request": {LoseRequests: 1}, "both": {LoseRequests: 1, LoseReplies: 1},
+	}
+	for name, lost := range faults {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, fake *fakekv.Fake, a, b *Claims) {
+				wantKind(t, begin(t, a, "r0", "other"), claim.KindRun)
+				fake.SetFaults(lost)
+				first := begin(t, a, "r1", "k")
+				wantKind(t, first, claim.KindRun)
+				assert.NilError(t, first.Send(time.Now()))
+				fake.SetFaults(lost)
+				assert.Assert(t, a.Finish(t.Context(), first, claim.Outcome{Status: 200}) != nil)
+				time.Sleep(3 * time.Second)
+				assert.Equal(t, a.Debts(), 0)
+				wantKind(t, begin(t, b, "r2", "k"), claim.KindReplay)
+			})
+		})
+	}
+}
+
+// With the platform down a call is refused as not run: at once when that is
+// known, and the key is free when the platform is back.
+func TestOutage(t *testing.T) {
+	faults := map[string]struct {
+		fault fakekv.Faults
+		first time.Duration
+	}{
+		"refuses": {fakekv.Faults{Outage: true}, 0},
+		"hangs":   {fakekv.Faults{Delay: time.Hour}, defaultTimeout},
+		"loses":   {fakekv.Faults{LoseReplies: 3}, time.Second},
+	}
+	for name, tt := range faults {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, fake *fakekv.Fake, a, b *Claims) {
+				wantKind(t, begin(t, a, "r0", "other"), claim.KindRun)
+				time.Sleep(time.Second)
+				fake.SetFaults(tt.fault)
+				start := time.Now()
+				first := begin(t, a, "r1", "k")
+				wantKind(t, first, claim.KindRefused)
+				assert.Equal(t, first.Verdict().Told(), call.OutcomeNotRun)
+				assert.Assert(t, time.Since(start) <= tt.first, "%s", time.Since(start))
+				start = time.Now()
+				wantKind(t, begin(t, a, "r2", "k"), claim.KindRefused)
+				assert.Equal(t, time.Since(start), time.Duration(0))
+				passed, err := a.Begin(t.Context(), claim.Request{ID: "r3", Team: "t", Service: "s", Key: "k", Dedupes: true})
+				assert.NilError(t, err)
+				wantKind(t, passed, claim.KindPassOn)
+				fake.SetFaults(fakekv.Faults{})
+				time.Sleep(10 * time.Second)
+				assert.Equal(t, a.Debts(), 0)
+				assert.ErrorIs(t, first.Send(time.Now()), claim.ErrNotHeld)
+				wantKind(t, begin(t, b, "r4", "k"), claim.KindRun)
+			})
+		})
+	}
+}
+
+// Concurrent claims share transactions; one that is lost to another VM doesn't
+// spoil the others.
+func TestGroups(t *testing.T) {
+	inBubble(t, func(t *testing.T, fake *fakekv.Fake, a, b *Claims) {
+		wantKind(t, begin(t, b, "r", "7"), claim.KindRun)
+		before := fake.Counts().Txns
+		kinds := make(chan claim.Kind, 50)
+		for i := range 50 {
+			go func() { kinds <- begin(t, a, "r"+strconv.Itoa(i), strconv.Itoa(i)).Verdict().Kind }()
+		}
+		got := map[claim.Kind]int{}
+		for range 50 {
+			got[<-kinds]++
+		}
+		assert.DeepEqual(t, got, map[claim.Kind]int{claim.KindRun: 49, claim.KindInProgress: 1})
+		txns := fake.Counts().Txns - before
+		assert.Assert(t, txns <= 5, "%d transactions", txns)
+	})
+}
+
+// A lease that the service has forgotten is replaced.
+func TestLeaseLapse(t *testing.T) {
+	inBubble(t, func(t *testing.T, fake *fakekv.Fake, a, _ *Claims) {
+		wantKind(t, begin(t, a, "r1", "1"), claim.KindRun)
+		fake.LapseLeases()
+		wantKind(t, begin(t, a, "r2", "2"), claim.KindRun)
+	})
+}
+
+// Two requests with one key on one VM at the same moment go one after the other.
+func TestSameKeyTogether(t *testing.T) {
+	inBubble(t, func(t *testing.T, _ *fakekv.Fake, a, _ *Claims) {
+		kinds := make(chan claim.Kind, 3)
+		for i := range 3 {
+			go func() { kinds <- begin(t, a, "r"+strconv.Itoa(i), "k").Verdict().Kind }()
+		}
+		got := map[claim.Kind]int{}
+		for range 3 {
+			got[<-kinds]++
+		}
+		assert.DeepEqual(t, got, map[claim.Kind]int{claim.KindRun: 1, claim.KindInProgress: 2})
+	})
+}
--- /dev/null
+++ b/io/claims/config.go
@@ -0,0 +1,95 @@
+package claims
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"gentianwell/core/call"
+	"gentianwell/core/claim"
+	"gentianwell/io/kvs"
+)
+
+// DefaultPrefix is the prefix of all claims' keys.
+const DefaultPrefix = "gentianwell/claims/"
+
+const (
+	defaultRetention = 24 * time.Hour
+	defaultMaxBatch  = 64
+	defaultMaxQueue  = 1024
+	defaultMaxDebts  = 1024
+	defaultGap       = 20 * time.Millisecond
+	defaultPause     = 500 * time.Millisecond
+	defaultTimeout   = 3 * time.Second
+	defaultRepeat    = time.Second
+)
+
+// Config configures Claims.
+type Config struct {
+	Service kvs.Service
+	VM      call.VMID
+	// Nonce returns a string that no other call on any VM ever returned.
+	Nonce  func() string
+	Now    func() time.Time
+	Prefix string
+	// Retention is for how long a claim surely exists; up to a quarter is added.
+	Retention time.Duration
+	// MaxBody bounds a stored answer's body, in bytes.
+	MaxBody int
+	// MaxBatch bounds the writes of one transaction, MaxQueue those that wait and
+	// MaxDebts those that nobody waits for any more.
+	MaxBatch int
+	MaxQueue int
+	MaxDebts int
+	// Gap is the least time between the starts of two transactions: with n VMs
+	// the service gets at most n/Gap of them a second.
+	Gap time.Duration
+	// Pause is for how long attempts are refused at once after a failure.
+	Pause time.Duration
+	// Timeout bounds Begin, and each try of Finish and Release.
+	Timeout time.Duration
+	// Repeat is how often debts are tried again.
+	Repeat time.Duration
+}
+
+// Defaults returns the config with all unset fields filled in.
+func (c Config) Defaults() Config {
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Prefix == "" {
+		c.Prefix = DefaultPrefix
+	}
+	setDefault(&c.Retention, defaultRetention)
+	setDefault(&c.MaxBody, claim.DefaultMaxBody)
+	setDefault(&c.MaxBatch, defaultMaxBatch)
+	setDefault(&c.MaxQueue, defaultMaxQueue)
+	setDefault(&c.MaxDebts, defaultMaxDebts)
+	setDefault(&c.Gap, defaultGap)
+	setDefault(&c.Pause, defaultPause)
+	setDefault(&c.Timeout, defaultTimeout)
+	setDefault(&c.Repeat, defaultRepeat)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var unset T
+	if *field == unset {
+		*field = value
+	}
+}
+
+// Validate checks the config.
+//
+// Errors: NotValid with the field's name.
+func (c Config) Validate() error {
+	switch {
+	case c.VM == "":
+		return errors.NotValidf("Config.Validate: empty VM")
+	case c.Nonce == nil:
+		return errors.NotValidf("Config.Validate: no Nonce")
+	case c.Service.Transact == nil || c.Service.Grant == nil:
+		return errors.NotValidf("Config.Validate: no Service")
+	}
+	return nil
+}
