Add the calls between entry VMs

Cause: settings, membership, limits and poison need a transport. Ruled out: one connection for each call (a TLS handshake each time); trusting TCP keepalive to find silent connections (minutes).

--- /dev/null
+++ b/io/peer/gossip.go
@@ -0,0 +1,166 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+	"storj.io/drpc/drpcerr"
+
+	"gentianwell/core/call"
+	"gentianwell/core/spread"
+	"gentianwell/io/peerpb"
+)
+
+// maxItems bounds the items that are read from one message.
+const maxItems = 4096
+
+// codeNotImplemented is the drpc error code for a call that this VM cannot answer.
+const codeNotImplemented = 12
+
+// Peer is an entry VM that can be called.
+type Peer struct {
+	ID      call.VMID
+	Address netip.AddrPort
+}
+
+// Contact tells how a round's exchange with one peer went.
+type Contact struct {
+	Peer            Peer
+	Err             error
+	SettingsVersion int64
+}
+
+// GossipConfig configures a Gossip. All fields are needed, but for Settings and
+// Shares.
+type GossipConfig struct {
+	Self  call.VMID
+	Zone  call.Zone
+	Pool  *Pool
+	Store *spread.Store
+	// Peers returns the entry VMs to talk to, without this one.
+	Peers func() []Peer
+	// Now gives the present time.
+	Now func() time.Time
+	// SettingsVersion returns the version in force on this VM.
+	SettingsVersion func() int64
+	// Heard is called with the items that changed what is kept.
+	Heard func(now time.Time, changed spread.Items)
+	// Contacted is called after each exchange that this VM began.
+	Contacted func(now time.Time, contact Contact)
+	// Behind is called when a peer has newer settings, whoever began the exchange.
+	Behind func(vm call.VMID, version int64)
+	// Settings answers a peer's request for the tree, Shares one for limits.
+	Settings func(ctx context.Context, have int64) (version int64, tree []byte, err error)
+	Shares   func(ctx context.Context, req *peerpb.SharesRequest) (*peerpb.SharesReply, error)
+}
+
+// Gossip exchanges items with neighbours and answers their calls.
+type Gossip struct {
+	c GossipConfig
+}
+
+// NewGossip returns a gossip; Round starts each round.
+func NewGossip(c GossipConfig) *Gossip { return &Gossip{c: c} }
+
+// Round begins one exchange with each of a few neighbours and returns at once.
+func (g *Gossip) Round(now time.Time) {
+	peers := g.c.Peers()
+	byID := make(map[call.VMID]Peer, len(peers))
+	ids := make([]call.VMID, 0, len(peers))
+	for _, p := range peers {
+		byID[p.ID] = p
+		ids = append(ids, p.ID)
+	}
+	items := toMessage(g.c.Store.Batch(now, len(ids)+1), now)
+	for _, id := range g.c.Store.Targets(ids) {
+		go g.exchange(byID[id], items)
+	}
+}
+
+func (g *Gossip) exchange(to Peer, items []*peerpb.Item) {
+	req := &peerpb.ExchangeRequest{
+		Vm: string(g.c.Self), Zone: string(g.c.Zone), SettingsVersion: g.c.SettingsVersion(), Items: items,
+	}
+	var reply *peerpb.ExchangeReply
+	err := g.c.Pool.Call(context.Background(), to.Address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+		var err error
+		reply, err = client.Exchange(ctx, req)
+		return err
+	})
+	now := g.c.Now()
+	if err == nil && reply.Vm != string(to.ID) {
+		err = errors.NotFoundf("VM %s at %s, answered by %s", to.ID, to.Address, reply.Vm)
+	}
+	if err != nil {
+		g.c.Contacted(now, Contact{Peer: to, Err: errors.Annotate(err, "Gossip.exchange")})
+		return
+	}
+	g.c.Contacted(now, Contact{Peer: to, SettingsVersion: reply.SettingsVersion})
+	g.hear(now, call.VMID(reply.Vm), reply.SettingsVersion, reply.Items)
+}
+
+func (g *Gossip) hear(now time.Time, from call.VMID, version int64, items []*peerpb.Item) {
+	if changed := g.c.Store.Merge(now, fromMessage(items, now)); len(changed) > 0 {
+		g.c.Heard(now, changed)
+	}
+	if version > g.c.SettingsVersion() {
+		g.c.Behind(from, version)
+	}
+}
+
+// Exchange answers a peer's exchange.
+func (g *Gossip) Exchange(_ context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	now := g.c.Now()
+	reply := &peerpb.ExchangeReply{
+		Vm: string(g.c.Self), Zone: string(g.c.Zone), SettingsVersion: g.c.SettingsVersion(),
+		Items: toMessage(g.c.Store.Batch(now, len(g.c.Peers())+1), now),
+	}
+	g.hear(now, call.VMID(req.Vm), req.SettingsVersion, req.Items)
+	return reply, nil
+}
+
+// Settings answers a peer that is behind.
+func (g *Gossip) Settings(ctx context.Context, req *peerpb.SettingsRequest) (*peerpb.SettingsReply, error) {
+	if g.c.Settings == nil {
+		return nil, drpcerr.WithCode(errors.NotImplementedf("Settings"), codeNotImplemented)
+	}
+	version, tree, err := g.c.Settings(ctx, req.HaveVersion)
+	if err != nil {
+		return nil, errors.Annotate(err, "Gossip.Settings")
+	}
+	return &peerpb.SettingsReply{Version: version, Tree: tree}, nil
+}
+
+// Shares answers a peer that asks for shares of limits.
+func (g *Gossip) Shares(ctx context.Context, req *peerpb.SharesRequest) (*peerpb.SharesReply, error) {
+	if g.c.Shares == nil {
+		return nil, drpcerr.WithCode(errors.NotImplementedf("Shares"), codeNotImplemented)
+	}
+	reply, err := g.c.Shares(ctx, req)
+	return reply, errors.Annotate(err, "Gossip.Shares")
+}
+
+func toMessage(items spread.Items, now time.Time) []*peerpb.Item {
+	out := make([]*peerpb.Item, 0, len(items))
+	for _, it := range items {
+		out = append(out, &peerpb.Item{
+			Kind: string(it.Kind), Key: it.Key, Version: it.Version, Value: it.Value,
+			TtlMilliseconds: it.Expires.Sub(now).Milliseconds(),
+		})
+	}
+	return out
+}
+
+func fromMessage(items []*peerpb.Item, now time.Time) spread.Items {
+	out := make(spread.Items, 0, min(len(items), maxItems))
+	for _, it := range items[:min(len(items), maxItems)] {
+		out = append(out, spread.Item{
+			ID:      spread.ID{Kind: spread.Kind(it.Kind), Key: it.Key},
+			Version: it.Version, Value: it.Value,
+			Expires: now.Add(time.Duration(it.TtlMilliseconds) * time.Millisecond),
+		})
+	}
+	return out
+}
