Add the side towards callers

Cause: the whole path begins with a caller's request. Ruled out: decoding the whole body into types of ours (a field that we do not know would be lost); it is passed on as it came. Conclusion: waits for the runner.

--- /dev/null
+++ b/io/front/config.go
@@ -0,0 +1,115 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"gentianwell/core/call"
+	"gentianwell/io/runner"
+)
+
+// Policy is what the settings say of a team's class.
+type Policy struct {
+	Class call.Class
+	Tier  call.Tier
+	// Deadline is the time an answer may take; zero is none.
+	Deadline  time.Duration
+	MaxWait   time.Duration
+	Progress  time.Duration
+	Retention time.Duration
+	// AtMostOnce is true where completions of the class must not run twice.
+	AtMostOnce bool
+}
+
+// Service is a plain service.
+type Service struct {
+	Name call.Model
+	// Prefix is the path prefix, which the service does not see.
+	Prefix string
+	// Idempotent holds the methods that may be run again.
+	Idempotent []string
+	// RemovesDuplicates is true where the service itself runs a key only once.
+	RemovesDuplicates bool
+}
+
+// Config configures a Server. The function fields are all needed.
+type Config struct {
+	Zone call.Zone
+	// Team returns the team of a bearer key.
+	Team func(bearer string) (call.Team, bool)
+	// Policy returns what holds for a team's class; an empty class is the team's
+	// default. NotFound where the class does not exist.
+	Policy func(team call.Team, class call.Class) (Policy, error)
+	// Service returns the plain service of a path.
+	Service func(path string) (Service, bool)
+	// Models returns the models that can be asked for.
+	Models func() []call.Model
+	// Run runs a job to its end.
+	Run func(ctx context.Context, job *runner.Job, sink runner.Sink) runner.Answer
+	// Admit and Finish count the requests in progress; Admit refuses on a VM
+	// that stops.
+	Admit  func() bool
+	Finish func()
+	// Ready and Serving answer the balancer.
+	Ready func() bool
+	// Now gives the present time, NewID a new request id.
+	Now   func() time.Time
+	NewID func() string
+	Log   logrus.FieldLogger
+	// Extra handles paths that are not the callers', such as the operators'.
+	Extra map[string]http.Handler
+
+	// BodyBytes bounds a request's body, HeaderBytes its header.
+	BodyBytes   int64
+	HeaderBytes int
+	// HeaderTimeout bounds the reading of the header; BodyTimeout is the longest
+	// silence while the body is read, WriteTimeout while an answer is written.
+	HeaderTimeout time.Duration
+	BodyTimeout   time.Duration
+	WriteTimeout  time.Duration
+	// IdleTimeout closes a kept connection without requests.
+	IdleTimeout time.Duration
+	// StopRetryAfter is what a caller is told whom a stopping VM refuses.
+	StopRetryAfter time.Duration
+}
+
+// Defaults fills in the fields left zero.
+func (c *Config) Defaults() {
+	if c.BodyBytes == 0 {
+		c.BodyBytes = 8 << 20
+	}
+	if c.HeaderBytes == 0 {
+		c.HeaderBytes = 64 << 10
+	}
+	durations := []struct {
+		field *time.Duration
+		value time.Duration
+	}{
+		{&c.HeaderTimeout, 10 * time.Second},
+		{&c.BodyTimeout, 10 * time.Second},
+		{&c.WriteTimeout, 20 * time.Second},
+		{&c.IdleTimeout, 90 * time.Second},
+		{&c.StopRetryAfter, time.Second},
+	}
+	for _, d := range durations {
+		if *d.field == 0 {
+			*d.field = d.value
+		}
+	}
+}
+
+// Validate checks that all needed fields are there.
+func (c *Config) Validate() error {
+	switch {
+	case c.Team == nil, c.Policy == nil, c.Service == nil, c.Models == nil, c.Run == nil,
+		c.Admit == nil, c.Finish == nil, c.Ready == nil, c.Now == nil, c.NewID == nil, c.Log == nil:
+		return errors.NotValidf("Config.Validate: a function field is nil")
+	case c.BodyBytes < 1, c.HeaderBytes < 1:
+		return errors.NotValidf("Config.Validate: BodyBytes or HeaderBytes below 1")
+	}
+	return nil
+}
--- /dev/null
+++ b/io/front/fault.go
@@ -0,0 +1,92 @@
+package front
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"gentianwell/core/call"
+)
+
+// FaultType is the type in an error body, as OpenAI-compatible clients know it.
+type FaultType string
+
+// The types.
+const (
+	FaultInvalid     FaultType = "invalid_request_error"
+	FaultKey         FaultType = "authentication_error"
+	FaultLimit       FaultType = "rate_limit_error"
+	FaultServer      FaultType = "server_error"
+	FaultUnavailable FaultType = "service_unavailable"
+)
+
+// Fault is an answer that is no success.
+type Fault struct {
+	Status     int
+	Type       FaultType
+	Code       string
+	Message    string
+	Outcome    call.Outcome
+	RetryAfter time.Duration
+}
+
+// faultBody is the error body of the OpenAI API.
+type faultBody struct {
+	Error faultError `json:"error"`
+}
+
+type faultError struct {
+	Message string    `json:"message"`
+	Type    FaultType `json:"type"`
+	Param   *string   `json:"param"`
+	Code    string    `json:"code"`
+}
+
+// Body returns the fault as a JSON error body.
+func (f *Fault) Body() []byte {
+	// A struct of strings always has a JSON form.
+	body, _ := json.Marshal(faultBody{Error: faultError{Message: f.Message, Type: f.Type, Code: f.Code}})
+	return body
+}
+
+// write answers a request with the fault.
+func (f *Fault) write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, string(f.Outcome))
+	h.Set(HeaderReason, f.Code)
+	if f.RetryAfter > 0 {
+		h.Set("Retry-After", retryAfter(f.RetryAfter))
+		h.Set("Retry-After-Ms", strconv.FormatInt(f.RetryAfter.Milliseconds(), 10))
+	}
+	w.WriteHeader(f.Status)
+	// The caller may be gone; there is nobody else to tell.
+	_, _ = w.Write(f.Body())
+}
+
+// retryAfter rounds up to whole seconds, the unit of the Retry-After header.
+func retryAfter(d time.Duration) string {
+	return strconv.FormatInt(int64(math.Ceil(d.Seconds())), 10)
+}
+
+// typeOf returns the error type that clients expect with a status.
+func typeOf(status int) FaultType {
+	switch {
+	case status == http.StatusUnauthorized:
+		return FaultKey
+	case status == http.StatusTooManyRequests:
+		return FaultLimit
+	case status == http.StatusServiceUnavailable:
+		return FaultUnavailable
+	case status < http.StatusInternalServerError:
+		return FaultInvalid
+	}
+	return FaultServer
+}
+
+// invalid is a request that cannot be understood.
+func invalid(code, message string) *Fault {
+	return &Fault{Status: http.StatusBadRequest, Type: FaultInvalid, Code: code, Message: message, Outcome: call.OutcomeNotRun}
+}
--- /dev/null
+++ b/io/front/header.go
@@ -0,0 +1,19 @@
+package front
+
+// The headers that gentianwell adds to the OpenAI-compatible API.
+const (
+	// HeaderClass names the request's class; without it the team's default counts.
+	HeaderClass = "Gentianwell-Class"
+	// HeaderDeadline is the time the answer may take, such as "1500ms" or "2s".
+	HeaderDeadline = "Gentianwell-Deadline"
+	// HeaderOutcome tells whether the request was run: notRun, ran or unknown.
+	HeaderOutcome = "Gentianwell-Outcome"
+	// HeaderReason tells why a request was refused or failed.
+	HeaderReason = "Gentianwell-Reason"
+	// HeaderReplica names the replica that ran the request.
+	HeaderReplica = "Gentianwell-Replica"
+	// HeaderRequestID identifies the request in the logs.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderKey is the caller's idempotency key.
+	HeaderKey = "Idempotency-Key"
+)
--- /dev/null
+++ b/io/front/models.go
@@ -0,0 +1,38 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"gentianwell/core/call"
+)
+
+// modelList is the list of models in the form of the OpenAI API.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      call.Model `json:"id"`
+	Object  string     `json:"object"`
+	Created int64      `json:"created"`
+	OwnedBy string     `json:"owned_by"`
+}
+
+// models lists the models.
+func (s *Server) models(w http.ResponseWriter, r *request) {
+	if f := s.identify(r); f != nil {
+		s.refuse(w, r, f)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, m := range s.c.Models() {
+		list.Data = append(list.Data, modelItem{ID: m, Object: "model", OwnedBy: "gentianwell"})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(HeaderOutcome, string(call.OutcomeRan))
+	if err := json.NewEncoder(w).Encode(list); err != nil {
+		s.c.Log.WithError(err).WithField("request", r.id).Warn("answer not written")
+	}
+}
--- /dev/null
+++ b/io/front/read.go
@@ -0,0 +1,100 @@
+package front
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"gentianwell/core/call"
+)
+
+// identify finds the request's team by its bearer key.
+func (s *Server) identify(r *request) *Fault {
+	bearer, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if ok {
+		r.team, ok = s.c.Team(bearer)
+	}
+	if !ok {
+		return &Fault{
+			Status: http.StatusUnauthorized, Type: FaultKey, Code: "invalid_api_key",
+			Message: "the bearer key is missing or belongs to no team", Outcome: call.OutcomeNotRun,
+		}
+	}
+	return nil
+}
+
+// policy finds what holds for the request's class.
+func (s *Server) policy(r *request) (Policy, *Fault) {
+	p, err := s.c.Policy(r.team, call.Class(r.Header.Get(HeaderClass)))
+	if errors.Is(err, errors.NotFound) {
+		return Policy{}, invalid("unknown_class", err.Error())
+	}
+	if err != nil {
+		return Policy{}, &Fault{
+			Status: http.StatusServiceUnavailable, Type: FaultUnavailable, Code: "noSettings",
+			Message: "no settings are in force yet", Outcome: call.OutcomeNotRun, RetryAfter: time.Second,
+		}
+	}
+	return p, nil
+}
+
+// deadline returns when the answer is due: the earlier of the caller's wish and
+// the policy; the zero time is never.
+func (s *Server) deadline(r *request, p Policy) (time.Time, *Fault) {
+	limit := p.Deadline
+	if text := r.Header.Get(HeaderDeadline); text != "" {
+		wish, err := time.ParseDuration(text)
+		if err != nil || wish <= 0 {
+			return time.Time{}, invalid("invalid_deadline", HeaderDeadline+" has to be a positive duration such as 1500ms")
+		}
+		if limit == 0 || wish < limit {
+			limit = wish
+		}
+	}
+	if limit == 0 {
+		return time.Time{}, nil
+	}
+	return r.arrived.Add(limit), nil
+}
+
+// body reads the body within its limits of size and silence.
+func (s *Server) body(w http.ResponseWriter, r *request) ([]byte, *Fault) {
+	limited := http.MaxBytesReader(w, r.Body, s.c.BodyBytes)
+	body, err := io.ReadAll(&progressReader{r: limited, control: http.NewResponseController(w), timeout: s.c.BodyTimeout, now: s.c.Now})
+	tooLarge := &http.MaxBytesError{}
+	if errors.As(err, &tooLarge) {
+		return nil, &Fault{
+			Status: http.StatusRequestEntityTooLarge, Type: FaultInvalid, Code: "body_too_large",
+			Message: err.Error(), Outcome: call.OutcomeNotRun,
+		}
+	}
+	if err != nil {
+		return nil, &Fault{
+			Status: http.StatusRequestTimeout, Type: FaultInvalid, Code: "body_incomplete",
+			Message: "the body did not arrive: " + err.Error(), Outcome: call.OutcomeNotRun, RetryAfter: time.Second,
+		}
+	}
+	return body, nil
+}
+
+// progressReader gives each read of a body its own deadline.
+type progressReader struct {
+	r       io.Reader
+	control *http.ResponseController
+	timeout time.Duration
+	now     func() time.Time
+}
+
+// Read reads with a new deadline; it is lifted when the body is read.
+func (p *progressReader) Read(b []byte) (int, error) {
+	// Not every ResponseWriter has deadlines: tests have none.
+	_ = p.control.SetReadDeadline(p.now().Add(p.timeout))
+	n, err := p.r.Read(b)
+	if err != nil {
+		_ = p.control.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
--- /dev/null
+++ b/io/runner/doc.go
@@ -0,0 +1,2 @@
+// Package runner runs a job to its end.
+package runner
