Add the tiered queue of waiting calls

Change: core/sched holds one queue for each model: priority between tiers, start-time fair queueing between teams and their classes, turns with a bounded share for lower tiers, displacement only downwards, and final answers at once with a spread Retry-After. Deficit round robin was weighed for the fair share: with costs from 10 to 30,000 tokens it needs a quantum of the greatest cost to stay O(1), and a team that empties its queue loses its deficit. Start-time fair queueing is O(log teams) and keeps the account.

Command: go test -count=1 ./core/sched

--- /dev/null
+++ b/core/sched/item.go
@@ -0,0 +1,41 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"gentianwell/core/call"
+)
+
+// Item is a call that waits, with what is estimated about it.
+type Item struct {
+	Call call.Call
+	// Cost is the estimated number of tokens, prompt and answer; at least 1.
+	Cost int
+	// Service is the estimated time from dispatch to the end of the answer. It
+	// only matters where the call has a deadline.
+	Service time.Duration
+}
+
+// Validate checks that the item can be queued.
+//
+// Errors: NotValid.
+func (i *Item) Validate() error {
+	if err := i.Call.Validate(); err != nil {
+		return errors.Annotate(err, "Item.Validate")
+	}
+	if i.Cost < 1 || i.Service < 0 {
+		return errors.NotValidf("Item.Validate: cost %d, service %s", i.Cost, i.Service)
+	}
+	return nil
+}
+
+// lastStart returns the latest dispatch that can meet the deadline; zero if there
+// is none.
+func (i *Item) lastStart() time.Time {
+	if i.Call.Deadline.IsZero() {
+		return time.Time{}
+	}
+	return i.Call.Deadline.Add(-i.Service)
+}
--- /dev/null
+++ b/core/sched/queue.go
@@ -0,0 +1,244 @@
+// Package sched decides which waiting call is dispatched next on one entry VM,
+// which calls are queued, and which are given up on.
+//
+// There is one queue for each model. Within it, tiers go by priority, teams
+// within a tier share by estimated tokens (start-time fair queueing), and
+// classes within a team do the same. The rules at overload are:
+//
+//   - A call of a higher tier that arrives at a full queue displaces the newest
+//     call of the lowest tier below it. Nothing is displaced by its own tier or
+//     by a lower one.
+//   - Protected tiers go first whenever one of their calls waits. The others
+//     each have a turn: a tier that has waited for its TurnEvery without a
+//     dispatch goes before the unprotected tiers above it. All turns together
+//     take at most TurnShare of the dispatched tokens.
+//   - Each tier has a few places of its own, so that a higher tier's overload
+//     cannot keep it out of the queue.
+//   - A team holds no more places of a tier than are left for the tier, so that
+//     one team's burst leaves places for the others.
+//   - A call whose deadline cannot be met any more, or which has waited for its
+//     tier's MaxWait, is given up on at once, before it costs tokens.
+//
+// # Usage
+//
+//	c := sched.Defaults()
+//	c.Rand = rand.New(rand.NewPCG(seed, 0))
+//	q, err := sched.New(c)
+//	...
+//	v := q.Offer(now, sched.Item{Call: call, Cost: 300, Service: 4 * time.Second})
+//	answer(v.Displaced...) // each gets its final answer, with Retry-After
+//	...
+//	answer(q.Expire(now)...)
+//	if item, reason, ok := q.Next(now, "drafts"); ok {
+//		dispatch(item, reason)
+//	}
+//
+// Each offered item ends exactly once: refused or displaced by Offer, handed out
+// by Next, given up by Expire, or taken out by Remove. A Queue is not safe for
+// concurrent use; its time comes from the caller.
+package sched
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"gentianwell/core/call"
+)
+
+// Queue holds the waiting calls of one entry VM.
+type Queue struct {
+	config  Config
+	models  map[call.Model]*modelQueue
+	byID    map[string]*entry
+	expiry  entryHeap
+	pending Refusals
+	seq     uint64
+}
+
+// New returns an empty queue.
+//
+// Errors: NotValid where the config is.
+func New(c Config) (*Queue, error) {
+	if err := c.Validate(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &Queue{
+		config: c,
+		models: map[call.Model]*modelQueue{},
+		byID:   map[string]*entry{},
+	}, nil
+}
+
+// Offer queues the item or refuses it. The verdict lists the items that were
+// displaced by it, each of which is owed its final answer at once.
+func (q *Queue) Offer(now time.Time, item Item) Verdict {
+	if err := item.Validate(); err != nil {
+		return Verdict{Reason: ReasonNotValid}
+	}
+	if _, ok := q.byID[item.Call.ID]; ok {
+		return Verdict{Reason: ReasonTwice}
+	}
+	q.giveUp(now)
+	m := q.model(item.Call.Model)
+	if reason := q.refusal(now, m, item); reason != "" {
+		v := Verdict{Reason: reason, RetryAfter: q.retryAfter(m, item.Call.Tier)}
+		q.drop(m)
+		return v
+	}
+	v := Verdict{Queued: true, Reason: ReasonQueued}
+	if !m.placeFor(item.Call.Tier) {
+		victim := m.victim(item.Call.Tier)
+		v.Displaced = append(v.Displaced, q.refuse(victim, ReasonDisplaced))
+	}
+	q.insert(now, m, item)
+	return v
+}
+
+// Next takes out the item to dispatch next for the model, with the reason why it
+// is this one. It returns false where none waits.
+func (q *Queue) Next(now time.Time, model call.Model) (Item, Reason, bool) {
+	return q.NextUpTo(now, model, call.MaxTier)
+}
+
+// NextUpTo is Next for the tiers up to lowest only, for a dispatcher that keeps
+// its last free places for urgent tiers.
+func (q *Queue) NextUpTo(now time.Time, model call.Model, lowest call.Tier) (Item, Reason, bool) {
+	q.giveUp(now)
+	m, ok := q.models[model]
+	if !ok {
+		return Item{}, ReasonEmpty, false
+	}
+	tier, reason := m.choose(now, lowest)
+	if tier == nil {
+		return Item{}, reason, false
+	}
+	e := tier.head()
+	m.dispatched(now, e, reason)
+	q.forget(e)
+	q.drop(m)
+	return e.item, reason, true
+}
+
+// Remove takes out a waiting call, for example because its caller went away.
+func (q *Queue) Remove(id string) (Item, bool) {
+	e, ok := q.byID[id]
+	if !ok {
+		return Item{}, false
+	}
+	q.remove(e)
+	return e.item, true
+}
+
+// Expire gives up on the items whose time has passed and returns them. Call it
+// before Next and at NextExpiry.
+func (q *Queue) Expire(now time.Time) Refusals {
+	q.giveUp(now)
+	out := q.pending
+	q.pending = nil
+	return out
+}
+
+// NextExpiry returns when Expire has something to return next; the zero time
+// where it has already.
+func (q *Queue) NextExpiry() (time.Time, bool) {
+	if len(q.pending) > 0 {
+		return time.Time{}, true
+	}
+	if len(q.expiry.list) == 0 {
+		return time.Time{}, false
+	}
+	return q.expiry.list[0].expires, true
+}
+
+// Len returns how many calls wait.
+func (q *Queue) Len() int { return len(q.byID) }
+
+// Waiting returns the models that have waiting calls, in no order.
+func (q *Queue) Waiting() []call.Model {
+	models := make([]call.Model, 0, len(q.models))
+	for name := range q.models {
+		models = append(models, name)
+	}
+	return models
+}
+
+func (q *Queue) model(name call.Model) *modelQueue {
+	m, ok := q.models[name]
+	if !ok {
+		m = newModelQueue(name, &q.config)
+		q.models[name] = m
+	}
+	return m
+}
+
+// refusal returns why the item cannot be queued, or "".
+func (q *Queue) refusal(now time.Time, m *modelQueue, item Item) Reason {
+	if q.hopeless(now, m, item) {
+		return ReasonHopeless
+	}
+	places := m.obtainable(item.Call.Tier)
+	if places == 0 {
+		return ReasonFull
+	}
+	if m.teamItems(item.Call.Tier, item.Call.Team) >= places {
+		return ReasonTeamFull
+	}
+	return ""
+}
+
+// hopeless reports whether the item would miss its deadline.
+func (q *Queue) hopeless(now time.Time, m *modelQueue, item Item) bool {
+	deadline := item.Call.Deadline
+	if deadline.IsZero() {
+		return false
+	}
+	wait := q.wait(m, item.Call.Tier, item.Call.Team, item.Cost)
+	return now.Add(wait + item.Service).After(deadline)
+}
+
+// insert queues the item; there is a place for it.
+func (q *Queue) insert(now time.Time, m *modelQueue, item Item) {
+	q.seq++
+	e := &entry{item: item, model: m, arrived: now, seq: q.seq}
+	e.expires = now.Add(q.config.Tiers[item.Call.Tier].MaxWait)
+	e.reason = ReasonMaxWait
+	if start := item.lastStart(); !start.IsZero() && start.Before(e.expires) {
+		e.expires, e.reason = start, ReasonHopeless
+	}
+	q.byID[item.Call.ID] = e
+	q.expiry.push(e)
+	m.insert(now, e)
+}
+
+// giveUp refuses all items whose time has passed.
+func (q *Queue) giveUp(now time.Time) {
+	for len(q.expiry.list) > 0 && !q.expiry.list[0].expires.After(now) {
+		e := q.expiry.list[0]
+		q.pending = append(q.pending, q.refuse(e, e.reason))
+	}
+}
+
+func (q *Queue) refuse(e *entry, reason Reason) Refusal {
+	after := q.retryAfter(e.model, e.item.Call.Tier)
+	q.remove(e)
+	return Refusal{Item: e.item, Reason: reason, RetryAfter: after}
+}
+
+func (q *Queue) remove(e *entry) {
+	e.model.remove(e)
+	q.forget(e)
+	q.drop(e.model)
+}
+
+func (q *Queue) forget(e *entry) {
+	q.expiry.remove(e)
+	delete(q.byID, e.item.Call.ID)
+}
+
+// drop frees an empty model's queue, so that idle models cost nothing.
+func (q *Queue) drop(m *modelQueue) {
+	if m.items == 0 {
+		delete(q.models, m.name)
+	}
+}
--- /dev/null
+++ b/core/sched/retry.go
@@ -0,0 +1,58 @@
+package sched
+
+import (
+	"time"
+
+	"gentianwell/core/call"
+)
+
+// wait estimates how long one more item of the tier and team would wait: behind
+// all higher tiers, and behind its own tier as far as fair sharing lets the
+// others' items go first. It is 0 where the rate is not known.
+func (q *Queue) wait(m *modelQueue, t call.Tier, team call.Team, cost int) time.Duration {
+	rate := q.config.Rate(m.name)
+	if rate <= 0 {
+		return 0
+	}
+	ahead := m.tokensAbove(t) + m.tokensBefore(t, team, cost)
+	return seconds(float64(ahead) / rate)
+}
+
+// tokensAbove returns the tokens that wait in tiers above t.
+func (m *modelQueue) tokensAbove(t call.Tier) int {
+	sum := 0
+	for up := range t {
+		if m.tiers[up] != nil {
+			sum += m.tiers[up].tokens
+		}
+	}
+	return sum
+}
+
+// tokensBefore returns the tokens of tier t that go before one more item of the
+// team.
+func (m *modelQueue) tokensBefore(t call.Tier, team call.Team, cost int) int {
+	tier := m.tiers[t]
+	if tier == nil {
+		return 0
+	}
+	_, own := tier.team(string(team))
+	others := min(tier.tokens-own, (own+cost)*len(tier.teams.busy.list))
+	return own + others
+}
+
+// retryAfter returns when a refused caller should come back: after about the
+// time that the work before it takes, spread over as long again.
+func (q *Queue) retryAfter(m *modelQueue, t call.Tier) time.Duration {
+	after := q.config.RetryMin
+	if rate := q.config.Rate(m.name); rate > 0 {
+		after += seconds(float64(m.tokensAbove(t+1)) / rate)
+	}
+	after = min(after, q.config.RetryMax/2)
+	spread := time.Duration(q.config.Rand.Int64N(int64(after) + 1))
+	return after + spread
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
