--- /dev/null
+++ b/core/route/decision.go
@@ -0,0 +1,70 @@
+package route
+
+import (
+	"github.com/juju/errors"
+
+	"gentianwell/core/call"
+)
+
+// maxPassed bounds Decision.Passed.
+const maxPassed = 8
+
+// The errors of Pick, to be tested with errors.Is.
+const (
+	// ErrNoReplica means that no replica of the model is known or left.
+	ErrNoReplica = errors.ConstError("no replica for the model")
+	// ErrBusy means that all usable replicas of the model are full.
+	ErrBusy = errors.ConstError("all replicas of the model are full")
+)
+
+// Reason says why a replica was chosen.
+type Reason string
+
+// The reasons for a choice. ReasonLastResort: only ejected replicas were left.
+const (
+	ReasonLeastLoaded  Reason = "leastLoaded"
+	ReasonPrefixCached Reason = "prefixCached"
+	ReasonOtherZone    Reason = "otherZone"
+	ReasonAlone        Reason = "alone"
+	ReasonLastResort   Reason = "lastResort"
+)
+
+// PassedReason says why a replica was passed over.
+type PassedReason string
+
+// The reasons for passing over. PassedWorse: a candidate with a worse score.
+// PassedReserved: a call that has to be alone runs there.
+const (
+	PassedExcluded PassedReason = "excluded"
+	PassedEjected  PassedReason = "ejected"
+	PassedFull     PassedReason = "full"
+	PassedInUse    PassedReason = "inUse"
+	PassedReserved PassedReason = "reserved"
+	PassedWorse    PassedReason = "worse"
+)
+
+// Passed is a replica that was passed over.
+type Passed struct {
+	ID     call.ReplicaID
+	Reason PassedReason
+}
+
+// Decision is the outcome of Pick.
+type Decision struct {
+	Replica Replica
+	Reason  Reason
+	// Load is the chosen replica's estimated load per slot.
+	Load float64
+	// CachedPrefixes is how many of the call's prefixes it is believed to hold.
+	CachedPrefixes int
+	// Passed holds the first few that were passed over, Usable how many could
+	// have been chosen.
+	Passed []Passed
+	Usable int
+}
+
+func (d *Decision) pass(id call.ReplicaID, reason PassedReason) {
+	if len(d.Passed) < maxPassed {
+		d.Passed = append(d.Passed, Passed{ID: id, Reason: reason})
+	}
+}
--- /dev/null
+++ b/core/route/eject.go
@@ -0,0 +1,192 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"gentianwell/core/call"
+)
+
+// EjectReason says why a replica is ejected.
+type EjectReason string
+
+// The reasons for an ejection.
+const (
+	EjectFailing     EjectReason = "failing"
+	EjectUnreachable EjectReason = "unreachable"
+	EjectSlow        EjectReason = "slow"
+)
+
+// slowMin is how many measured replicas a median needs.
+const slowMin = 3
+
+// Ejection is one replica that gets no new calls for a time.
+type Ejection struct {
+	ID     call.ReplicaID
+	Reason EjectReason
+	Until  time.Time
+}
+
+// Ejections is a list of ejected replicas, sorted by id.
+type Ejections []Ejection
+
+// Ejected returns the replicas that are ejected at now.
+func (r *Router) Ejected(now time.Time) Ejections {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out Ejections
+	for _, s := range r.byID {
+		if s.ejected(now) {
+			out = append(out, Ejection{ID: s.ID, Reason: s.ejectedFor, Until: s.ejectedUntil})
+		}
+	}
+	slices.SortFunc(out, func(a, b Ejection) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// judge takes what a run showed and ejects the replica where it has to be.
+func (r *Router) judge(now time.Time, s *state, result Result) EjectReason {
+	switch result.Status {
+	case StatusCanceled:
+		return ""
+	case StatusOK:
+		return r.judgeOK(now, s, result)
+	}
+	s.failures++
+	if s.failures < r.c.FailuresToEject {
+		return ""
+	}
+	if result.Status == StatusUnreachable {
+		return r.eject(now, s, EjectUnreachable)
+	}
+	return r.eject(now, s, EjectFailing)
+}
+
+func (r *Router) judgeOK(now time.Time, s *state, result Result) EjectReason {
+	s.failures = 0
+	if result.FirstToken <= 0 {
+		return ""
+	}
+	s.sample(result.FirstToken)
+	if !r.slow(s) {
+		s.ejections = 0
+		return ""
+	}
+	return r.eject(now, s, EjectSlow)
+}
+
+func (s *state) sample(firstToken time.Duration) {
+	s.samples++
+	if s.samples == 1 {
+		s.firstToken = firstToken.Seconds()
+		return
+	}
+	s.firstToken += firstTokenWeight * (firstToken.Seconds() - s.firstToken)
+}
+
+// slow compares the replica with the median of the replicas of its first model.
+func (r *Router) slow(s *state) bool {
+	if s.samples < r.c.SlowSamples || s.firstToken < r.c.SlowFloor.Seconds() || len(s.Models) == 0 {
+		return false
+	}
+	p := r.pools[s.Models[0]]
+	if p == nil {
+		return false
+	}
+	median, ok := p.medianFirstToken(r.c.SlowSamples)
+	return ok && s.firstToken > r.c.SlowFactor*median
+}
+
+func (p *pool) medianFirstToken(minSamples int) (float64, bool) {
+	var times []float64
+	for _, s := range p.all {
+		if s.samples >= minSamples {
+			times = append(times, s.firstToken)
+		}
+	}
+	if len(times) < slowMin {
+		return 0, false
+	}
+	slices.Sort(times)
+	return times[(len(times)-1)/2], true
+}
+
+// eject leaves the replica out for a time, unless too many are out already.
+func (r *Router) eject(now time.Time, s *state, reason EjectReason) EjectReason {
+	if s.ejected(now) || !r.mayEject(now, s, reason) {
+		return ""
+	}
+	s.ejectedUntil = now.Add(r.ejectTime(s.ejections))
+	s.ejectedFor = reason
+	s.ejections++
+	// It starts anew when it comes back: one more failure ejects it again.
+	s.freshSince = s.ejectedUntil
+	s.failures = r.c.FailuresToEject - 1
+	s.samples = 0
+	return reason
+}
+
+func (r *Router) ejectTime(before int) time.Duration {
+	d := r.c.EjectTime
+	for range before {
+		if d *= 2; d >= r.c.EjectTimeMax {
+			return r.c.EjectTimeMax
+		}
+	}
+	return d
+}
+
+// mayEject holds the ejected share of each of the replica's models below the
+// cap. Unreachable replicas of another zone do not count while the own zone has
+// a usable one: a cut-off zone is out as a whole.
+func (r *Router) mayEject(now time.Time, s *state, reason EjectReason) bool {
+	for _, model := range s.Models {
+		p := r.pools[model]
+		if p == nil {
+			continue
+		}
+		if r.farUnreachable(s, reason) && p.usableIn(now, r.c.Zone) {
+			continue
+		}
+		if p.ejectedCount(now, r)+1 > r.ejectedMax(len(p.all)) {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Router) farUnreachable(s *state, reason EjectReason) bool {
+	return reason == EjectUnreachable && s.Zone != r.c.Zone
+}
+
+// ejectedMax is the cap in replicas: one of two or three, none of one.
+func (r *Router) ejectedMax(replicas int) int {
+	if replicas < 2 {
+		return 0
+	}
+	return max(1, int(r.c.EjectedShareMax*float64(replicas)))
+}
+
+func (p *pool) usableIn(now time.Time, zone call.Zone) bool {
+	for _, s := range p.all {
+		if s.Zone == zone && !s.ejected(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *pool) ejectedCount(now time.Time, r *Router) int {
+	n := 0
+	for _, s := range p.all {
+		if s.ejected(now) && !r.farUnreachable(s, s.ejectedFor) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/route/pick.go
@@ -0,0 +1,247 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"gentianwell/core/call"
+)
+
+// slowStartFloor is the share of its slots that a fresh replica has at once.
+const slowStartFloor = 0.1
+
+// candidate is a replica with its score: the lower the better.
+type candidate struct {
+	s      *state
+	score  float64
+	load   float64
+	cached int
+}
+
+// Pick chooses a replica for the call, leaving out those in exclude (where it
+// has been tried).
+//
+// Errors: ErrNoReplica, ErrBusy.
+func (r *Router) Pick(now time.Time, c call.Call, exclude []call.ReplicaID) (Decision, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pools[c.Model]
+	if p == nil {
+		return Decision{}, errors.Annotatef(ErrNoReplica, "Router.Pick: %s", c.Model)
+	}
+	var d Decision
+	f := r.filter(now, p, exclude, &d)
+	if f.usable() == 0 {
+		return d, errors.Annotatef(f.err(), "Router.Pick: %s", c.Model)
+	}
+	best := r.best(now, c, f, &d)
+	d.Replica = best.s.Replica
+	d.Load = best.load
+	d.CachedPrefixes = best.cached
+	d.Usable = f.usable()
+	d.Reason = r.reason(now, best, f)
+	return d, nil
+}
+
+func (r *Router) reason(now time.Time, best candidate, f filtered) Reason {
+	switch {
+	case best.s.ejected(now):
+		return ReasonLastResort
+	case best.cached > 0:
+		return ReasonPrefixCached
+	case best.s.Zone != r.c.Zone && f.hadLocal:
+		return ReasonOtherZone
+	}
+	return ReasonLeastLoaded
+}
+
+// Free reports whether Pick would find a replica for the model.
+func (r *Router) Free(now time.Time, model call.Model) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pools[model]
+	if p == nil {
+		return false
+	}
+	var d Decision
+	f := r.filter(now, p, nil, &d)
+	return f.usable() > 0
+}
+
+// filtered is the part of a pool that may be chosen.
+type filtered struct {
+	local, remote []*state
+	// hadLocal is true where the pool has replicas in the own zone.
+	hadLocal bool
+	// warm is true where a usable replica has no slow start.
+	warm bool
+	// full counts replicas that would be usable but for their load.
+	full int
+	// mean is the mean load per slot of the usable.
+	mean float64
+}
+
+func (f *filtered) usable() int { return len(f.local) + len(f.remote) }
+
+func (f *filtered) err() error {
+	if f.full > 0 {
+		return ErrBusy
+	}
+	return ErrNoReplica
+}
+
+// filter leaves out the excluded, the ejected, the reserved and the full. Where
+// nothing but ejected replicas is left they are taken after all.
+func (r *Router) filter(now time.Time, p *pool, exclude []call.ReplicaID, d *Decision) filtered {
+	r.scratch = r.scratch[:0]
+	f := filtered{hadLocal: len(p.local) > 0, warm: r.anyWarm(now, p)}
+	f.local = r.usable(now, p.local, exclude, &f, d, false)
+	f.remote = r.usable(now, p.remote, exclude, &f, d, false)
+	if f.usable() == 0 && f.full == 0 {
+		f.local = r.usable(now, p.local, exclude, &f, d, true)
+		f.remote = r.usable(now, p.remote, exclude, &f, d, true)
+	}
+	if n := f.usable(); n > 0 {
+		f.mean /= float64(n)
+	}
+	return f
+}
+
+func (r *Router) usable(now time.Time, part []*state, exclude []call.ReplicaID, f *filtered, d *Decision, ejectedToo bool) []*state {
+	from := len(r.scratch)
+	for _, s := range part {
+		switch {
+		case slices.Contains(exclude, s.ID):
+			d.pass(s.ID, PassedExcluded)
+		case s.ejected(now) && !ejectedToo:
+			d.pass(s.ID, PassedEjected)
+		case s.reserved(now):
+			f.full++
+			d.pass(s.ID, PassedReserved)
+		case r.full(now, s, f.warm):
+			f.full++
+			d.pass(s.ID, PassedFull)
+		default:
+			f.mean += s.load(now, r.c.ReportMaxAge) / float64(s.Slots)
+			r.scratch = append(r.scratch, s)
+		}
+	}
+	return r.scratch[from:len(r.scratch):len(r.scratch)]
+}
+
+func (r *Router) anyWarm(now time.Time, p *pool) bool {
+	for _, part := range [2][]*state{p.local, p.remote} {
+		for _, s := range part {
+			if !s.ejected(now) && r.ramp(now, s) == 1 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// ramp is the share of its slots that the replica has in its slow start.
+func (r *Router) ramp(now time.Time, s *state) float64 {
+	if s.freshSince.IsZero() {
+		return 1
+	}
+	age := now.Sub(s.freshSince)
+	if age >= r.c.SlowStart {
+		return 1
+	}
+	return max(slowStartFloor, float64(age)/float64(r.c.SlowStart))
+}
+
+// slots returns the replica's slots; a slow start counts only while there is
+// a warm replica to take the rest.
+func (r *Router) slots(now time.Time, s *state, warm bool) float64 {
+	if !warm {
+		return float64(s.Slots)
+	}
+	return max(1, float64(s.Slots)*r.ramp(now, s))
+}
+
+func (r *Router) full(now time.Time, s *state, warm bool) bool {
+	return s.load(now, r.c.ReportMaxAge)+1 > r.slots(now, s, warm)
+}
+
+// best compares random candidates of both parts and those with a cached prefix.
+func (r *Router) best(now time.Time, c call.Call, f filtered, d *Decision) candidate {
+	var best candidate
+	consider := func(cand candidate) {
+		switch {
+		case best.s == nil:
+			best = cand
+		case best.s == cand.s:
+			best = better(best, cand)
+		case cand.score < best.score:
+			d.pass(best.s.ID, PassedWorse)
+			best = cand
+		default:
+			d.pass(cand.s.ID, PassedWorse)
+		}
+	}
+	for _, part := range [2][]*state{f.local, f.remote} {
+		r.draw(part)
+		for _, s := range part[:min(r.c.Choices, len(part))] {
+			consider(r.candidate(now, s, f.warm))
+		}
+	}
+	r.hinted(now, c, f, consider)
+	return best
+}
+
+func better(a, b candidate) candidate {
+	if b.score < a.score {
+		return b
+	}
+	return a
+}
+
+// draw puts Choices random replicas to the front.
+func (r *Router) draw(part []*state) {
+	for i := range min(r.c.Choices, len(part)) {
+		j := i + r.c.Rand.IntN(len(part)-i)
+		part[i], part[j] = part[j], part[i]
+	}
+}
+
+func (r *Router) candidate(now time.Time, s *state, warm bool) candidate {
+	slots := r.slots(now, s, warm)
+	foreign := s.foreignAt(now, r.c.ReportMaxAge)
+	load := (float64(s.own) + foreign) / slots
+	score := (r.ownUnits(s) + foreign + 1) / slots
+	score += r.c.Penalty(r.c.Zone, s.Zone) + float64(s.failures)
+	return candidate{s: s, score: score, load: load}
+}
+
+// ownUnits is the own work in calls of mean cost.
+func (r *Router) ownUnits(s *state) float64 {
+	if r.meanCost <= 0 {
+		return float64(s.own)
+	}
+	return s.ownCost / r.meanCost
+}
+
+// hinted considers the replicas that are believed to hold the longest prefix,
+// but for those with more load than the bound allows.
+func (r *Router) hinted(now time.Time, c call.Call, f filtered, consider func(candidate)) {
+	if len(c.Prefixes) == 0 {
+		return
+	}
+	for _, match := range r.c.Hints.Lookup(c.Model, c.Prefixes) {
+		s := r.byID[match.Replica]
+		if s == nil || !(slices.Contains(f.local, s) || slices.Contains(f.remote, s)) {
+			continue
+		}
+		cand := r.candidate(now, s, f.warm)
+		if cand.load > f.mean*r.c.AffinityBound+1/float64(s.Slots) {
+			continue
+		}
+		cand.cached = match.Prefixes
+		cand.score -= r.c.AffinityWeight * float64(match.Prefixes) / float64(len(c.Prefixes))
+		consider(cand)
+	}
+}
--- /dev/null
+++ b/core/route/pool.go
@@ -0,0 +1,105 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gentianwell/core/call"
+)
+
+// remoteShare is the size of the subset's part in other zones, against the part
+// in the own zone.
+const remoteShare = 0.5
+
+// pool is the replicas of one model, each part in the order of their rank.
+type pool struct {
+	all []*state
+	// local and remote are the subset: own zone and other zones.
+	local  []*state
+	remote []*state
+}
+
+// rebuild makes the pools from the listed replicas.
+func (r *Router) rebuild() {
+	r.pools = map[call.Model]*pool{}
+	for _, s := range r.byID {
+		if s.listed {
+			r.addToPools(s)
+		}
+	}
+	for model, p := range r.pools {
+		r.chooseSubset(model, p)
+	}
+}
+
+func (r *Router) addToPools(s *state) {
+	for _, model := range s.Models {
+		p := r.pools[model]
+		if p == nil {
+			p = &pool{}
+			r.pools[model] = p
+		}
+		p.all = append(p.all, s)
+	}
+}
+
+// chooseSubset takes the replicas that rank first by rendezvous hashing of the
+// VM, the model and the replica: a replica that comes or goes changes only its
+// own place in the subset.
+func (r *Router) chooseSubset(model call.Model, p *pool) {
+	ranked := rank(r.c.Self, model, p.all)
+	p.all = ranked
+	size := r.subsetSize(len(ranked))
+	if len(ranked) <= size {
+		p.local, p.remote = r.split(ranked)
+		return
+	}
+	local, remote := r.split(ranked)
+	p.local = local[:min(len(local), size)]
+	rest := max(int(float64(size)*remoteShare), size-len(p.local))
+	p.remote = remote[:min(len(remote), rest)]
+}
+
+// subsetSize is the least size, or what lets each replica be in the subsets of
+// SubsetCover VMs on average.
+func (r *Router) subsetSize(replicas int) int {
+	cover := (r.c.SubsetCover*replicas + r.vms - 1) / r.vms
+	return max(r.c.SubsetMin, cover)
+}
+
+func (r *Router) split(ranked []*state) (local, remote []*state) {
+	for _, s := range ranked {
+		if s.Zone == r.c.Zone {
+			local = append(local, s)
+		} else {
+			remote = append(remote, s)
+		}
+	}
+	return local, remote
+}
+
+type ranked struct {
+	hash uint64
+	s    *state
+}
+
+func rank(self call.VMID, model call.Model, all []*state) []*state {
+	order := make([]ranked, 0, len(all))
+	for _, s := range all {
+		order = append(order, ranked{hash: rendezvous(self, model, s.ID), s: s})
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.s.ID, b.s.ID))
+	})
+	out := make([]*state, 0, len(order))
+	for _, o := range order {
+		out = append(out, o.s)
+	}
+	return out
+}
+
+func rendezvous(self call.VMID, model call.Model, id call.ReplicaID) uint64 {
+	return xxhash.Sum64String(string(self) + "\x00" + string(model) + "\x00" + string(id))
+}
--- /dev/null
+++ b/core/route/router.go
@@ -0,0 +1,155 @@
+package route
+
+import (
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"gentianwell/core/call"
+	"gentianwell/core/hint"
+)
+
+// meanCostWeight is the weight of a new call in the mean cost.
+const meanCostWeight = 0.05
+
+// Router chooses replicas for the calls of one VM.
+type Router struct {
+	c     Config
+	mu    sync.Mutex
+	byID  map[call.ReplicaID]*state
+	pools map[call.Model]*pool
+	// vms is how many VMs route, for the size of the subsets.
+	vms      int
+	started  bool
+	meanCost float64
+	scratch  []*state
+}
+
+// New returns a Router without replicas. Unset fields of the config get their
+// defaults.
+//
+// Errors: NotValid.
+func New(c Config) (*Router, error) {
+	c = c.Defaults()
+	if err := c.Validate(); err != nil {
+		return nil, errors.Annotate(err, "route.New")
+	}
+	if c.Hints == nil {
+		c.Hints = hint.New(hint.Config{})
+	}
+	return &Router{c: c, vms: 1, byID: map[call.ReplicaID]*state{}, pools: map[call.Model]*pool{}}, nil
+}
+
+// Hints returns the table of prefix hints, which Pick reads.
+func (r *Router) Hints() *hint.Table { return r.c.Hints }
+
+// SetReplicas replaces the list. What is known about the replicas that stay is
+// kept. A replica that is new, or that has come back under another address, has
+// a slow start, but for those of the first list.
+func (r *Router) SetReplicas(now time.Time, list Replicas) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.byID {
+		s.listed = false
+	}
+	for _, replica := range list {
+		r.set(now, replica)
+	}
+	for id, s := range r.byID {
+		if !s.listed && s.own == 0 {
+			delete(r.byID, id)
+			r.c.Hints.Forget(id)
+		}
+	}
+	r.started = r.started || len(list) > 0
+	r.rebuild()
+}
+
+func (r *Router) set(now time.Time, replica Replica) {
+	if replica.Slots <= 0 {
+		replica.Slots = r.c.Slots
+	}
+	s := r.byID[replica.ID]
+	if s == nil || s.Address != replica.Address {
+		s = r.fresh(now, s)
+		r.byID[replica.ID] = s
+	}
+	s.Replica = replica
+	s.listed = true
+}
+
+// fresh returns the state of a new replica. Work that is still in flight on the
+// replica's former address stays counted, so that its end is matched.
+func (r *Router) fresh(now time.Time, former *state) *state {
+	s := &state{}
+	if former != nil {
+		s.setOwn(now, former.own)
+		s.ownCost = former.ownCost
+		r.c.Hints.Forget(former.ID)
+	}
+	if r.started {
+		s.freshSince = now
+	}
+	return s
+}
+
+// SetVMs tells how many VMs route, from which the size of the subsets follows.
+func (r *Router) SetVMs(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n = max(n, 1); n != r.vms {
+		r.vms = n
+		r.rebuild()
+	}
+}
+
+// Started tells that a call of the cost was sent to the replica. Cost is in
+// estimated tokens, or in any unit that is the same for all calls.
+func (r *Router) Started(now time.Time, id call.ReplicaID, cost float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.byID[id]; s != nil {
+		r.start(now, s, cost)
+	}
+}
+
+func (r *Router) start(now time.Time, s *state, cost float64) {
+	s.setOwn(now, s.own+1)
+	s.ownCost += cost
+	if r.meanCost == 0 {
+		r.meanCost = cost
+		return
+	}
+	r.meanCost += meanCostWeight * (cost - r.meanCost)
+}
+
+// Finished tells that the call ended, with the cost given to Started. It may
+// eject the replica; the reason is returned, empty if it did not.
+func (r *Router) Finished(now time.Time, id call.ReplicaID, cost float64, result Result) EjectReason {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.byID[id]
+	if s == nil {
+		return ""
+	}
+	s.setOwn(now, s.own-1)
+	s.ownCost = max(0, s.ownCost-cost)
+	if s.own == 0 {
+		s.ownCost = 0
+	}
+	if !s.listed && s.own == 0 {
+		delete(r.byID, id)
+		return ""
+	}
+	return r.judge(now, s, result)
+}
+
+// Report takes a replica's load report. It returns false for a report that is
+// not newer than the last one, or of an unknown replica.
+func (r *Router) Report(now time.Time, id call.ReplicaID, l Load) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.byID[id]
+	return s != nil && s.report(now, l)
+}
--- /dev/null
+++ b/core/route/types.go
@@ -0,0 +1,30 @@
+package route
+
+import (
+	"net/netip"
+	"time"
+
+	"gentianwell/core/call"
+)
+
+// Replica is one replica of the fleet, of one or several models.
+type Replica struct {
+	ID      call.ReplicaID
+	Zone    call.Zone
+	Address netip.AddrPort
+	Models  []call.Model
+	// Slots is how many requests it runs at the same time; zero: unknown.
+	Slots int
+}
+
+// Replicas is the whole list.
+type Replicas []Replica
+
+// Load is a replica's own report of its load.
+type Load struct {
+	// Running and Waiting are requests, those of all VMs.
+	Running int
+	Waiting int
+	// Taken is when the replica measured it.
+	Taken time.Time
+}
