Add the settings tree

Cause: settings need inheritance, whole-tree checks and fast lookups. Checked: go test ./core/tree (ok).

--- /dev/null
+++ b/core/tree/edit.go
@@ -0,0 +1,251 @@
+package tree
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"gentianwell/core/call"
+)
+
+// Edit sets a value or a whole branch, or unsets it where Value is empty.
+type Edit struct {
+	// Path is a dotted path such as "classes.plot.tier" or "teams.judges".
+	Path  string          `json:"path"`
+	Value json.RawMessage `json:"value,omitempty"`
+}
+
+// Edits are applied in their order.
+type Edits []Edit
+
+// Apply returns a tree with the edits, checked as a whole; the receiver stays
+// as it is and shares the branches that no edit touches.
+//
+// Errors: Problems; a path that an edit unsets need not be there.
+func (t *Tree) Apply(edits Edits) (*Tree, error) {
+	next := t.clone()
+	var problems Problems
+	for _, edit := range edits {
+		path, err := ParsePath(edit.Path)
+		if err != nil {
+			problems = append(problems, err.(Problem))
+			continue
+		}
+		next.edit(path, edit.Value, &problems)
+	}
+	if len(problems) == 0 {
+		problems = next.check()
+	}
+	if err := problems.err(); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+// clone copies the maps of branches, not the branches.
+func (t *Tree) clone() *Tree {
+	return &Tree{
+		Site:     t.Site,
+		Classes:  cloneMap(t.Classes),
+		Teams:    cloneMap(t.Teams),
+		Models:   cloneMap(t.Models),
+		Services: cloneMap(t.Services),
+	}
+}
+
+func cloneMap[N ~string, B any](m map[N]B) map[N]B {
+	c := make(map[N]B, len(m)+1)
+	maps.Copy(c, m)
+	return c
+}
+
+// edit replaces one branch by one with the edit. A key of a branch that is not
+// there makes the branch.
+func (t *Tree) edit(path Path, value json.RawMessage, ps *Problems) {
+	if path.Key == "" {
+		t.replace(path.Branch, value, ps)
+		return
+	}
+	obj := object{}
+	if raw, ok := t.Encode(path.Branch); ok {
+		obj = readObject(path.Branch.Path(), raw, ps)
+	} else if len(value) == 0 {
+		return
+	}
+	if len(value) == 0 {
+		delete(obj, path.Key)
+	} else {
+		obj[path.Key] = value
+	}
+	raw, err := json.Marshal(obj)
+	if err != nil {
+		ps.add(path.String(), string(value), "a JSON value")
+		return
+	}
+	t.replace(path.Branch, raw, ps)
+}
+
+// replace stores or, with an empty raw value, removes a branch. A team's own
+// branch keeps its classes unless the value holds some.
+func (t *Tree) replace(b Branch, raw json.RawMessage, ps *Problems) {
+	path := b.Path()
+	if len(raw) == 0 {
+		t.remove(b)
+		return
+	}
+	switch b.Kind {
+	case KindSite:
+		t.Site = decodeSite(raw, ps)
+	case KindClass:
+		t.Classes[call.Class(b.Name)] = decodeClass(path, raw, ps)
+	case KindTeam:
+		t.replaceTeam(call.Team(b.Name), decodeTeam(path, raw, ps))
+	case KindTeamClass:
+		team, ok := t.Teams[call.Team(b.Name)]
+		if !ok {
+			ps.add(path, "", "no such team: set "+Branch{Kind: KindTeam, Name: b.Name}.Path()+" first")
+			return
+		}
+		team.Classes = cloneMap(team.Classes)
+		team.Classes[call.Class(b.Class)] = decodeTeamClass(path, raw, ps)
+		t.Teams[call.Team(b.Name)] = team
+	case KindModel:
+		t.Models[call.Model(b.Name)] = decodeModel(path, raw, ps)
+	case KindService:
+		t.Services[call.Model(b.Name)] = decodeService(path, raw, ps)
+	}
+}
+
+func (t *Tree) replaceTeam(name call.Team, team Team) {
+	if team.Classes == nil {
+		team.Classes = t.Teams[name].Classes
+	}
+	t.Teams[name] = team
+}
+
+func (t *Tree) remove(b Branch) {
+	switch b.Kind {
+	case KindSite:
+		t.Site = Site{}
+	case KindClass:
+		delete(t.Classes, call.Class(b.Name))
+	case KindTeam:
+		delete(t.Teams, call.Team(b.Name))
+	case KindTeamClass:
+		team, ok := t.Teams[call.Team(b.Name)]
+		if !ok {
+			return
+		}
+		team.Classes = cloneMap(team.Classes)
+		delete(team.Classes, call.Class(b.Class))
+		t.Teams[call.Team(b.Name)] = team
+	case KindModel:
+		delete(t.Models, call.Model(b.Name))
+	case KindService:
+		delete(t.Services, call.Model(b.Name))
+	}
+}
+
+// Encode returns a branch in JSON; a team's without its classes, which are
+// branches of their own. It returns false if the branch is not there.
+func (t *Tree) Encode(b Branch) ([]byte, bool) {
+	node, ok := t.node(b)
+	if !ok {
+		return nil, false
+	}
+	raw, err := json.Marshal(node)
+	return raw, err == nil
+}
+
+func (t *Tree) node(b Branch) (node any, ok bool) {
+	switch b.Kind {
+	case KindSite:
+		return t.Site, true
+	case KindClass:
+		node, ok = t.Classes[call.Class(b.Name)]
+	case KindTeam:
+		var team Team
+		team, ok = t.Teams[call.Team(b.Name)]
+		team.Classes = nil
+		node = team
+	case KindTeamClass:
+		node, ok = t.Teams[call.Team(b.Name)].Classes[call.Class(b.Class)]
+	case KindModel:
+		node, ok = t.Models[call.Model(b.Name)]
+	case KindService:
+		node, ok = t.Services[call.Model(b.Name)]
+	}
+	return node, ok
+}
+
+// Branches returns all branches of the tree, parents before their children.
+func (t *Tree) Branches() []Branch {
+	list := []Branch{{Kind: KindSite}}
+	for _, name := range sortedNames(t.Classes) {
+		list = append(list, Branch{Kind: KindClass, Name: string(name)})
+	}
+	for _, name := range sortedNames(t.Teams) {
+		list = append(list, Branch{Kind: KindTeam, Name: string(name)})
+		for _, class := range sortedNames(t.Teams[name].Classes) {
+			list = append(list, Branch{Kind: KindTeamClass, Name: string(name), Class: string(class)})
+		}
+	}
+	for _, name := range sortedNames(t.Models) {
+		list = append(list, Branch{Kind: KindModel, Name: string(name)})
+	}
+	for _, name := range sortedNames(t.Services) {
+		list = append(list, Branch{Kind: KindService, Name: string(name)})
+	}
+	return list
+}
+
+// Diff returns the edits, one for each branch, that lead from this tree to the
+// other.
+func (t *Tree) Diff(other *Tree) Edits {
+	var edits Edits
+	for _, b := range other.Branches() {
+		next, _ := other.Encode(b)
+		if old, ok := t.Encode(b); !ok || string(old) != string(next) {
+			edits = append(edits, Edit{Path: b.Path(), Value: next})
+		}
+	}
+	gone := t.Branches()
+	slices.Reverse(gone)
+	for _, b := range gone {
+		if _, ok := other.node(b); !ok {
+			edits = append(edits, Edit{Path: b.Path()})
+		}
+	}
+	return edits
+}
+
+// Assemble builds a tree from its branches in JSON and checks it as a whole.
+//
+// Errors: Problems.
+func Assemble(branches map[Branch][]byte) (*Tree, error) {
+	t := (&Tree{}).clone()
+	var problems Problems
+	for _, b := range sortedBranches(branches) {
+		t.replace(b, branches[b], &problems)
+	}
+	if len(problems) == 0 {
+		problems = t.check()
+	}
+	if err := problems.err(); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// sortedBranches puts teams before their classes.
+func sortedBranches(branches map[Branch][]byte) []Branch {
+	return slices.SortedFunc(maps.Keys(branches), func(a, b Branch) int {
+		switch {
+		case a.Key() < b.Key():
+			return -1
+		case a.Key() > b.Key():
+			return 1
+		}
+		return 0
+	})
+}
--- /dev/null
+++ b/core/tree/effective.go
@@ -0,0 +1,100 @@
+package tree
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"gentianwell/core/call"
+)
+
+// defaults are the values that count where no branch sets them.
+var defaults = func() Values {
+	var values Values
+	for _, f := range valueFields {
+		if !f.set(&values, []byte(f.Default)) {
+			panic("tree: default of " + f.Name)
+		}
+	}
+	return values
+}()
+
+// Source tells which branch a value comes from.
+type Source struct {
+	Key    string `json:"key"`
+	Branch string `json:"branch"`
+}
+
+// Sources are the sources of all values of a Policy, in the order of the keys.
+type Sources []Source
+
+// level is one step of the lookup.
+type level struct {
+	branch Branch
+	values *Values
+}
+
+// levels returns the branches that a value is looked up in, the first one first.
+//
+// Errors: NotFound for an unknown team or class. An empty class stands for none.
+func (t *Tree) levels(team call.Team, class call.Class) ([]level, error) {
+	own, ok := t.Teams[team]
+	if !ok && team != "" {
+		return nil, errors.NotFoundf("team %q", team)
+	}
+	shared, ok := t.Classes[class]
+	if !ok && class != "" {
+		return nil, errors.NotFoundf("class %q", class)
+	}
+	ownClass := own.Classes[class]
+	return []level{
+		{Branch{Kind: KindTeamClass, Name: string(team), Class: string(class)}, &ownClass},
+		{Branch{Kind: KindClass, Name: string(class)}, &shared},
+		{Branch{Kind: KindTeam, Name: string(team)}, &own.Values},
+		{Branch{Kind: KindSite}, &t.Site.Values},
+		{Branch{Kind: KindDefault}, &defaults},
+	}, nil
+}
+
+// Effective returns what holds for a class of a team. An empty team or class
+// leaves out its branches.
+//
+// Errors: NotFound for an unknown team or class.
+func (t *Tree) Effective(team call.Team, class call.Class) (Policy, error) {
+	levels, err := t.levels(team, class)
+	if err != nil {
+		return Policy{}, errors.Annotate(err, "Tree.Effective")
+	}
+	var values Values
+	for _, l := range levels {
+		values.inherit(l.values)
+	}
+	return values.policy(), nil
+}
+
+// Explain returns for each value of Effective which branch sets it.
+//
+// Errors: NotFound for an unknown team or class.
+func (t *Tree) Explain(team call.Team, class call.Class) (Sources, error) {
+	levels, err := t.levels(team, class)
+	if err != nil {
+		return nil, errors.Annotate(err, "Tree.Explain")
+	}
+	sources := make(Sources, 0, len(valueFields))
+	for _, f := range valueFields {
+		for _, l := range levels {
+			if f.isSet(l.values) {
+				sources = append(sources, Source{Key: f.Name, Branch: l.branch.Path()})
+				break
+			}
+		}
+	}
+	return sources, nil
+}
+
+// StopLimit returns the longest planned stop; 0 is none.
+func (t *Tree) StopLimit() time.Duration {
+	limit := t.Site.StopLimit
+	inheritOne(&limit, defaults.StopLimit)
+	return time.Duration(*limit)
+}
--- /dev/null
+++ b/core/tree/nearest.go
@@ -0,0 +1,37 @@
+package tree
+
+// nearest returns the known word with the least edit distance to the given one,
+// the first of several; "" if there are no known words.
+func nearest(word string, known []string) string {
+	best, bestDistance := "", -1
+	for _, k := range known {
+		if d := editDistance(word, k); bestDistance < 0 || d < bestDistance {
+			best, bestDistance = k, d
+		}
+	}
+	return best
+}
+
+// maxCompared bounds the part of a word that is compared, in bytes.
+const maxCompared = 64
+
+// editDistance is the Levenshtein distance.
+func editDistance(a, b string) int {
+	a, b = a[:min(len(a), maxCompared)], b[:min(len(b), maxCompared)]
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := 1
+			if a[i] == b[j] {
+				cost = 0
+			}
+			diagonal, row[j+1] = row[j+1], min(row[j+1]+1, row[j]+1, diagonal+cost)
+		}
+	}
+	return row[len(b)]
+}
