--- a/cmd/gwfake/plain.go
+++ b/cmd/gwfake/plain.go
@@ -2,18 +2,45 @@
 
 import (
 	"context"
+	"os"
+	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
+
+	"gentianwell/io/fakes"
 )
 
-// plainCommand runs the stand-in plain.
+// plainCommand runs the stand-in plain service.
 func plainCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "plain",
-		Usage: "run the stand-in plain",
-		Action: func(context.Context, *cli.Command) error {
-			return errors.NotImplementedf("plain")
+		Usage: "run the stand-in plain service, a ledger",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "`ADDRESS` and port to listen on"},
+			&cli.StringFlag{Name: "id", Value: "ledger-1", Usage: "the replica's `NAME`"},
+			&cli.IntFlag{Name: "slots", Value: 64, Usage: "requests that run at once"},
+			&cli.DurationFlag{Name: "run-time", Value: 5 * time.Millisecond, Usage: "how long a booking takes"},
+			&cli.DurationFlag{Name: "report-lag", Usage: "lag of the load report"},
+			&cli.BoolFlag{Name: "removes-duplicates", Usage: "book each idempotency key once"},
 		},
+		Action: runPlain,
+	}
+}
+
+func runPlain(ctx context.Context, cmd *cli.Command) error {
+	p, err := fakes.NewPlain(fakes.PlainConfig{
+		ID:                cmd.String("id"),
+		Slots:             cmd.Int("slots"),
+		RunTime:           cmd.Duration("run-time"),
+		ReportLag:         cmd.Duration("report-lag"),
+		RemovesDuplicates: cmd.Bool("removes-duplicates"),
+		Crash:             func() { os.Exit(exitCrash) },
+	})
+	if err != nil {
+		return errors.Trace(err)
 	}
+	fields := logrus.Fields{"role": "plain", "id": cmd.String("id")}
+	return serve(ctx, cmd.String("listen"), p.Handler(), fields)
 }
