--- /dev/null
+++ b/io/mirror/mirror_test.go
@@ -0,0 +1,107 @@
+package mirror
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"gotest.tools/v3/assert"
+
+	"gentianwell/core/gwtest"
+	"gentianwell/io/kvs"
+)
+
+// fake is a service whose watch says nothing unless events are sent.
+type fake struct {
+	entries kvs.Entries
+	rev     kvs.Revision
+	down    bool
+	events  chan kvs.Batch
+}
+
+func (f *fake) service() kvs.Service {
+	return kvs.Service{
+		List: func(context.Context, string) (kvs.Snapshot, error) {
+			if f.down {
+				return kvs.Snapshot{}, kvs.ErrUnavailable
+			}
+			return kvs.Snapshot{Entries: f.entries, Revision: f.rev}, nil
+		},
+		Watch: func(ctx context.Context, _ string, _ kvs.Revision, fn func(kvs.Batch) error) error {
+			for {
+				select {
+				case <-ctx.Done():
+					return ctx.Err()
+				case b := <-f.events:
+					if err := fn(b); err != nil {
+						return err
+					}
+				}
+			}
+		},
+	}
+}
+
+func run(t *testing.T, f *fake, check func(got *[]string)) {
+	synctest.Test(t, func(t *testing.T) {
+		var log logrus.FieldLogger
+		log, _ = logtest.NewNullLogger()
+		f.events = make(chan kvs.Batch)
+		got := &[]string{}
+		m, err := New(Config{
+			Service: f.service(), Prefix: "p/", Log: log, Rand: rand.New(rand.NewPCG(gwtest.Seed(), 3)),
+			Changed: func(s kvs.Snapshot) {
+				*got = nil
+				for _, e := range s.Entries {
+					*got = append(*got, e.Key)
+				}
+			},
+		})
+		assert.NilError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = m.Run(ctx) }()
+		synctest.Wait()
+		check(got)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestWatch(t *testing.T) {
+	f := &fake{entries: kvs.Entries{{Key: "p/a"}}, rev: 1}
+	run(t, f, func(got *[]string) {
+		f.events <- kvs.Batch{Revision: 3, Events: []kvs.Event{
+			{Kind: kvs.EventPut, Entry: kvs.Entry{Key: "p/b"}}, {Kind: kvs.EventDelete, Entry: kvs.Entry{Key: "p/a"}},
+		}}
+		synctest.Wait()
+		assert.DeepEqual(t, *got, []string{"p/b"})
+	})
+}
+
+// A change of which the watch says nothing is seen by the next reread.
+func TestSilentGap(t *testing.T) {
+	f := &fake{entries: kvs.Entries{{Key: "p/a"}}, rev: 1}
+	run(t, f, func(got *[]string) {
+		f.entries, f.rev = kvs.Entries{{Key: "p/a"}, {Key: "p/b"}}, 2
+		time.Sleep(31 * time.Second)
+		synctest.Wait()
+		assert.DeepEqual(t, *got, []string{"p/a", "p/b"})
+	})
+}
+
+func TestOutageKeepsCopy(t *testing.T) {
+	f := &fake{entries: kvs.Entries{{Key: "p/a"}}, rev: 1}
+	run(t, f, func(got *[]string) {
+		f.down = true
+		time.Sleep(time.Hour)
+		assert.DeepEqual(t, *got, []string{"p/a"})
+		f.down, f.entries = false, kvs.Entries{{Key: "p/c"}}
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		assert.DeepEqual(t, *got, []string{"p/c"})
+	})
+}
--- a/io/runner/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package runner runs a job to its end.
-package runner
--- /dev/null
+++ b/io/runner/runner.go
@@ -0,0 +1,174 @@
+// Package runner takes a job from its arrival to its final answer: it queues it,
+// chooses a replica, sends it, tries again where that is allowed, and reports
+// truthfully whether it was run.
+//
+// # Usage
+//
+//	r, err := runner.New(runner.Config{Queue: q, Router: router, Send: client.Do, …})
+//	timers.Every("queue", 20*time.Millisecond, r.Tick)
+//	answer := r.Run(ctx, job, sink)
+//
+// The decisions are those of core/sched (who is next), core/route (where) and
+// core/retry (again or not); this package carries them out and logs each.
+package runner
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"gentianwell/core/call"
+	"gentianwell/core/route"
+	"gentianwell/core/sched"
+	"gentianwell/io/back"
+)
+
+// Config configures a Runner. All fields are needed.
+type Config struct {
+	Queue  *sched.Queue
+	Router *route.Router
+	// Send does one attempt on one backend server.
+	Send func(context.Context, back.Target, back.Request, func(back.Event) error) (back.Result, error)
+	// Estimate returns the cost in tokens and the time that a call will take.
+	Estimate func(c *call.Call) (cost int, service time.Duration)
+	Now      func() time.Time
+	Log      logrus.FieldLogger
+	// Attempts bounds the attempts at one job.
+	Attempts int
+	// RetryAfter is what a caller is told where nothing better is known.
+	RetryAfter time.Duration
+}
+
+// Defaults fills in the fields left zero.
+func (c *Config) Defaults() {
+	if c.Attempts == 0 {
+		c.Attempts = 3
+	}
+	if c.RetryAfter == 0 {
+		c.RetryAfter = time.Second
+	}
+}
+
+// Validate checks that all needed fields are there.
+func (c *Config) Validate() error {
+	switch {
+	case c.Queue == nil, c.Router == nil, c.Send == nil, c.Estimate == nil, c.Now == nil, c.Log == nil:
+		return errors.NotValidf("Config.Validate: a needed field is nil")
+	case c.Attempts < 1:
+		return errors.NotValidf("Config.Validate: Attempts %d", c.Attempts)
+	}
+	return nil
+}
+
+// Runner runs jobs.
+type Runner struct {
+	c Config
+	// mu guards the queue and the waiters.
+	mu      sync.Mutex
+	waiting map[string]*waiter
+}
+
+// New returns a runner.
+//
+// Errors: NotValid where the configuration lacks something.
+func New(c Config) (*Runner, error) {
+	c.Defaults()
+	if err := c.Validate(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &Runner{c: c, waiting: map[string]*waiter{}}, nil
+}
+
+// Run runs a job to its end. An answer that has begun goes to the sink; what the
+// returned Answer says of a job that has not is for the caller to write.
+func (r *Runner) Run(ctx context.Context, job *Job, sink Sink) Answer {
+	run := &run{r: r, job: job, sink: sink}
+	answer := run.run(ctx)
+	run.logEnd(answer)
+	return answer
+}
+
+// run is one job on its way.
+type run struct {
+	r        *Runner
+	job      *Job
+	sink     Sink
+	started  bool
+	attempts int
+	// wrote is true where a backend server may have run the job.
+	wrote bool
+	// exclude holds the replicas that have failed this job.
+	exclude []call.ReplicaID
+	cost    int
+	service time.Duration
+}
+
+func (n *run) run(ctx context.Context) Answer {
+	n.cost, n.service = n.r.c.Estimate(&n.job.Call)
+	for {
+		g, refusal := n.r.wait(ctx, n)
+		if refusal != nil {
+			return *refusal
+		}
+		n.attempts++
+		end := n.attempt(ctx, g)
+		answer, again := n.judge(end)
+		if !again {
+			return answer
+		}
+		n.exclude = append(n.exclude, end.replica)
+	}
+}
+
+// judge decides what follows from an attempt.
+func (n *run) judge(e attemptEnd) (answer Answer, again bool) {
+	a := Answer{Replica: e.replica, Started: n.started, Reason: ReasonDone, Outcome: call.OutcomeRan}
+	if e.result.Complete() {
+		return a, false
+	}
+	a.Outcome = n.outcome()
+	if e.result.Ending == back.EndingSink || e.result.Ending == back.EndingCancelled {
+		a.Reason, a.Failed, a.Status = ReasonCallerGone, true, statusCallerGone
+		return a, false
+	}
+	if !n.started && n.attempts < n.r.c.Attempts && (a.Outcome == call.OutcomeNotRun || n.job.Call.Idempotent) {
+		return Answer{}, true
+	}
+	a.Failed, a.Status, a.Reason = true, http.StatusBadGateway, ReasonBackend
+	a.Message = "the backend server failed: " + string(e.result.Ending)
+	if a.Outcome != call.OutcomeUnknown || n.job.Call.Idempotent {
+		a.RetryAfter = n.r.c.RetryAfter
+	}
+	return a, false
+}
+
+// outcome is what is known of all attempts: only if none wrote a byte that a
+// backend server may have run is the job not run.
+func (n *run) outcome() call.Outcome {
+	if n.wrote {
+		return call.OutcomeUnknown
+	}
+	return call.OutcomeNotRun
+}
+
+// statusCallerGone is for the log only: nobody reads the answer.
+const statusCallerGone = 499
+
+func (n *run) logEnd(a Answer) {
+	c := &n.job.Call
+	fields := logrus.Fields{
+		"event": "end", "request": c.ID, "team": c.Team, "class": c.Class, "tier": int(c.Tier), "model": c.Model,
+		"outcome": a.Outcome, "reason": a.Reason, "attempts": n.attempts, "duration": n.r.c.Now().Sub(c.Arrived),
+	}
+	if a.Replica != "" {
+		fields["replica"] = a.Replica
+	}
+	if a.Message != "" {
+		fields["message"] = a.Message
+	}
+	n.r.c.Log.WithFields(fields).Info("job ended")
+}
