Add the client for backend servers and the test relay

Cause: the whole path needs one attempt on one backend server with a truthful result; net/http replays by itself a POST with an idempotency key on a pooled connection that died (TestNetHTTPReplaysByItself sees two sends). Ruled out: taking the key out of the header (services need it); a total timeout (answers may be long); trusting TCP keepalive (a connection that a middle box forgot may still be acknowledged by the kernel on either side). Change: a body that net/http cannot produce again, a fresh connection where there is no body, writes counted on the net.Conn with a seal so that "not written" stays true, a progress watchdog that suspends while the caller reads, and distrust of the idle connections to a backend server of which one went silent.

--- /dev/null
+++ b/io/back/config.go
@@ -0,0 +1,80 @@
+package back
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Config configures a Client. Zero fields get their defaults.
+type Config struct {
+	// DialTimeout bounds setting up a connection.
+	DialTimeout time.Duration
+	// FirstTimeout bounds the wait for the first part of an answer, during which
+	// an engine may queue the request; ProgressTimeout the time between bytes
+	// from then on.
+	FirstTimeout    time.Duration
+	ProgressTimeout time.Duration
+	// IdleTimeout bounds how long an unused connection is kept.
+	IdleTimeout time.Duration
+	// MaxIdle bounds the unused connections to one backend server.
+	MaxIdle int
+	// MaxHeader, MaxEvent and MaxBody bound an answer's header, one event of a
+	// stream and a body that is no stream, in bytes.
+	MaxHeader int64
+	MaxEvent  int
+	MaxBody   int64
+	// NotRunHeader is the header by which a backend server declares on a 429 or
+	// 503 answer that it ran nothing of the request.
+	NotRunHeader string
+	// Metrics names the load report's metrics.
+	Metrics MetricNames
+}
+
+// The defaults of Config.
+const (
+	defaultDialTimeout     = 500 * time.Millisecond
+	defaultFirstTimeout    = 60 * time.Second
+	defaultProgressTimeout = 5 * time.Second
+	defaultIdleTimeout     = 30 * time.Second
+	defaultMaxIdle         = 32
+	defaultMaxHeader       = 64 << 10
+	defaultMaxEvent        = 1 << 20
+	defaultMaxBody         = 32 << 20
+	defaultNotRunHeader    = "X-Not-Run"
+)
+
+// Defaults returns the configuration with zero fields filled in.
+func (c Config) Defaults() Config {
+	setDefault(&c.DialTimeout, defaultDialTimeout)
+	setDefault(&c.FirstTimeout, defaultFirstTimeout)
+	setDefault(&c.ProgressTimeout, defaultProgressTimeout)
+	setDefault(&c.IdleTimeout, defaultIdleTimeout)
+	setDefault(&c.MaxIdle, defaultMaxIdle)
+	setDefault(&c.MaxHeader, defaultMaxHeader)
+	setDefault(&c.MaxEvent, defaultMaxEvent)
+	setDefault(&c.MaxBody, defaultMaxBody)
+	setDefault(&c.NotRunHeader, defaultNotRunHeader)
+	c.Metrics = c.Metrics.Defaults()
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Validate checks the configuration.
+//
+// Errors: NotValid with the field's name.
+func (c Config) Validate() error {
+	switch {
+	case c.DialTimeout < 0 || c.FirstTimeout < 0 || c.ProgressTimeout < 0 || c.IdleTimeout < 0:
+		return errors.NotValidf("Config.Validate: negative timeout")
+	case c.MaxIdle < 0 || c.MaxHeader < 0 || c.MaxEvent < 0 || c.MaxBody < 0:
+		return errors.NotValidf("Config.Validate: negative limit")
+	}
+	return nil
+}
--- /dev/null
+++ b/io/back/conns.go
@@ -0,0 +1,86 @@
+package back
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// conns knows the open connections to each backend server.
+type conns struct {
+	dialer net.Dialer
+	mu     sync.Mutex
+	open   map[netip.AddrPort]map[*conn]bool
+}
+
+func newConns(dialTimeout time.Duration) *conns {
+	return &conns{
+		dialer: net.Dialer{Timeout: dialTimeout},
+		open:   map[netip.AddrPort]map[*conn]bool{},
+	}
+}
+
+func (s *conns) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, errors.Annotate(err, "conns.dial")
+	}
+	raw, err := s.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, errors.Annotate(err, "conns.dial")
+	}
+	c := &conn{Conn: raw, address: to, dialed: time.Now(), onEnd: s.forget}
+	s.add(c)
+	return c, nil
+}
+
+func (s *conns) add(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open[c.address] == nil {
+		s.open[c.address] = map[*conn]bool{}
+	}
+	s.open[c.address][c] = true
+}
+
+func (s *conns) forget(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open[c.address], c)
+	if len(s.open[c.address]) == 0 {
+		delete(s.open, c.address)
+	}
+}
+
+func (s *conns) idle(address netip.AddrPort) []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*conn
+	for c := range s.open[address] {
+		if !c.active.Load() {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// distrust closes the idle connections to a backend server, of which one went silent.
+func (s *conns) distrust(t Target) {
+	idle := s.idle(t.Address)
+	for _, c := range idle {
+		closeConn(c)
+	}
+	logrus.WithFields(logrus.Fields{"replica": t.ID, "address": t.Address, "idleClosed": len(idle)}).
+		Warn("backend connection is silent, idle connections closed")
+}
+
+func closeConn(c *conn) {
+	if err := c.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		logrus.WithField("address", c.address).WithError(err).Debug("close backend connection")
+	}
+}
--- /dev/null
+++ b/io/back/replay_test.go
@@ -0,0 +1,176 @@
+package back
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianwell/io/fakes"
+)
+
+// flaky answers the first request on each connection and closes the connection
+// on reading the second, without an answer: the case in which net/http replays.
+type flaky struct {
+	listener net.Listener
+	done     sync.WaitGroup
+	mu       sync.Mutex
+	bodies   []string
+}
+
+func newFlaky(t *testing.T) *flaky {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	f := &flaky{listener: l}
+	f.done.Go(f.accept)
+	t.Cleanup(func() {
+		_ = l.Close()
+		f.done.Wait()
+	})
+	return f
+}
+
+func (f *flaky) accept() {
+	for {
+		c, err := f.listener.Accept()
+		if err != nil {
+			return
+		}
+		f.done.Go(func() { f.serve(c) })
+	}
+}
+
+func (f *flaky) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for i := range 2 {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		f.note(string(body))
+		if i == 0 {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+}
+
+func (f *flaky) note(body string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.bodies = append(f.bodies, body)
+}
+
+func (f *flaky) count(body string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, b := range f.bodies {
+		if b == body {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *flaky) target() Target {
+	return Target{ID: "flaky", Address: f.listener.Addr().(*net.TCPAddr).AddrPort()}
+}
+
+// net/http by itself sends a POST with an idempotency key a second time.
+func TestNetHTTPReplaysByItself(t *testing.T) {
+	f := newFlaky(t)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	for _, body := range []string{"warm", "pay"} {
+		url := "http://" + f.target().Address.String()
+		req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte(body)))
+		assert.NilError(t, err)
+		req.Header.Set("Idempotency-Key", "k")
+		res, err := transport.RoundTrip(req)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, res.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, res.Body.Close())
+	}
+	assert.Equal(t, f.count("pay"), 2)
+}
+
+func TestDoSendsOnce(t *testing.T) {
+	tests := []struct {
+		name, method, body string
+	}{
+		{"POST with a body", http.MethodPost, "pay"},
+		{"POST without a body", http.MethodPost, ""},
+		{"DELETE without a body", http.MethodDelete, ""},
+		{"GET", http.MethodGet, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFlaky(t)
+			b := newBench(t, fakes.EngineConfig{})
+			b.target = f.target()
+			warm := Request{Method: http.MethodPost, Path: "/", Body: []byte("warm")}
+			_, err := b.do(t, warm, discard)
+			assert.NilError(t, err)
+			header := http.Header{"Idempotency-Key": {"k"}}
+			res, err := b.do(t, Request{Method: tt.method, Path: "/", Header: header, Body: []byte(tt.body)}, discard)
+			assert.Equal(t, f.count(tt.body), 1)
+			assert.Assert(t, res.Wrote)
+			assert.Equal(t, err != nil, res.Reused)
+			if res.Reused {
+				assert.Equal(t, res.Ending, EndingCrashed)
+			}
+		})
+	}
+}
+
+// A request given up between getting its connection and its first byte is
+// reported as not written, and no byte follows later.
+func TestWroteIsFinal(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	c := &conn{Conn: near, dialed: time.Now(), onEnd: func(*conn) {}}
+	a := &attempt{client: &Client{conns: newConns(time.Second)}, watch: newWatchdog(time.Hour, func(error) {}), parent: context.Background()}
+	a.gotConn(httptrace.GotConnInfo{Conn: c})
+	res := a.fail(context.Canceled)
+	assert.Assert(t, !res.Wrote)
+	_, err := c.Write([]byte("late"))
+	assert.ErrorIs(t, err, errSealed)
+}
+
+// A write that is under way when the request is given up counts as written.
+func TestWroteCountsAWriteUnderWay(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	c := &conn{Conn: near, dialed: time.Now(), onEnd: func(*conn) {}, address: netip.AddrPort{}}
+	started := make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		close(started)
+		_, _ = c.Write([]byte("body"))
+	}()
+	<-started
+	for c.count() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, !c.sealUnwritten(0))
+	assert.NilError(t, c.Close())
+	<-ended
+	assert.Assert(t, c.sealUnwritten(0))
+}
--- /dev/null
+++ b/io/relay/relay.go
@@ -0,0 +1,127 @@
+// Package relay is a small TCP relay for tests of lost, cut and silent
+// connections. It stands between two ends and passes bytes until told otherwise.
+//
+// # Usage
+//
+//	r, err := relay.New(relay.Config{Target: backend})
+//	if err != nil {
+//		return err
+//	}
+//	defer r.Close()
+//	// connect to r.Address() instead of backend
+//	r.Freeze() // the open connections go silent for good, new ones work
+//	r.Cut()    // the open connections are reset, new ones work
+package relay
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/juju/errors"
+)
+
+// Config configures a Relay.
+type Config struct {
+	// Target is where connections are passed to.
+	Target netip.AddrPort
+}
+
+// Relay passes connections to one target.
+type Relay struct {
+	target   netip.AddrPort
+	listener *net.TCPListener
+
+	mu       sync.Mutex
+	links    map[*link]bool
+	accepted int
+	done     sync.WaitGroup
+}
+
+// New starts a relay on a free port of the loopback address.
+//
+// Errors: those of listening.
+func New(c Config) (*Relay, error) {
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, errors.Annotate(err, "relay.New")
+	}
+	r := &Relay{target: c.Target, listener: l, links: map[*link]bool{}}
+	r.done.Go(r.accept)
+	return r, nil
+}
+
+// Address returns where the relay listens.
+func (r *Relay) Address() netip.AddrPort {
+	return r.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Accepted returns how many connections came so far.
+func (r *Relay) Accepted() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.accepted
+}
+
+// Freeze makes the open connections silent for good: they stay open and no byte
+// passes any more.
+func (r *Relay) Freeze() {
+	for _, l := range r.open() {
+		l.frozen.Store(true)
+	}
+}
+
+// Cut resets the open connections.
+func (r *Relay) Cut() {
+	for _, l := range r.open() {
+		l.cut()
+	}
+}
+
+// Close ends the relay and its connections and waits for its goroutines.
+func (r *Relay) Close() {
+	_ = r.listener.Close()
+	r.Cut()
+	r.done.Wait()
+}
+
+func (r *Relay) open() []*link {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []*link
+	for l := range r.links {
+		out = append(out, l)
+	}
+	return out
+}
+
+func (r *Relay) accept() {
+	for {
+		in, err := r.listener.AcceptTCP()
+		if err != nil {
+			return
+		}
+		r.done.Go(func() { r.serve(in) })
+	}
+}
+
+func (r *Relay) serve(in *net.TCPConn) {
+	out, err := net.DialTCP("tcp", nil, net.TCPAddrFromAddrPort(r.target))
+	if err != nil {
+		_ = in.Close()
+		return
+	}
+	l := &link{in: in, out: out, ended: make(chan struct{})}
+	r.track(l)
+	l.pass()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.links, l)
+}
+
+func (r *Relay) track(l *link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.accepted++
+	r.links[l] = true
+}
