--- /dev/null
+++ b/cmd/gentianwell/operator.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// operatorTimeout bounds a command's call to an entry VM.
+const operatorTimeout = 10 * time.Second
+
+// operatorFlags are the flags of commands that call an entry VM.
+func operatorFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "vm", Usage: "operators' `ADDRESS` of an entry VM", Value: "127.0.0.1:8082", Sources: cli.EnvVars("GENTIANWELL_VM")},
+		&cli.StringFlag{Name: "key", Usage: "operator's bearer `KEY`", Sources: cli.EnvVars("GENTIANWELL_OPERATOR_KEY")},
+		&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+	}
+}
+
+// callOperator calls an entry VM's operators' endpoint and reads its JSON answer.
+func callOperator(ctx context.Context, cmd *cli.Command, method, path string, answer any) error {
+	address, err := netip.ParseAddrPort(cmd.String("vm"))
+	if err != nil {
+		return cli.Exit("gentianwell: --vm: "+err.Error(), exitUsage)
+	}
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address.String()+path, nil)
+	if err != nil {
+		return errors.Annotate(err, "callOperator")
+	}
+	req.Header.Set("Authorization", "Bearer "+cmd.String("key"))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return cli.Exit("gentianwell: "+err.Error(), exitUnreachable)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 4096))
+		return cli.Exit(fmt.Sprintf("gentianwell: %s answered %s: %s", address, resp.Status, text), exitFailed)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(answer); err != nil {
+		return errors.Annotate(err, "callOperator")
+	}
+	return nil
+}
+
+func printJSON(cmd *cli.Command, value any) error {
+	e := json.NewEncoder(cmd.Root().Writer)
+	e.SetIndent("", "  ")
+	return errors.Trace(e.Encode(value))
+}
--- /dev/null
+++ b/cmd/gentianwell/serve.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+
+	"gentianwell/core/call"
+	"gentianwell/io/node"
+)
+
+const serveHelp = `Runs the process of one entry VM until SIGTERM or SIGINT, which begin a planned
+stop: the VM says that it is not ready, then refuses new requests as not run, and
+ends when every request in progress has its answer. A second signal ends it at
+once and cuts what is in progress.
+
+Start-up settings come from a JSON file, the environment and flags; the later
+ones win. All mistakes in them are reported at once, before anything starts.
+
+Examples:
+   gentianwell serve --config /etc/gentianwell.json
+   gentianwell serve --id e1 --zone sala --callers 127.0.0.1:8080 \
+      --peers 127.0.0.1:8081 --operators 127.0.0.1:8082 --platform 127.0.0.1:2379`
+
+func serveCommand() *cli.Command {
+	str := func(name, env, usage string) cli.Flag {
+		return &cli.StringFlag{Name: name, Usage: usage, Sources: cli.EnvVars(env)}
+	}
+	return &cli.Command{
+		Name:        "serve",
+		Usage:       "run one entry VM",
+		Description: serveHelp,
+		Flags: []cli.Flag{
+			str("config", "GENTIANWELL_CONFIG", "start-up settings `FILE` in JSON"),
+			str("id", "GENTIANWELL_ID", "this VM's `ID` in the platform's list"),
+			str("zone", "GENTIANWELL_ZONE", "this VM's availability `ZONE`"),
+			str("callers", "GENTIANWELL_CALLERS", "`ADDRESS` for callers"),
+			str("peers", "GENTIANWELL_PEERS", "`ADDRESS` for other entry VMs"),
+			str("operators", "GENTIANWELL_OPERATORS", "`ADDRESS` for operators and metrics"),
+			&cli.StringSliceFlag{Name: "platform", Usage: "`ADDRESS` of the platform's key-value service", Sources: cli.EnvVars("GENTIANWELL_PLATFORM")},
+			str("log-level", "GENTIANWELL_LOG_LEVEL", "least `LEVEL` that is logged"),
+			&cli.DurationFlag{Name: "notice", Usage: "`TIME` that a planned stop leaves the balancer", Sources: cli.EnvVars("GENTIANWELL_NOTICE")},
+		},
+		Action: serve,
+	}
+}
+
+func serve(ctx context.Context, cmd *cli.Command) error {
+	config, err := serveConfig(cmd)
+	if err != nil {
+		return cli.Exit("gentianwell: start-up settings: "+errors.Cause(err).Error(), exitUsage)
+	}
+	n, err := node.New(node.Options{Config: config, Log: newLog(config.LogLevel), Now: time.Now, Seed: newSeed()})
+	if err != nil {
+		return cli.Exit("gentianwell: start-up settings: "+errors.Cause(err).Error(), exitUsage)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go stopOnSignal(cancel, n)
+	if err := n.Run(ctx); err != nil {
+		return cli.Exit("gentianwell: "+err.Error(), exitFailed)
+	}
+	return nil
+}
+
+// stopOnSignal begins a planned stop at the first signal and ends it at the second.
+func stopOnSignal(cancel context.CancelFunc, n *node.Node) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	<-signals
+	cancel()
+	<-signals
+	n.Stop()
+}
+
+func newLog(level string) *logrus.Logger {
+	log := logrus.New()
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
+	// Validate has accepted the level.
+	if parsed, err := logrus.ParseLevel(level); err == nil {
+		log.SetLevel(parsed)
+	}
+	return log
+}
+
+// newSeed returns a seed that differs between VMs and starts.
+func newSeed() uint64 {
+	var b [8]byte
+	// Read never fails; see its documentation.
+	_, _ = crand.Read(b[:])
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+// serveConfig joins the file, the environment and the flags.
+func serveConfig(cmd *cli.Command) (node.Config, error) {
+	var c node.Config
+	if path := cmd.String("config"); path != "" {
+		var err error
+		if c, err = node.ReadConfig(path); err != nil {
+			return node.Config{}, err
+		}
+	}
+	var problems node.Problems
+	address := func(name string, to *netip.AddrPort) {
+		text := cmd.String(name)
+		if text == "" {
+			return
+		}
+		parsed, err := netip.ParseAddrPort(text)
+		if err != nil {
+			problems = append(problems, name+": "+err.Error())
+			return
+		}
+		*to = parsed
+	}
+	address("callers", &c.Callers)
+	address("peers", &c.Peers)
+	address("operators", &c.Operators)
+	if id := cmd.String("id"); id != "" {
+		c.ID = call.VMID(id)
+	}
+	if zone := cmd.String("zone"); zone != "" {
+		c.Zone = call.Zone(zone)
+	}
+	if level := cmd.String("log-level"); level != "" {
+		c.LogLevel = level
+	}
+	if notice := cmd.Duration("notice"); notice != 0 {
+		c.Notice = node.Duration(notice)
+	}
+	if texts := cmd.StringSlice("platform"); len(texts) > 0 {
+		c.Platform = nil
+		for _, text := range texts {
+			parsed, err := netip.ParseAddrPort(text)
+			if err != nil {
+				problems = append(problems, "platform: "+err.Error())
+				continue
+			}
+			c.Platform = append(c.Platform, parsed)
+		}
+	}
+	c.Defaults()
+	if err := c.Validate(); err != nil {
+		problems = append(problems, err.Error())
+	}
+	if len(problems) > 0 {
+		return node.Config{}, problems
+	}
+	return c, nil
+}
--- /dev/null
+++ b/io/node/node.go
@@ -0,0 +1,171 @@
+// Package node makes one entry VM's process of the parts: it reads the
+// platform's list of VMs and the settings, answers callers, peers and operators,
+// and stops without cutting a request.
+//
+// # Usage
+//
+//	n, err := node.New(node.Options{Config: config, Log: log, Now: time.Now, Seed: seed})
+//	err = n.Run(ctx) // until ctx ends and every request has its answer
+package node
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"gentianwell/core/call"
+	"gentianwell/core/drain"
+	"gentianwell/core/route"
+	"gentianwell/core/sched"
+	"gentianwell/core/spread"
+	"gentianwell/core/timer"
+	"gentianwell/core/tree"
+	"gentianwell/io/back"
+	"gentianwell/io/front"
+	"gentianwell/io/kvs"
+	"gentianwell/io/peer"
+	"gentianwell/io/runner"
+)
+
+// The intervals of periodic work.
+const (
+	queueInterval  = 20 * time.Millisecond
+	gossipInterval = 500 * time.Millisecond
+	loadInterval   = time.Second
+	fleetInterval  = 500 * time.Millisecond
+	drainInterval  = 50 * time.Millisecond
+)
+
+// Options are what a Node is made of.
+type Options struct {
+	Config Config
+	Log    logrus.FieldLogger
+	Now    func() time.Time
+	// Seed seeds all random choices.
+	Seed uint64
+	// Dial opens connections to peers; nil dials TCP.
+	Dial peer.DialFunc
+}
+
+// Node is the process of one entry VM.
+type Node struct {
+	c        Config
+	log      logrus.FieldLogger
+	now      func() time.Time
+	seed     uint64
+	timers   *timer.Service
+	drain    *drain.Machine
+	kvs      kvs.Service
+	fleet    *fleet
+	settings atomic.Pointer[tree.Snapshot]
+	router   *route.Router
+	client   *back.Client
+	runner   *runner.Runner
+	front    *front.Server
+	pool     *peer.Pool
+	store    *spread.Store
+	gossip   *peer.Gossip
+	loads    *loads
+}
+
+// New checks the options and puts the parts together; nothing is started.
+//
+// Errors: Problems of the configuration, NotValid.
+func New(o Options) (*Node, error) {
+	o.Config.Defaults()
+	if err := o.Config.Validate(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	n := &Node{c: o.Config, log: o.Log, now: o.Now, seed: o.Seed}
+	n.timers = timer.New(timer.Config{Now: o.Now})
+	n.drain = drain.New(drain.Config{Notice: time.Duration(o.Config.Notice)})
+	n.kvs = kvs.NewGateway(kvs.GatewayConfig{Addresses: o.Config.Platform}).Service()
+	n.fleet = &fleet{self: o.Config.ID, log: o.Log}
+	for _, make := range []func(Options) error{n.makeRouting, n.makePeers, n.makeFront} {
+		if err := make(o); err != nil {
+			return nil, errors.Annotate(err, "node.New")
+		}
+	}
+	return n, nil
+}
+
+// rand returns a random source of its own for a part.
+func (n *Node) rand(part uint64) *rand.Rand { return rand.New(rand.NewPCG(n.seed, part)) }
+
+// The parts that draw random numbers.
+const (
+	randRoute uint64 = iota
+	randQueue
+	randSpread
+	randMirror
+	randID
+)
+
+func (n *Node) makeRouting(Options) error {
+	var err error
+	n.router, err = route.New(route.Config{Self: n.c.ID, Zone: n.c.Zone, Rand: n.rand(randRoute)})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if n.client, err = back.New(back.Config{}); err != nil {
+		return errors.Trace(err)
+	}
+	n.loads = &loads{fetch: n.client.FetchLoad, report: n.router.Report, now: n.now, busy: map[call.ReplicaID]bool{}}
+	qc := sched.Defaults()
+	qc.Rand = n.rand(randQueue)
+	queue, err := sched.New(qc)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	n.runner, err = runner.New(runner.Config{
+		Queue: queue, Router: n.router, Send: n.client.Do, Estimate: estimate, Now: n.now, Log: n.log,
+	})
+	return errors.Trace(err)
+}
+
+// estimate is the cost of a call of which nothing has been learned.
+func estimate(c *call.Call) (int, time.Duration) {
+	return c.PromptTokens + max(c.MaxTokens, 1), 0
+}
+
+func (n *Node) makePeers(o Options) error {
+	clientTLS, err := n.c.PeersTLS.clientTLS()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	n.pool = peer.NewPool(peer.PoolConfig{Dial: o.Dial, TLS: clientTLS})
+	n.store = spread.New(spread.Config{Self: n.c.ID, Rand: n.rand(randSpread)})
+	n.gossip = peer.NewGossip(peer.GossipConfig{
+		Self: n.c.ID, Zone: n.c.Zone, Pool: n.pool, Store: n.store, Peers: n.fleet.peers, Now: n.now,
+		SettingsVersion: n.settingsVersion,
+		Heard:           func(time.Time, spread.Items) {},
+		Contacted:       func(time.Time, peer.Contact) {},
+		Behind:          func(call.VMID, int64) {},
+	})
+	return nil
+}
+
+func (n *Node) settingsVersion() int64 {
+	if s := n.settings.Load(); s != nil {
+		return s.Version
+	}
+	return 0
+}
+
+func (n *Node) makeFront(Options) error {
+	p := policies{snapshot: n.settings.Load}
+	var err error
+	n.front, err = front.New(front.Config{
+		Zone: n.c.Zone, Team: p.team, Policy: p.policy, Service: p.service, Models: p.models,
+		Run: n.runner.Run, Admit: func() bool { return n.drain.Admit(n.now()) }, Finish: n.drain.Finish,
+		Ready: n.ready, Now: n.now, NewID: n.newID(), Log: n.log,
+	})
+	return errors.Trace(err)
+}
+
+// ready tells the balancer to send requests: settings are in force and no stop
+// has begun.
+func (n *Node) ready() bool { return n.drain.Ready() && n.settings.Load() != nil }
--- /dev/null
+++ b/io/node/operators.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"gentianwell/core/call"
+	"gentianwell/core/drain"
+	"gentianwell/core/route"
+)
+
+// Status is what an operator sees of an entry VM.
+type Status struct {
+	VM              call.VMID       `json:"vm"`
+	Zone            call.Zone       `json:"zone"`
+	SettingsVersion int64           `json:"settingsVersion"`
+	Ready           bool            `json:"ready"`
+	Stop            drain.Status    `json:"stop"`
+	Peers           int             `json:"peers"`
+	Replicas        int             `json:"replicas"`
+	Ejected         route.Ejections `json:"ejected"`
+}
+
+// operatorsHTTP returns the server for operators and for the metrics.
+func (n *Node) operatorsHTTP() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.Handler())
+	mux.HandleFunc("GET /status", n.operator(n.status))
+	mux.HandleFunc("POST /drain", n.operator(n.startDrain))
+	return &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
+}
+
+// operator lets only operators in.
+func (n *Node) operator(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		bearer, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if !n.isOperator(bearer) {
+			http.Error(w, `{"error":"the bearer key is no operator's"}`, http.StatusUnauthorized)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (n *Node) isOperator(bearer string) bool {
+	sum := sha256.Sum256([]byte(bearer))
+	if slices.Contains(n.c.OperatorKeyHashes, hex.EncodeToString(sum[:])) {
+		return true
+	}
+	s := n.settings.Load()
+	return s != nil && s.IsOperator(bearer)
+}
+
+func (n *Node) status(w http.ResponseWriter, _ *http.Request) {
+	n.writeJSON(w, Status{
+		VM: n.c.ID, Zone: n.c.Zone, SettingsVersion: n.settingsVersion(), Ready: n.ready(), Stop: n.drain.Status(),
+		Peers: len(n.fleet.peers()), Replicas: len(n.fleet.replicas(n.usable)), Ejected: n.router.Ejected(n.now()),
+	})
+}
+
+func (n *Node) startDrain(w http.ResponseWriter, _ *http.Request) {
+	n.StartDrain()
+	n.writeJSON(w, n.drain.Status())
+}
+
+func (n *Node) writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		n.log.WithError(err).Warn("answer not written")
+	}
+}
--- /dev/null
+++ b/io/node/run.go
@@ -0,0 +1,182 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
+
+	"gentianwell/core/drain"
+	"gentianwell/core/member"
+	"gentianwell/io/mirror"
+	"gentianwell/io/peer"
+)
+
+// closeTimeout bounds the closing of connections after the last answer.
+const closeTimeout = 2 * time.Second
+
+// Run serves until ctx ends, then stops as planned: every request in progress
+// gets its answer first. Stop ends it sooner.
+//
+// Errors: an address that cannot be listened on, a part that failed.
+func (n *Node) Run(ctx context.Context) error {
+	listeners, err := n.listen()
+	if err != nil {
+		return errors.Annotate(err, "Node.Run")
+	}
+	partCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var g run.Group
+	g.Add(func() error { return n.waitStop(ctx, partCtx) }, func(error) { n.Stop() })
+	part := func(fn func(context.Context) error) {
+		g.Add(func() error { return fn(partCtx) }, func(error) { cancel() })
+	}
+	vms, err := mirror.New(mirror.Config{
+		Service: n.kvs, Prefix: member.ListPrefix, Changed: n.fleet.set, Rand: n.rand(randMirror), Log: n.log,
+	})
+	if err != nil {
+		return errors.Annotate(err, "Node.Run")
+	}
+	n.subscribe()
+	part(n.timers.Run)
+	part(vms.Run)
+	part(n.servePeers(listeners.peers))
+	addHTTP(&g, n.front.HTTP(), listeners.callers, n.c.CallersTLS)
+	addHTTP(&g, n.operatorsHTTP(), listeners.operators, nil)
+	n.log.WithFields(logrus.Fields{
+		"event": "started", "vm": n.c.ID, "zone": n.c.Zone, "callers": listeners.callers.Addr(),
+		"peers": listeners.peers.Addr(), "operators": listeners.operators.Addr(),
+	}).Info("entry VM started")
+	return errors.Annotate(g.Run(), "Node.Run")
+}
+
+// listeners are the process's open ports.
+type listeners struct{ callers, peers, operators net.Listener }
+
+func (n *Node) listen() (listeners, error) {
+	var l listeners
+	var open []net.Listener
+	for _, want := range []struct {
+		name    string
+		address netip.AddrPort
+		to      *net.Listener
+	}{{"callers", n.c.Callers, &l.callers}, {"peers", n.c.Peers, &l.peers}, {"operators", n.c.Operators, &l.operators}} {
+		listener, err := net.Listen("tcp", want.address.String())
+		if err != nil {
+			for _, o := range open {
+				_ = o.Close()
+			}
+			return listeners{}, errors.Annotate(err, want.name)
+		}
+		open = append(open, listener)
+		*want.to = listener
+	}
+	return l, nil
+}
+
+func (n *Node) subscribe() {
+	n.timers.Every("queue", queueInterval, n.runner.Tick)
+	n.timers.Every("gossip", gossipInterval, n.gossip.Round)
+	n.timers.Every("fleet", fleetInterval, n.updateReplicas)
+	n.timers.Every("loads", loadInterval, func(time.Time) { n.loads.poll(n.fleet.replicas(n.usable)) })
+}
+
+func (n *Node) updateReplicas(now time.Time) {
+	n.router.SetReplicas(now, n.fleet.replicas(n.usable))
+	n.router.SetVMs(len(n.fleet.peers()) + 1)
+}
+
+func (n *Node) usable(vm member.VM) bool { return vm.State == member.StateLive }
+
+func (n *Node) servePeers(listener net.Listener) func(context.Context) error {
+	return func(ctx context.Context) error {
+		serverTLS, err := n.c.PeersTLS.serverTLS()
+		if err != nil {
+			return errors.Annotate(err, "Node.servePeers")
+		}
+		srv, err := peer.NewServer(peer.ServerConfig{Handler: n.gossip, TLS: serverTLS})
+		if err != nil {
+			return errors.Annotate(err, "Node.servePeers")
+		}
+		defer n.pool.Close()
+		return errors.Trace(srv.Serve(ctx, listener))
+	}
+}
+
+// addHTTP adds an HTTP server to the group, with TLS where files are given.
+func addHTTP(g *run.Group, srv *http.Server, listener net.Listener, files *TLSFiles) {
+	serve := func() error { return srv.Serve(listener) }
+	if files != nil {
+		serve = func() error { return srv.ServeTLS(listener, files.CertFile, files.KeyFile) }
+	}
+	g.Add(func() error {
+		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Annotatef(err, "serving %s", listener.Addr())
+		}
+		return nil
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		if err := srv.Shutdown(ctx); err != nil {
+			_ = srv.Close()
+		}
+	})
+}
+
+// waitStop waits for ctx to end and then for the planned stop to be over, or for
+// the parts to end.
+func (n *Node) waitStop(ctx, partCtx context.Context) error {
+	done := make(chan struct{})
+	var once sync.Once
+	cancel := n.timers.Every("drain", drainInterval, func(now time.Time) {
+		if n.drain.Advance(now) == drain.PhaseStopped {
+			once.Do(func() { close(done) })
+		}
+	})
+	defer cancel()
+	select {
+	case <-ctx.Done():
+		n.StartDrain()
+	case <-done:
+	case <-partCtx.Done():
+	}
+	select {
+	case <-done:
+	case <-partCtx.Done():
+	}
+	s := n.drain.Status()
+	n.log.WithFields(logrus.Fields{"event": "stopped", "vm": n.c.ID, "ending": s.Ending, "cut": s.InFlight}).Info("entry VM stopped")
+	return nil
+}
+
+// StartDrain begins a planned stop.
+func (n *Node) StartDrain() {
+	n.drain.Start(n.now())
+	n.log.WithFields(logrus.Fields{"event": "draining", "vm": n.c.ID, "inFlight": n.drain.Status().InFlight}).Info("planned stop begun")
+}
+
+// Stop ends the process at once; requests in progress are cut.
+func (n *Node) Stop() {
+	if cut := n.drain.Force(); cut > 0 {
+		n.log.WithFields(logrus.Fields{"event": "forced", "vm": n.c.ID, "cut": cut}).Warn("requests in progress are cut")
+	}
+}
+
+// newID returns a source of request ids that differ between VMs and starts.
+func (n *Node) newID() func() string {
+	source := rand.New(rand.NewPCG(n.seed, randID))
+	var mu sync.Mutex
+	return func() string {
+		mu.Lock()
+		defer mu.Unlock()
+		return fmt.Sprintf("%s-%016x", n.c.ID, source.Uint64())
+	}
+}
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -25,10 +25,13 @@
 	"gentianwell/io/peerpb"
 )
 
+// DialFunc opens a connection to a peer.
+type DialFunc func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+
 // PoolConfig configures a Pool.
 type PoolConfig struct {
 	// Dial opens a connection; the default dials TCP.
-	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	Dial DialFunc
 	// TLS is used where it is not nil.
 	TLS *tls.Config
 	// Timeout bounds each call, dialling included.
