Add the settings store and its follower

Cause: an accepted change has to be in force everywhere within seconds and never revert, also where the platform comes back older. Ruled out: one key for the whole tree (510 KB to each VM for each change at 1,700 teams); restoring in place (a reader would see half of it). Change: io/conf writes a change as one transaction that compares the head; followers use watch, poll and peers; a restore writes a new generation of keys and switches over with the head. core/tree judges and merges histories.

--- a/core/tree/document.go
+++ b/core/tree/document.go
@@ -15,7 +15,7 @@
 }
 
 // MaxRecent is the number of marks that a Head keeps.
-const MaxRecent = 128
+const MaxRecent = 64
 
 // Head tells which change a tree is at.
 type Head struct {
--- a/core/tree/edit.go
+++ b/core/tree/edit.go
@@ -249,3 +249,28 @@
 		return 0
 	})
 }
+
+// All returns the edits that write every branch of the tree.
+func (t *Tree) All() Edits {
+	var edits Edits
+	for _, b := range t.Branches() {
+		raw, _ := t.Encode(b)
+		edits = append(edits, Edit{Path: b.Path(), Value: raw})
+	}
+	return edits
+}
+
+// Value returns the value in JSON that a branch itself sets, or the whole branch
+// for a path without a key; false if there is none.
+func (t *Tree) Value(path Path) (json.RawMessage, bool) {
+	raw, ok := t.Encode(path.Branch)
+	if !ok || path.Key == "" {
+		return raw, ok
+	}
+	var obj object
+	if err := json.Unmarshal(raw, &obj); err != nil {
+		return nil, false
+	}
+	value, ok := obj[path.Key]
+	return value, ok
+}
--- /dev/null
+++ b/core/tree/merge.go
@@ -0,0 +1,80 @@
+package tree
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Merge is what MergeInto needs besides the two documents.
+type Merge struct {
+	// Records is the history of the other document.
+	Records Records
+	// ChangeID and Author name the merge itself.
+	ChangeID string
+	Author   string
+	Now      time.Time
+}
+
+// Merged is the result of MergeInto.
+type Merged struct {
+	Document Document
+	// Replayed are the other side's changes that the result holds, Dropped
+	// those that it does not.
+	Replayed []Mark
+	Dropped  []Mark
+}
+
+// MergeInto joins two documents of which each holds a change that the other
+// lacks: the other's changes since the last common one are applied on top of
+// ours, in their order. A change that would make the tree invalid, or that the
+// history does not hold any more, is dropped.
+func (d Document) MergeInto(other Document, m Merge) Merged {
+	merged := Merged{Document: Document{Head: d.join(other.Head, m), Tree: d.Tree}}
+	var last Mark
+	for _, mark := range other.Since(d.Head) {
+		next, by, ok := replay(merged.Document.Tree, mark, last, m.Records)
+		if !ok {
+			merged.Dropped = append(merged.Dropped, mark)
+			continue
+		}
+		merged.Document.Tree, last = next, by
+		merged.Replayed = append(merged.Replayed, mark)
+	}
+	return merged
+}
+
+// Since returns the marks that this head has and the other does not.
+func (h Head) Since(other Head) []Mark {
+	var marks []Mark
+	for _, m := range h.Recent {
+		if !other.Holds(m) {
+			marks = append(marks, m)
+		}
+	}
+	return marks
+}
+
+// replay applies the record that brings in a change, once for all the changes
+// that it covers.
+func replay(t *Tree, mark, last Mark, records Records) (*Tree, Mark, bool) {
+	for _, r := range records {
+		if !r.Brings(mark) {
+			continue
+		}
+		if r.Mark == last {
+			return t, last, true
+		}
+		next, err := t.Apply(r.Edits)
+		return next, r.Mark, err == nil
+	}
+	return nil, last, false
+}
+
+// join returns a head that holds both heads' marks.
+func (h Head) join(other Head, m Merge) Head {
+	marks := append(slices.Clone(h.Recent), other.Since(h)...)
+	slices.SortStableFunc(marks, func(a, b Mark) int { return cmp.Compare(a.Version, b.Version) })
+	base := Head{Mark: Mark{Version: max(h.Version, other.Version)}, Recent: marks}
+	return base.Next(m.ChangeID, m.Author, m.Now)
+}
--- /dev/null
+++ b/core/tree/record.go
@@ -0,0 +1,37 @@
+package tree
+
+import (
+	"slices"
+	"time"
+)
+
+// Record is one accepted change in the history.
+type Record struct {
+	Mark
+	Author string    `json:"author"`
+	Time   time.Time `json:"time"`
+	// Edits are as the author gave them.
+	Edits Edits `json:"edits"`
+	// Undo leads back to the tree before the change, branch by branch.
+	Undo Edits `json:"undo"`
+	// Covers are the changes that a restore or a merge brought in with this
+	// one; Dropped are those that a merge could not keep.
+	Covers  []Mark `json:"covers,omitempty"`
+	Dropped []Mark `json:"dropped,omitempty"`
+}
+
+// Records are records in the order of their versions.
+type Records []Record
+
+// Brings reports whether the record's edits bring in the change of the mark.
+func (r Record) Brings(mark Mark) bool {
+	return r.Mark == mark || slices.Contains(r.Covers, mark)
+}
+
+// Touches reports whether an undo of the older record would change a branch
+// that this record has changed since.
+func (r Record) Touches(older Record) bool {
+	return slices.ContainsFunc(r.Undo, func(e Edit) bool {
+		return slices.ContainsFunc(older.Undo, func(o Edit) bool { return o.Path == e.Path })
+	})
+}
--- /dev/null
+++ b/core/tree/verdict.go
@@ -0,0 +1,49 @@
+package tree
+
+import "fmt"
+
+// Verdict says how another head relates to the one in force.
+type Verdict string
+
+// The verdicts. Only VerdictAdopt changes what is in force.
+const (
+	// VerdictSame means that both are at the same change.
+	VerdictSame Verdict = "same"
+	// VerdictAdopt means that the other holds all of ours and more.
+	VerdictAdopt Verdict = "adopt"
+	// VerdictBehind means that ours holds all of the other's.
+	VerdictBehind Verdict = "behind"
+	// VerdictDiverged means that each holds a change that the other lacks.
+	VerdictDiverged Verdict = "diverged"
+)
+
+// Judgement is a verdict with its reason.
+type Judgement struct {
+	Verdict Verdict
+	Reason  string
+}
+
+// Judge compares the head in force with another one.
+func (h Head) Judge(other Head) Judgement {
+	verdict := h.verdict(other)
+	return Judgement{
+		Verdict: verdict,
+		Reason:  fmt.Sprintf("in force %s, offered %s: %s", h.Mark, other.Mark, verdict),
+	}
+}
+
+func (h Head) verdict(other Head) Verdict {
+	switch {
+	case h.Mark == other.Mark:
+		return VerdictSame
+	case other.Version > h.Version && other.Holds(h.Mark):
+		return VerdictAdopt
+	case h.Holds(other.Mark):
+		return VerdictBehind
+	default:
+		return VerdictDiverged
+	}
+}
+
+// String returns version and change id, for example "12/4f1c".
+func (m Mark) String() string { return fmt.Sprintf("%d/%s", m.Version, m.ChangeID) }
--- /dev/null
+++ b/io/conf/errors.go
@@ -0,0 +1,65 @@
+package conf
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"gentianwell/core/tree"
+)
+
+// The errors of a change, besides Conflict and tree.Problems.
+const (
+	// ErrBehind means that the platform holds an older tree than the one in
+	// force; the change was not made. It is tried again after the restore.
+	ErrBehind = errors.ConstError("the platform's settings are older than those in force")
+	// ErrUnsettled means that the platform's replies were lost: the change may
+	// be accepted. Submitting it again with the same ID settles it.
+	ErrUnsettled = errors.ConstError("no reply from the platform: the change may be accepted")
+	// ErrTooLarge means that the change has to be split.
+	ErrTooLarge = errors.ConstError("the change is too large for one transaction")
+)
+
+// Conflict means that another change was accepted first; ours was not made.
+type Conflict struct {
+	// Base is the version that our change was meant for.
+	Base int64 `json:"base"`
+	// Mine are the edits that were not made.
+	Mine tree.Edits `json:"mine"`
+	// Head is what the tree is at; Theirs are the changes since Base that the
+	// history still holds.
+	Head   tree.Mark    `json:"head"`
+	Theirs tree.Records `json:"theirs"`
+}
+
+// Error shows both sides.
+func (c *Conflict) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "conflict: the settings went from version %d to %d meanwhile", c.Base, c.Head.Version)
+	for _, r := range c.Theirs {
+		fmt.Fprintf(&b, "\n  accepted: version %d by %s: %s", r.Version, r.Author, editsText(r.Edits))
+	}
+	fmt.Fprintf(&b, "\n  not made: %s", editsText(c.Mine))
+	return b.String()
+}
+
+func editsText(edits tree.Edits) string {
+	parts := make([]string, len(edits))
+	for i, e := range edits {
+		parts[i] = "unset " + e.Path
+		if len(e.Value) > 0 {
+			parts[i] = e.Path + "=" + compact(e.Value)
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
+func compact(raw json.RawMessage) string {
+	const most = 200
+	if len(raw) > most {
+		return strings.ToValidUTF8(string(raw[:most]), "") + "..."
+	}
+	return string(raw)
+}
--- /dev/null
+++ b/io/conf/follower.go
@@ -0,0 +1,244 @@
+package conf
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"gentianwell/core/call"
+	"gentianwell/core/timer"
+	"gentianwell/core/tree"
+	"gentianwell/io/kvs"
+)
+
+// The defaults of a follower.
+const (
+	defaultPollInterval  = 4 * time.Second
+	defaultStartWait     = time.Second
+	defaultRestoreJitter = 3 * time.Second
+	defaultRewatchPause  = 500 * time.Millisecond
+	// hintCapacity bounds the peers' hints that wait for a fetch.
+	hintCapacity = 16
+)
+
+// FollowerConfig configures a Follower.
+type FollowerConfig struct {
+	// Self is this VM.
+	Self  call.VMID
+	Store *Store
+	Timer *timer.Service
+	Rand  *rand.Rand
+	Log   logrus.FieldLogger
+	// Fetch asks another entry VM for its document, in JSON, if its version is
+	// above have; empty if not.
+	Fetch func(ctx context.Context, vm call.VMID, have int64) ([]byte, error)
+	// Apply is called with each snapshot that comes into force, one at a time.
+	Apply func(*tree.Snapshot)
+	// PollInterval is the time between reads of the platform's head.
+	PollInterval time.Duration
+	// StartWait is how long a fresh VM waits for newer settings of its peers
+	// before it puts the platform's into force.
+	StartWait time.Duration
+	// RestoreJitter bounds the random time after which a platform found older
+	// is restored.
+	RestoreJitter time.Duration
+	// RewatchPause is the pause before a failed watch is begun again.
+	RewatchPause time.Duration
+}
+
+// Defaults fills in the fields left zero.
+func (c *FollowerConfig) Defaults() {
+	if c.PollInterval == 0 {
+		c.PollInterval = defaultPollInterval
+	}
+	if c.StartWait == 0 {
+		c.StartWait = defaultStartWait
+	}
+	if c.RestoreJitter == 0 {
+		c.RestoreJitter = defaultRestoreJitter
+	}
+	if c.RewatchPause == 0 {
+		c.RewatchPause = defaultRewatchPause
+	}
+}
+
+// Validate checks that the needed fields are there.
+//
+// Errors: NotValid with the field's name.
+func (c *FollowerConfig) Validate() error {
+	switch {
+	case c.Self == "":
+		return errors.NotValidf("FollowerConfig.Validate: empty Self")
+	case c.Store == nil, c.Timer == nil, c.Rand == nil, c.Log == nil, c.Fetch == nil, c.Apply == nil:
+		return errors.NotValidf("FollowerConfig.Validate: nil Store, Timer, Rand, Log, Fetch or Apply")
+	}
+	return nil
+}
+
+// Follower keeps the newest settings in force on one VM.
+type Follower struct {
+	c       FollowerConfig
+	current atomic.Pointer[tree.Snapshot]
+	ready   atomic.Bool
+	hints   chan call.VMID
+	polls   chan struct{}
+	rewatch chan struct{}
+	// restores asks for a restore of the platform.
+	restores chan struct{}
+
+	randMu sync.Mutex
+	mu     sync.Mutex
+	// started is true once documents are put into force at once; held is the
+	// newest one before.
+	started bool
+	held    *tree.Document
+	// restoring is true while a restore is due or running.
+	restoring bool
+	encoded   encoded
+}
+
+// encoded caches the document in JSON.
+type encoded struct {
+	mark tree.Mark
+	raw  []byte
+}
+
+// NewFollower returns a follower with an empty tree of version 0 in force.
+//
+// Errors: NotValid for the configuration.
+func NewFollower(c FollowerConfig) (*Follower, error) {
+	c.Defaults()
+	if err := c.Validate(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	f := &Follower{
+		c:        c,
+		hints:    make(chan call.VMID, hintCapacity),
+		polls:    make(chan struct{}, 1),
+		rewatch:  make(chan struct{}, 1),
+		restores: make(chan struct{}, 1),
+	}
+	f.current.Store(tree.NewSnapshot(tree.Document{}))
+	return f, nil
+}
+
+// Current returns the snapshot in force.
+func (f *Follower) Current() *tree.Snapshot { return f.current.Load() }
+
+// Ready reports whether settings were loaded, from the platform or a peer.
+func (f *Follower) Ready() bool { return f.ready.Load() }
+
+// Run follows the platform and the peers until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	stopPolls := f.c.Timer.Every("settings poll", f.c.PollInterval, func(time.Time) { notify(f.polls) })
+	defer stopPolls()
+	f.after("settings start", f.c.StartWait, f.start)
+	var loops sync.WaitGroup
+	loops.Go(func() { f.watchLoop(ctx) })
+	loops.Go(func() { f.pollLoop(ctx) })
+	loops.Go(func() { f.peerLoop(ctx) })
+	loops.Wait()
+	return nil
+}
+
+// after calls fn once, d from now.
+func (f *Follower) after(name string, d time.Duration, fn func()) {
+	var stop func()
+	var once sync.Once
+	armed := make(chan struct{})
+	stop = f.c.Timer.Every(name, d, func(time.Time) {
+		<-armed
+		stop()
+		once.Do(fn)
+	})
+	close(armed)
+}
+
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Submit makes an operator's change and puts it into force here.
+//
+// Errors: those of Store.Change.
+func (f *Follower) Submit(ctx context.Context, c Change) (Accepted, error) {
+	if c.ID == "" {
+		c.ID = f.c.Store.c.NewID()
+	}
+	accepted, err := f.c.Store.Change(ctx, c, f.Current().Head)
+	log := f.c.Log.WithFields(logrus.Fields{"author": c.Author, "change": c.ID, "edits": len(c.Edits)})
+	if err != nil {
+		log.WithError(err).Info("settings change refused")
+		return Accepted{}, err
+	}
+	log.WithField("version", accepted.Document.Version).Info("settings change accepted")
+	f.consider(accepted.Document, "operator")
+	return accepted, nil
+}
+
+// start puts the newest document that was held back into force.
+func (f *Follower) start() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.started = true
+	if f.held != nil {
+		f.adopt(*f.held, "start")
+		f.held = nil
+	}
+}
+
+// consider puts the document into force if it holds what is in force. It
+// returns how the document relates to what is in force, or held back.
+func (f *Follower) consider(d tree.Document, source string) tree.Verdict {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	present := f.Current().Head
+	if f.held != nil {
+		present = f.held.Head
+	}
+	judgement := present.Judge(d.Head)
+	adopt := judgement.Verdict == tree.VerdictAdopt
+	switch {
+	case !f.started && (adopt || f.held == nil):
+		f.held = &d
+	case adopt, judgement.Verdict == tree.VerdictSame && !f.Ready():
+		f.adopt(d, source)
+	case judgement.Verdict != tree.VerdictSame:
+		f.c.Log.WithFields(logrus.Fields{"source": source, "reason": judgement.Reason}).Info("settings not adopted")
+	}
+	return judgement.Verdict
+}
+
+// adopt swaps the snapshot; the caller holds the lock.
+func (f *Follower) adopt(d tree.Document, source string) {
+	snapshot := tree.NewSnapshot(d)
+	f.current.Store(snapshot)
+	f.ready.Store(true)
+	f.c.Log.WithFields(logrus.Fields{
+		"version": d.Version, "change": d.ChangeID, "author": d.Author, "source": source,
+	}).Info("settings in force")
+	f.c.Apply(snapshot)
+}
+
+// known returns the head that counts for offers: the held one before the start.
+func (f *Follower) known() tree.Head {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.held != nil {
+		return f.held.Head
+	}
+	return f.Current().Head
+}
+
+// errResync ends a watch whose events do not lead on from what is in force.
+const errResync = errors.ConstError("settings have to be read as a whole")
+
+func isGone(err error) bool { return errors.Is(err, kvs.ErrCompacted) || errors.Is(err, errResync) }
--- /dev/null
+++ b/io/conf/history.go
@@ -0,0 +1,67 @@
+package conf
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/juju/errors"
+
+	"gentianwell/core/tree"
+)
+
+// History returns the changes that are kept, the oldest first.
+//
+// Errors: kvs.ErrUnavailable, or NotValid for a damaged record.
+func (s *Store) History(ctx context.Context) (tree.Records, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.c.CallTimeout)
+	defer cancel()
+	snap, err := s.c.Service.List(ctx, HistoryPrefix)
+	if err != nil {
+		return nil, errors.Annotate(err, "Store.History")
+	}
+	records := make(tree.Records, 0, len(snap.Entries))
+	for _, e := range snap.Entries {
+		var record tree.Record
+		if err := json.Unmarshal(e.Value, &record); err != nil {
+			return nil, errors.NewNotValid(err, "Store.History: "+e.Key)
+		}
+		records = append(records, record)
+	}
+	return records, nil
+}
+
+// UndoEdits returns the edits that undo the change of a version.
+//
+// Errors: NotFound for a version that the history does not hold; NotSupported
+// for one that brought in several changes; Conflict where a later change has
+// touched the same branch.
+func (s *Store) UndoEdits(ctx context.Context, version int64) (tree.Edits, error) {
+	records, err := s.History(ctx)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	for i, record := range records {
+		if record.Version != version {
+			continue
+		}
+		return undoable(record, records[i+1:])
+	}
+	return nil, errors.NotFoundf("Store.UndoEdits: version %d in the history", version)
+}
+
+func undoable(record tree.Record, later tree.Records) (tree.Edits, error) {
+	if len(record.Covers) > 1 {
+		return nil, errors.NotSupportedf("to undo version %d, which brought in %d changes,", record.Version, len(record.Covers))
+	}
+	conflict := &Conflict{Base: record.Version, Mine: record.Undo, Head: record.Mark}
+	for _, l := range later {
+		conflict.Head = l.Mark
+		if l.Touches(record) {
+			conflict.Theirs = append(conflict.Theirs, l)
+		}
+	}
+	if len(conflict.Theirs) > 0 {
+		return nil, conflict
+	}
+	return record.Undo, nil
+}
--- /dev/null
+++ b/io/conf/poll.go
@@ -0,0 +1,79 @@
+package conf
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"gentianwell/core/tree"
+)
+
+// pollLoop reads the platform's head at intervals, whatever the watch does.
+func (f *Follower) pollLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.polls:
+			f.poll(ctx)
+		case <-f.restores:
+			f.restore(ctx)
+		}
+	}
+}
+
+// poll compares the platform's head with what is in force. A newer head that
+// the watch has not brought means that the watch cannot be trusted.
+func (f *Follower) poll(ctx context.Context) {
+	h, _, err := f.c.Store.loadHead(ctx)
+	if err != nil {
+		f.c.Log.WithError(err).Warn("settings poll failed")
+		return
+	}
+	judgement := f.known().Judge(h.Head)
+	if judgement.Verdict == tree.VerdictAdopt {
+		f.c.Log.WithField("reason", judgement.Reason).Warn("settings watch missed a change")
+		notify(f.rewatch)
+		if _, err := f.resync(ctx); err != nil {
+			f.c.Log.WithError(err).Warn("settings read failed")
+		}
+		return
+	}
+	f.compare(judgement.Verdict)
+}
+
+// compare has a platform restored that lacks what is in force.
+func (f *Follower) compare(v tree.Verdict) {
+	if v != tree.VerdictBehind && v != tree.VerdictDiverged {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.restoring {
+		return
+	}
+	f.restoring = true
+	f.after("settings restore", f.random(f.c.RestoreJitter), func() { notify(f.restores) })
+}
+
+// restore brings the platform up to what is in force. Every VM that finds the
+// platform older tries it after its own random time; the first one wins.
+func (f *Follower) restore(ctx context.Context) {
+	defer f.endRestore()
+	document := f.Current().Document
+	restored, err := f.c.Store.Restore(ctx, document, string(f.c.Self))
+	if err != nil {
+		f.c.Log.WithError(err).Warn("settings restore failed")
+		return
+	}
+	f.c.Log.WithFields(logrus.Fields{
+		"version": restored.Document.Version, "reason": restored.Judgement.Reason, "dropped": len(restored.Dropped),
+	}).Warn("settings restored in the platform")
+	f.consider(restored.Document, "restore")
+}
+
+func (f *Follower) endRestore() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restoring = false
+}
