Prove the queue's rules by a state machine

Change: rapid state machine against a simple model (displacement only downwards, conservation, maximum wait, protected tiers first, stated gap of a tier in tokens), fairness between teams and the share of turns.

The first state machine did not fail when the oldest instead of the newest was displaced; bursts of one tier were added.

Command: go test -count=1 ./core/sched

--- /dev/null
+++ b/core/sched/rapid_test.go
@@ -0,0 +1,330 @@
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"gentianwell/core/call"
+	_ "gentianwell/core/gwtest"
+)
+
+const maxTestCost = 50
+
+// queueModel is the simple model: it knows what waits and what each end means.
+type queueModel struct {
+	q       *Queue
+	now     time.Time
+	next    int
+	waiting map[string]waitingItem
+	ended   map[string]int
+	// owed are the tokens dispatched since a tier's turn was due.
+	owed [TierCount]int
+	last [TierCount]time.Time
+}
+
+type waitingItem struct {
+	item    Item
+	arrived time.Time
+	seq     int
+}
+
+func newQueueModel(rt *rapid.T) *queueModel {
+	c := Defaults()
+	c.Rand = rand.New(rand.NewPCG(1, 2))
+	c.Places = rapid.IntRange(1, 12).Draw(rt, "places")
+	c.TierPlaces = rapid.IntRange(1, 4).Draw(rt, "tierPlaces")
+	c.Protected = rapid.IntRange(0, 2).Draw(rt, "protected")
+	c.TurnShare = rapid.Float64Range(0.05, 0.5).Draw(rt, "share")
+	q, err := New(c)
+	assert.NilError(rt, err)
+	return &queueModel{q: q, now: start, waiting: map[string]waitingItem{}, ended: map[string]int{}}
+}
+
+func (m *queueModel) offer(rt *rapid.T) {
+	m.offerTier(rt, call.Tier(rapid.IntRange(0, 7).Draw(rt, "tier")))
+}
+
+// burst fills the queue with one tier.
+func (m *queueModel) burst(rt *rapid.T) {
+	tier := call.Tier(rapid.IntRange(0, 7).Draw(rt, "tier"))
+	for range rapid.IntRange(2, 12).Draw(rt, "burst") {
+		m.offerTier(rt, tier)
+	}
+}
+
+func (m *queueModel) offerTier(rt *rapid.T, tier call.Tier) {
+	m.next++
+	id := fmt.Sprint(m.next)
+	team := call.Team(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "team"))
+	it := item(id, tier, team, rapid.IntRange(1, maxTestCost).Draw(rt, "cost"))
+	it.Call.Class = call.Class(rapid.SampledFrom([]string{"x", "y"}).Draw(rt, "class"))
+	if rapid.IntRange(0, 3).Draw(rt, "hasDeadline") == 0 {
+		it.Service = time.Second
+		it.Call.Deadline = m.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(rt, "deadline")) * time.Second)
+	}
+	m.expire(rt)
+	v := m.q.Offer(m.now, it)
+	for _, r := range v.Displaced {
+		m.checkDisplaced(rt, r, tier)
+		m.end(rt, r.Item.Call.ID)
+	}
+	if v.Queued {
+		m.arrive(it)
+		return
+	}
+	assert.Equal(rt, len(v.Displaced), 0)
+	m.ended[id]++
+	if v.Reason == ReasonFull || v.Reason == ReasonHopeless {
+		assert.Assert(rt, v.RetryAfter > 0)
+	}
+	if v.Reason == ReasonFull {
+		m.checkFull(rt, tier)
+	}
+}
+
+func (m *queueModel) arrive(it Item) {
+	tier := it.Call.Tier
+	if m.count(tier) == 0 {
+		m.last[tier], m.owed[tier] = m.now, 0
+	}
+	m.waiting[it.Call.ID] = waitingItem{item: it, arrived: m.now, seq: m.next}
+}
+
+// checkDisplaced: only a lower tier, the lowest beyond its own places, its newest.
+func (m *queueModel) checkDisplaced(rt *rapid.T, r Refusal, by call.Tier) {
+	victim := r.Item.Call.Tier
+	assert.Assert(rt, victim > by, "tier %d displaced by tier %d", victim, by)
+	assert.Equal(rt, r.Reason, ReasonDisplaced)
+	for _, w := range m.waiting {
+		if w.item.Call.Tier == victim {
+			assert.Assert(rt, w.seq <= m.waiting[r.Item.Call.ID].seq, "not the newest")
+		}
+		if w.item.Call.Tier > victim {
+			assert.Assert(rt, m.count(w.item.Call.Tier) <= m.q.config.TierPlaces, "not the lowest")
+		}
+	}
+}
+
+// checkFull: no lower tier holds a shared place while a higher one is refused.
+func (m *queueModel) checkFull(rt *rapid.T, tier call.Tier) {
+	for low := tier + 1; low <= call.MaxTier; low++ {
+		assert.Assert(rt, m.count(low) <= m.q.config.TierPlaces, "tier %d refused, tier %d kept", tier, low)
+	}
+	assert.Assert(rt, m.count(tier) >= m.q.config.TierPlaces, "tier %d refused, its own places free", tier)
+}
+
+func (m *queueModel) dispatch(rt *rapid.T) {
+	m.expire(rt)
+	it, reason, ok := m.q.Next(m.now, "m")
+	assert.Equal(rt, ok, len(m.waiting) > 0)
+	if !ok {
+		return
+	}
+	tier := it.Call.Tier
+	for _, w := range m.waiting {
+		other := w.item.Call.Tier
+		if other < tier {
+			assert.Equal(rt, reason, ReasonTurn)
+			assert.Assert(rt, int(other) >= m.q.config.Protected, "tier %d went before protected tier %d", tier, other)
+		}
+		if other == tier && w.item.Call.Team == it.Call.Team && w.item.Call.Class == it.Call.Class {
+			assert.Assert(rt, w.seq >= m.waiting[it.Call.ID].seq, "not first in, first out")
+		}
+	}
+	m.end(rt, it.Call.ID)
+	m.account(rt, it)
+}
+
+// account checks the stated bound on a tier's gap, in dispatched tokens.
+func (m *queueModel) account(rt *rapid.T, it Item) {
+	tier := it.Call.Tier
+	for t := range call.Tier(TierCount) {
+		due := !m.now.Before(m.last[t].Add(m.q.config.Tiers[t].TurnEvery))
+		if t != tier && m.count(t) > 0 && due && int(tier) >= m.q.config.Protected {
+			m.owed[t] += it.Cost
+		}
+		if int(t) >= m.q.config.Protected {
+			assert.Assert(rt, m.owed[t] <= m.q.config.gapTokens(maxTestCost), "tier %d is left out", t)
+		}
+	}
+	m.last[tier], m.owed[tier] = m.now, 0
+}
+
+func (m *queueModel) expire(rt *rapid.T) {
+	for _, r := range m.q.Expire(m.now) {
+		w := m.waiting[r.Item.Call.ID]
+		patience := m.q.config.Tiers[r.Item.Call.Tier].MaxWait
+		deadline := r.Item.Call.Deadline
+		hopeless := !deadline.IsZero() && !m.now.Add(r.Item.Service).Before(deadline)
+		assert.Assert(rt, hopeless || m.now.Sub(w.arrived) >= patience, "given up too soon")
+		assert.Assert(rt, r.RetryAfter > 0)
+		m.end(rt, r.Item.Call.ID)
+	}
+	for id, w := range m.waiting {
+		assert.Assert(rt, m.now.Sub(w.arrived) < m.q.config.Tiers[w.item.Call.Tier].MaxWait, "%s waits too long", id)
+	}
+}
+
+func (m *queueModel) remove(rt *rapid.T) {
+	id := fmt.Sprint(rapid.IntRange(1, m.next+1).Draw(rt, "id"))
+	m.expire(rt)
+	_, ok := m.q.Remove(id)
+	_, want := m.waiting[id]
+	assert.Equal(rt, ok, want)
+	if ok {
+		m.end(rt, id)
+	}
+}
+
+func (m *queueModel) end(rt *rapid.T, id string) {
+	_, ok := m.waiting[id]
+	assert.Assert(rt, ok, "%s ended, did not wait", id)
+	delete(m.waiting, id)
+	m.ended[id]++
+}
+
+func (m *queueModel) count(tier call.Tier) int {
+	n := 0
+	for _, w := range m.waiting {
+		if w.item.Call.Tier == tier {
+			n++
+		}
+	}
+	return n
+}
+
+// check: each item waits or has ended exactly once, and places are bounded.
+func (m *queueModel) check(rt *rapid.T) {
+	for i := 1; i <= m.next; i++ {
+		id := fmt.Sprint(i)
+		_, waits := m.waiting[id]
+		assert.Assert(rt, waits != (m.ended[id] == 1) && m.ended[id] <= 1, "%s ended %d times", id, m.ended[id])
+	}
+	assert.Equal(rt, m.q.Len(), len(m.waiting))
+	c := m.q.config
+	assert.Assert(rt, m.q.Len() <= c.Places+TierCount*c.TierPlaces)
+}
+
+func TestQueueStateMachine(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newQueueModel(rt)
+		rt.Repeat(map[string]func(*rapid.T){
+			"offer":    m.offer,
+			"burst":    m.burst,
+			"dispatch": m.dispatch,
+			"expire":   m.expire,
+			"remove":   m.remove,
+			"wait": func(rt *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(rt, "ms")) * time.Millisecond)
+				m.expire(rt)
+			},
+			"": m.check,
+		})
+	})
+}
+
+// TestTurnsAreTaken keeps all tiers waiting and checks that each one is served
+// within its stated gap, and that turns keep to their share.
+func TestTurnsAreTaken(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		share := rapid.Float64Range(0.05, 0.4).Draw(rt, "share")
+		q := newTestQueue(t, func(c *Config) { c.TurnShare, c.Protected = share, 0 })
+		pace := time.Duration(rapid.IntRange(5, 100).Draw(rt, "pace")) * time.Millisecond
+		rate := 1 / pace.Seconds() // Tokens a second where each item costs 1 at least.
+		now, next := start, 0
+		last := [TierCount]time.Time{}
+		turns, tokens := 0, 0
+		for range 1500 {
+			for tier := range call.Tier(TierCount) {
+				for q.models["m"] == nil || q.models["m"].count(tier) < 2 {
+					next++
+					assert.Assert(rt, q.Offer(now, item(fmt.Sprint(next), tier, "a", 1+next%5)).Queued)
+				}
+				if last[tier].IsZero() {
+					last[tier] = now
+				}
+			}
+			q.Expire(now)
+			it, reason, ok := q.Next(now, "m")
+			assert.Assert(rt, ok)
+			tier := it.Call.Tier
+			gap := now.Sub(last[tier])
+			assert.Assert(rt, gap <= q.config.MaxGap(tier, 5, rate)+pace, "tier %d: gap %s", tier, gap)
+			last[tier] = now
+			tokens += it.Cost
+			if reason == ReasonTurn {
+				turns += it.Cost
+			}
+			now = now.Add(pace)
+		}
+		assert.Assert(rt, float64(turns) <= share*float64(tokens)+6, "turns %d of %d", turns, tokens)
+		for tier, at := range last {
+			assert.Assert(rt, now.Sub(at) <= q.config.MaxGap(call.Tier(tier), 5, rate)+pace, "tier %d", tier)
+		}
+	})
+}
+
+// TestFairShare keeps several teams waiting with items of unlike costs: their
+// service differs by no more than the costs of two items.
+func TestFairShare(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		q := newTestQueue(t, nil)
+		teams := rapid.IntRange(2, 6).Draw(rt, "teams")
+		costs := rapid.SliceOfN(rapid.IntRange(1, maxTestCost), teams, teams).Draw(rt, "costs")
+		served := make([]int, teams)
+		next := 0
+		offer := func(team int) {
+			next++
+			it := item(fmt.Sprint(next), 3, call.Team(fmt.Sprint(team)), costs[team])
+			it.Call.Class = call.Class(fmt.Sprint(next % 2))
+			assert.Assert(rt, q.Offer(start, it).Queued)
+		}
+		for team := range teams {
+			// An early team queues more; that gains it nothing.
+			for range 2 + (teams-team)*rapid.IntRange(0, 5).Draw(rt, "more") {
+				offer(team)
+			}
+		}
+		for range 200 {
+			it, _, _ := q.Next(start, "m")
+			var team int
+			_, err := fmt.Sscan(string(it.Call.Team), &team)
+			assert.NilError(rt, err)
+			served[team] += it.Cost
+			offer(team)
+			for i := range served {
+				for j := range served {
+					assert.Assert(rt, served[i]-served[j] <= costs[i]+costs[j], "teams %d and %d: %v", i, j, served)
+				}
+			}
+		}
+	})
+}
+
+// TestOneAtATimeGainsNothing: a team that offers its next item when the last one
+// is dispatched gets no more than a team that queues.
+func TestOneAtATimeGainsNothing(t *testing.T) {
+	q := newTestQueue(t, nil)
+	next, served := 0, map[call.Team]int{}
+	offer := func(team call.Team, cost int) {
+		next++
+		assert.Assert(t, q.Offer(start, item(fmt.Sprint(next), 3, team, cost)).Queued)
+	}
+	for range 60 {
+		offer("queues", 10)
+	}
+	offer("single", 40)
+	for range 50 {
+		it, _, _ := q.Next(start, "m")
+		served[it.Call.Team] += it.Cost
+		if it.Call.Team == "single" {
+			offer("single", 40)
+		}
+	}
+	assert.Assert(t, served["single"] <= served["queues"]+50, "%v", served)
+}
