Prove the choice of a replica and the prefix hints

Ruled out: a failure penalty without an end. A replica with one failure was then never drawn as the better of two and so never tried again; it fades now within the first ejection's length. The doubling of the ejection ended at the first good answer, before a slow replica could be measured anew; it ends after SlowSamples good answers now.

--- a/core/hint/table.go
+++ b/core/hint/table.go
@@ -7,28 +7,35 @@
 	"gentianwell/core/call"
 )
 
-// Lookup returns the replicas that probably hold the longest remembered prefix,
-// newest first. Prefixes go from the shortest to the longest.
+// reorderWindow is how far behind the last event's number a late event may be.
+const reorderWindow = 1024
+
+// Lookup returns up to MaxReplicas replicas that probably hold a prefix of the
+// prompt, those with the longest first and, among them, the newest. Prefixes go
+// from the shortest to the longest.
 func (t *Table) Lookup(model call.Model, prefixes []uint64) Matches {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for i := len(prefixes) - 1; i >= 0; i-- {
+	var out Matches
+	for i := len(prefixes) - 1; i >= 0 && len(out) < t.c.MaxReplicas; i-- {
 		element := t.entries[key{model, prefixes[i]}]
 		if element == nil {
 			continue
 		}
 		t.recent.MoveToFront(element)
-		return matches(element.Value.(*entry), i+1)
+		out = out.add(element.Value.(*entry), i+1)
 	}
-	return nil
+	return out[:min(len(out), t.c.MaxReplicas)]
 }
 
-func matches(e *entry, prefixes int) Matches {
-	out := make(Matches, 0, len(e.replicas))
+func (m Matches) add(e *entry, prefixes int) Matches {
 	for _, id := range e.replicas {
-		out = append(out, Match{Replica: id, Prefixes: prefixes})
+		known := slices.ContainsFunc(m, func(other Match) bool { return other.Replica == id })
+		if !known {
+			m = append(m, Match{Replica: id, Prefixes: prefixes})
+		}
 	}
-	return out
+	return m
 }
 
 // Sent remembers that a prompt with the prefixes was sent to the replica.
@@ -71,17 +78,15 @@
 	delete(t.entries, element.Value.(*entry).key)
 }
 
-// Apply takes a cache event. A numbered event that is not newer than the last
-// one of its replica is left out; it returns false. A gap is harmless: what was
-// lost stays a wrong hint until it is used up or replaced.
+// Apply takes a cache event. A numbered event that is somewhat older than the
+// last one of its replica is left out; it returns false. A number far below the
+// last one means that the replica started anew. A gap is harmless: what was lost
+// stays a wrong hint until it is replaced or drops out.
 func (t *Table) Apply(e Event) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e.Sequence != 0 {
-		if e.Sequence <= t.last[e.Replica] {
-			return false
-		}
-		t.last[e.Replica] = e.Sequence
+	if e.Sequence != 0 && !t.advance(e) {
+		return false
 	}
 	switch e.Kind {
 	case KindStored:
@@ -94,6 +99,15 @@
 	return true
 }
 
+func (t *Table) advance(e Event) bool {
+	last := t.last[e.Replica]
+	if e.Sequence <= last && last-e.Sequence < reorderWindow {
+		return false
+	}
+	t.last[e.Replica] = e.Sequence
+	return true
+}
+
 func (t *Table) remove(e Event) {
 	for _, prefix := range e.Prefixes {
 		if element := t.entries[key{e.Model, prefix}]; element != nil {
--- a/core/route/config.go
+++ b/core/route/config.go
@@ -26,7 +26,7 @@
 	defaultSlowFloor       = 200 * time.Millisecond
 	defaultSlowSamples     = 8
 	defaultEjectTime       = 5 * time.Second
-	defaultEjectTimeMax    = 2 * time.Minute
+	defaultEjectTimeMax    = time.Minute
 	defaultEjectedShareMax = 0.34
 )
 
@@ -68,6 +68,7 @@
 	FailuresToEject int
 	// SlowFactor ejects a replica whose usual time to the first token is so many
 	// times the model's median, and above SlowFloor, after SlowSamples answers.
+	// So many good answers in a row also end the doubling of EjectTime.
 	SlowFactor  float64
 	SlowFloor   time.Duration
 	SlowSamples int
--- a/core/route/eject.go
+++ b/core/route/eject.go
@@ -58,6 +58,8 @@
 		return r.judgeOK(now, s, result)
 	}
 	s.failures++
+	s.failed = now
+	s.good = 0
 	if s.failures < r.c.FailuresToEject {
 		return ""
 	}
@@ -69,15 +71,17 @@
 
 func (r *Router) judgeOK(now time.Time, s *state, result Result) EjectReason {
 	s.failures = 0
-	if result.FirstToken <= 0 {
-		return ""
+	s.good++
+	if result.FirstToken > 0 {
+		s.sample(result.FirstToken)
+	}
+	if r.slow(s) {
+		return r.eject(now, s, EjectSlow)
 	}
-	s.sample(result.FirstToken)
-	if !r.slow(s) {
+	if s.good >= r.c.SlowSamples {
 		s.ejections = 0
-		return ""
 	}
-	return r.eject(now, s, EjectSlow)
+	return ""
 }
 
 func (s *state) sample(firstToken time.Duration) {
@@ -127,6 +131,7 @@
 	// It starts anew when it comes back: one more failure ejects it again.
 	s.freshSince = s.ejectedUntil
 	s.failures = r.c.FailuresToEject - 1
+	s.good = 0
 	s.samples = 0
 	return reason
 }
--- /dev/null
+++ b/core/route/load_test.go
@@ -0,0 +1,68 @@
+package route
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// The replica holds 2 calls of this VM when the report is taken at 1s and one
+// more is sent at 2s; the report shows 6, of which 4 are other VMs'.
+func TestReportCountsForeignWorkByAge(t *testing.T) {
+	report := Load{Running: 5, Waiting: 1, Taken: at(time.Second)}
+	tests := []struct {
+		name string
+		now  time.Duration
+		want float64
+	}{
+		{"just taken in", 3 * time.Second, 3 + 4*0.8},
+		{"half its age", 6 * time.Second, 3 + 4*0.5},
+		{"too old", 11 * time.Second, 3},
+		{"long gone", time.Hour, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &state{}
+			s.setOwn(at(0), 1)
+			s.setOwn(at(500*time.Millisecond), 2)
+			s.setOwn(at(2*time.Second), 3)
+			assert.Assert(t, s.report(at(3*time.Second), report))
+			got := s.load(at(tt.now), 10*time.Second)
+			assert.Assert(t, math.Abs(got-tt.want) < 1e-9, "got %g, want %g", got, tt.want)
+		})
+	}
+}
+
+func TestReportOrder(t *testing.T) {
+	s := &state{}
+	assert.Assert(t, s.report(at(5*time.Second), Load{Running: 3, Taken: at(4 * time.Second)}))
+	assert.Assert(t, !s.report(at(6*time.Second), Load{Running: 9, Taken: at(3 * time.Second)}), "older")
+	assert.Assert(t, !s.report(at(6*time.Second), Load{Running: 9, Taken: at(4 * time.Second)}), "same")
+	assert.Equal(t, s.foreign, 3.0)
+	assert.Assert(t, s.report(at(6*time.Second), Load{Running: 1, Taken: at(time.Hour)}), "clock ahead")
+	assert.Equal(t, s.reported, at(6*time.Second))
+}
+
+// Work that ended after the report was taken is not mistaken for other VMs'.
+func TestReportOfFinishedOwnWork(t *testing.T) {
+	s := &state{}
+	for i := range 10 {
+		s.setOwn(at(time.Duration(i)*time.Millisecond), i+1)
+	}
+	for i := range 10 {
+		s.setOwn(at(2*time.Second+time.Duration(i)*time.Millisecond), 9-i)
+	}
+	s.report(at(3*time.Second), Load{Running: 10, Taken: at(time.Second)})
+	assert.Equal(t, s.load(at(3*time.Second), 10*time.Second), 0.0)
+}
+
+func TestHistoryIsBounded(t *testing.T) {
+	s := &state{}
+	for i := range 10 * historyLen {
+		s.setOwn(at(time.Duration(i)*time.Second), i)
+	}
+	assert.Equal(t, s.ownAt(at(0)), 9*historyLen)
+	assert.Equal(t, s.ownAt(at(time.Hour)), 10*historyLen-1)
+}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -213,7 +213,7 @@
 	foreign := s.foreignAt(now, r.c.ReportMaxAge)
 	load := (float64(s.own) + foreign) / slots
 	score := (r.ownUnits(s) + foreign + 1) / slots
-	score += r.c.Penalty(r.c.Zone, s.Zone) + float64(s.failures)
+	score += r.c.Penalty(r.c.Zone, s.Zone) + s.failing(now, r.c.EjectTime)
 	return candidate{s: s, score: score, load: load}
 }
 
--- /dev/null
+++ b/core/route/pick_test.go
@@ -0,0 +1,181 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianwell/core/call"
+	"gentianwell/core/gwtest"
+)
+
+// Every VM has the same stale reports, by which r0 alone is idle. Were all to
+// take the least loaded one, r0 would get most of the calls.
+func TestNoHerdOnStaleReport(t *testing.T) {
+	const vms, callsEach = 30, 5
+	replicas := fleet(20, 1)
+	got := map[call.ReplicaID]int{}
+	for vm := range vms {
+		r := newRouter(t, Config{Self: call.VMID(fmt.Sprint(vm))})
+		r.c.Rand = rand.New(rand.NewPCG(gwtest.Seed(), uint64(vm)))
+		r.SetReplicas(t0, replicas)
+		for _, replica := range replicas[1:] {
+			r.Report(t0, replica.ID, Load{Running: 3, Taken: t0})
+		}
+		for range callsEach {
+			d, err := r.Pick(t0, request, nil)
+			assert.NilError(t, err)
+			r.Started(t0, d.Replica.ID, 1)
+			got[d.Replica.ID]++
+		}
+	}
+	fair := vms * callsEach / len(replicas)
+	assert.Assert(t, got["r0"] <= 3*fair, "r0 got %d, a fair share is %d", got["r0"], fair)
+}
+
+// send picks and starts n calls and counts them by replica.
+func send(t testing.TB, r *Router, now time.Time, c call.Call, n int) map[call.ReplicaID]int {
+	t.Helper()
+	got := map[call.ReplicaID]int{}
+	for range n {
+		d, err := r.Pick(now, c, nil)
+		assert.NilError(t, err)
+		r.Started(now, d.Replica.ID, 1)
+		got[d.Replica.ID]++
+	}
+	return got
+}
+
+func TestPickSpreadsByOwnWork(t *testing.T) {
+	r := newRouter(t, Config{})
+	r.SetReplicas(t0, fleet(5, 1))
+	got := send(t, r, t0, request, 25)
+	for id, n := range got {
+		assert.Assert(t, n >= 3 && n <= 7, "%s got %d of 25", id, n)
+	}
+}
+
+func TestPickCountsCost(t *testing.T) {
+	r := newRouter(t, Config{})
+	r.SetReplicas(t0, fleet(2, 1))
+	for range 20 {
+		r.Started(t0, "r1", 100)
+		r.Finished(t0, "r1", 100, Result{Status: StatusOK})
+	}
+	r.Started(t0, "r0", 1000)
+	r.Started(t0, "r1", 100)
+	r.Started(t0, "r1", 100)
+	d, err := r.Pick(t0, request, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, d.Replica.ID, call.ReplicaID("r1"))
+}
+
+func TestPickPrefersItsZone(t *testing.T) {
+	r := newRouter(t, Config{})
+	r.SetReplicas(t0, fleet(9, 3))
+	local := func(got map[call.ReplicaID]int) int { return got["r0"] + got["r3"] + got["r6"] }
+	first := send(t, r, t0, request, 4)
+	assert.Equal(t, local(first), 4, "%v", first)
+	// 30 slots in the own zone: the rest has to go elsewhere.
+	rest := send(t, r, t0, request, 56)
+	assert.Assert(t, local(first)+local(rest) <= 30)
+	assert.Assert(t, local(first)+local(rest) >= 20, "%v", rest)
+
+	for _, id := range []call.ReplicaID{"r0", "r3", "r6"} {
+		for range 10 {
+			r.Started(t0, id, 1)
+		}
+	}
+	d, err := r.Pick(t0, request, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, d.Reason, ReasonOtherZone)
+}
+
+// The hint draws calls to r0 only as far as its load stays near the average.
+func TestAffinityIsBoundedByLoad(t *testing.T) {
+	r := newRouter(t, Config{})
+	r.SetReplicas(t0, fleet(5, 1))
+	c := request
+	c.Prefixes = []uint64{1, 2, 3}
+	r.Hints().Sent("m", c.Prefixes, "r0")
+	d, err := r.Pick(t0, c, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, d.Replica.ID, call.ReplicaID("r0"))
+	assert.Equal(t, d.Reason, ReasonPrefixCached)
+	assert.Equal(t, d.CachedPrefixes, 3)
+
+	got := send(t, r, t0, c, 20)
+	assert.Assert(t, got["r0"] >= 5, "%v", got)
+	assert.Assert(t, got["r0"] <= 7, "r0 is far above the average of 4: %v", got)
+}
+
+func TestSlowStart(t *testing.T) {
+	r := newRouter(t, Config{SlowStart: 20 * time.Second})
+	replicas := fleet(4, 1)
+	r.SetReplicas(t0, replicas[:3])
+	r.SetReplicas(t0, replicas)
+	tests := []struct {
+		name       string
+		now        time.Duration
+		atLeast    int
+		atMost     int
+		background int
+	}{
+		{"at once", 0, 0, 1, 20},
+		{"half way", 10 * time.Second, 1, 5, 20},
+		{"done", 20 * time.Second, 5, 8, 20},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := send(t, r, at(tt.now), request, tt.background)
+			assert.Assert(t, got["r3"] >= tt.atLeast && got["r3"] <= tt.atMost, "%v", got)
+			for id, n := range got {
+				for range n {
+					r.Finished(at(tt.now), id, 1, Result{Status: StatusOK})
+				}
+			}
+		})
+	}
+}
+
+// A fleet that is fresh as a whole has no one to shift its work to.
+func TestSlowStartOfAll(t *testing.T) {
+	r := newRouter(t, Config{})
+	r.SetReplicas(t0, fleet(1, 1))
+	list := fleet(3, 1)
+	for i := range list {
+		list[i].Models = []call.Model{"new"}
+	}
+	r.SetReplicas(t0, list[1:])
+	c := request
+	c.Model = "new"
+	send(t, r, t0, c, 20)
+}
+
+func TestPickAlone(t *testing.T) {
+	r := newRouter(t, Config{})
+	r.SetReplicas(t0, fleet(3, 3))
+	r.Started(t0, "r0", 1)
+	r.Report(t0, "r1", Load{Running: 1, Taken: t0})
+	d, err := r.PickAlone(t0, request, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, d.Replica.ID, call.ReplicaID("r2"))
+
+	r.StartedAlone(t0, "r2", 1)
+	_, err = r.PickAlone(t0, request, nil)
+	assert.ErrorIs(t, err, ErrBusy)
+	got := send(t, r, t0, request, 10)
+	assert.Equal(t, got["r2"], 0)
+	r.FinishedAlone(t0, "r2", 1, Result{Status: StatusOK})
+	_, err = r.PickAlone(t0, request, nil)
+	assert.NilError(t, err)
+
+	r.Reserve("r2", at(time.Second))
+	_, err = r.PickAlone(t0, request, nil)
+	assert.ErrorIs(t, err, ErrBusy)
+	_, err = r.PickAlone(at(time.Second), request, nil)
+	assert.NilError(t, err)
+}
--- a/core/route/pool.go
+++ b/core/route/pool.go
@@ -103,3 +103,19 @@
 func rendezvous(self call.VMID, model call.Model, id call.ReplicaID) uint64 {
 	return xxhash.Sum64String(string(self) + "\x00" + string(model) + "\x00" + string(id))
 }
+
+// Subset returns the replicas of the model that the VM talks to, those of its
+// own zone first. Their load reports are worth fetching.
+func (r *Router) Subset(model call.Model) []call.ReplicaID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pools[model]
+	if p == nil {
+		return nil
+	}
+	var out []call.ReplicaID
+	for _, s := range slices.Concat(p.local, p.remote) {
+		out = append(out, s.ID)
+	}
+	return out
+}
--- a/core/route/router_test.go
+++ b/core/route/router_test.go
@@ -16,8 +16,7 @@
 
 var t0 = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
 
-func newRouter(t testing.TB, c Config) *Router {
-	t.Helper()
+func newRouter(t assert.TestingT, c Config) *Router {
 	if c.Self == "" {
 		c.Self = "e1"
 	}
@@ -45,6 +44,8 @@
 	return list
 }
 
+func at(d time.Duration) time.Time { return t0.Add(d) }
+
 var request = call.Call{ID: "c", Team: "t", Model: "m"}
 
 func TestNewRefusesBadConfig(t *testing.T) {
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -27,7 +27,11 @@
 	// another VM announced.
 	reservedBy    int
 	reservedUntil time.Time
-	failures      int
+	// failures counts failures in a row, the last of them at failed; good
+	// counts successes in a row.
+	failures int
+	failed   time.Time
+	good     int
 	// firstToken is the usual time to the first token in seconds.
 	firstToken   float64
 	samples      int
@@ -92,6 +96,16 @@
 	return float64(s.own) + s.foreignAt(now, maxAge)
 }
 
+// failing is a penalty for failures in a row, which fades within a time, so that
+// the replica is tried again.
+func (s *state) failing(now time.Time, fade time.Duration) float64 {
+	age := now.Sub(s.failed)
+	if s.failures == 0 || age >= fade {
+		return 0
+	}
+	return float64(s.failures) * (1 - float64(age)/float64(fade))
+}
+
 func (s *state) reserved(now time.Time) bool {
 	return s.reservedBy > 0 || now.Before(s.reservedUntil)
 }
