--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,21 @@
 # Names in the first column of KNOWN-RED.txt, joined for -skip.
 KNOWN_RED = $(shell test -s KNOWN-RED.txt && grep -v '^\#' KNOWN-RED.txt | awk '{print "^" $$1 "$$"}' | paste -sd'|')
 
-.PHONY: build check format generate generated test race soak
+
+.PHONY: build demo demo-up demo-down check format generate generated test race soak
 
 build: ## Builds the commands into bin/.
 	go build -o bin/ ./cmd/...
 
+demo: build ## Runs the whole path on loopback once, with checks.
+	scripts/demo.sh run
+
+demo-up: build ## Starts the demo's processes and leaves them running.
+	scripts/demo.sh up
+
+demo-down: ## Stops what demo-up started.
+	scripts/demo.sh down
+
 check: ## Checks formatting and lint.
 	@out=$$($(TOOL) gofumpt -l .); test -z "$$out" || { echo "not formatted:"; echo "$$out"; exit 1; }
 	go vet $(PACKAGES)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -10,7 +10,6 @@
 
 import (
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -22,8 +21,8 @@
 	"gentianwell/core/sched"
 	"gentianwell/core/spread"
 	"gentianwell/core/timer"
-	"gentianwell/core/tree"
 	"gentianwell/io/back"
+	"gentianwell/io/conf"
 	"gentianwell/io/front"
 	"gentianwell/io/kvs"
 	"gentianwell/io/peer"
@@ -60,7 +59,7 @@
 	drain    *drain.Machine
 	kvs      kvs.Service
 	fleet    *fleet
-	settings atomic.Pointer[tree.Snapshot]
+	follower *conf.Follower
 	router   *route.Router
 	client   *back.Client
 	runner   *runner.Runner
@@ -84,7 +83,7 @@
 	n.drain = drain.New(drain.Config{Notice: time.Duration(o.Config.Notice)})
 	n.kvs = kvs.NewGateway(kvs.GatewayConfig{Addresses: o.Config.Platform}).Service()
 	n.fleet = &fleet{self: o.Config.ID, log: o.Log}
-	for _, make := range []func(Options) error{n.makeRouting, n.makePeers, n.makeFront} {
+	for _, make := range []func(Options) error{n.makeSettings, n.makeRouting, n.makePeers, n.makeFront} {
 		if err := make(o); err != nil {
 			return nil, errors.Annotate(err, "node.New")
 		}
@@ -101,6 +100,7 @@
 	randQueue
 	randSpread
 	randMirror
+	randSettings
 	randID
 )
 
@@ -143,20 +143,14 @@
 		SettingsVersion: n.settingsVersion,
 		Heard:           func(time.Time, spread.Items) {},
 		Contacted:       func(time.Time, peer.Contact) {},
-		Behind:          func(call.VMID, int64) {},
+		Behind:          n.follower.Behind,
+		Settings:        n.follower.Answer,
 	})
 	return nil
 }
 
-func (n *Node) settingsVersion() int64 {
-	if s := n.settings.Load(); s != nil {
-		return s.Version
-	}
-	return 0
-}
-
 func (n *Node) makeFront(Options) error {
-	p := policies{snapshot: n.settings.Load}
+	p := policies{snapshot: n.snapshot}
 	var err error
 	n.front, err = front.New(front.Config{
 		Zone: n.c.Zone, Team: p.team, Policy: p.policy, Service: p.service, Models: p.models,
@@ -168,4 +162,4 @@
 
 // ready tells the balancer to send requests: settings are in force and no stop
 // has begun.
-func (n *Node) ready() bool { return n.drain.Ready() && n.settings.Load() != nil }
+func (n *Node) ready() bool { return n.drain.Ready() && n.follower.Ready() }
--- a/io/node/operators.go
+++ b/io/node/operators.go
@@ -54,8 +54,7 @@
 	if slices.Contains(n.c.OperatorKeyHashes, hex.EncodeToString(sum[:])) {
 		return true
 	}
-	s := n.settings.Load()
-	return s != nil && s.IsOperator(bearer)
+	return n.follower.Current().IsOperator(bearer)
 }
 
 func (n *Node) status(w http.ResponseWriter, _ *http.Request) {
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -48,6 +48,7 @@
 	n.subscribe()
 	part(n.timers.Run)
 	part(vms.Run)
+	part(n.follower.Run)
 	part(n.servePeers(listeners.peers))
 	addHTTP(&g, n.front.HTTP(), listeners.callers, n.c.CallersTLS)
 	addHTTP(&g, n.operatorsHTTP(), listeners.operators, nil)
--- /dev/null
+++ b/io/node/settings.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"gentianwell/core/call"
+	"gentianwell/core/tree"
+	"gentianwell/io/conf"
+	"gentianwell/io/peerpb"
+)
+
+// makeSettings makes what keeps the newest settings in force.
+func (n *Node) makeSettings(Options) error {
+	store, err := conf.NewStore(conf.StoreConfig{Service: n.kvs, Now: n.now})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	n.follower, err = conf.NewFollower(conf.FollowerConfig{
+		Self: n.c.ID, Store: store, Timer: n.timers, Rand: n.rand(randSettings), Log: n.log,
+		Fetch: n.fetchSettings, Apply: n.apply,
+	})
+	return errors.Trace(err)
+}
+
+// snapshot returns the settings in force, nil while there are none.
+func (n *Node) snapshot() *tree.Snapshot {
+	if !n.follower.Ready() {
+		return nil
+	}
+	return n.follower.Current()
+}
+
+func (n *Node) settingsVersion() int64 { return n.follower.Current().Version }
+
+// fetchSettings asks a peer for its settings if they are newer.
+func (n *Node) fetchSettings(ctx context.Context, vm call.VMID, have int64) ([]byte, error) {
+	for _, p := range n.fleet.peers() {
+		if p.ID != vm {
+			continue
+		}
+		var document []byte
+		err := n.pool.Call(ctx, p.Address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+			reply, err := client.Settings(ctx, &peerpb.SettingsRequest{HaveVersion: have})
+			if err != nil {
+				return err
+			}
+			document = reply.Tree
+			return nil
+		})
+		return document, errors.Annotate(err, "Node.fetchSettings")
+	}
+	return nil, errors.NotFoundf("Node.fetchSettings: VM %s", vm)
+}
+
+// apply puts what a new snapshot says of the site into force.
+func (n *Node) apply(s *tree.Snapshot) {
+	n.drain.SetLimit(s.Site().StopLimit)
+}
--- a/io/runner/attempt.go
+++ b/io/runner/attempt.go
@@ -10,8 +10,7 @@
 	"gentianwell/io/back"
 )
 
-// headerKey passes the caller's idempotency key to a backend server that removes
-// duplicates itself.
+// headerKey passes on the caller's idempotency key.
 const headerKey = "Idempotency-Key"
 
 // headerOutcome and headerReplica tell the caller's side what to write.
@@ -27,6 +26,16 @@
 	err     error
 }
 
+// callerGone reports whether the attempt ended because nobody waits for it.
+func (e attemptEnd) callerGone() bool {
+	return e.result.Ending == back.EndingSink || e.result.Ending == back.EndingCancelled
+}
+
+// failed reports whether another replica might do better.
+func (e attemptEnd) failed() bool {
+	return !e.result.Complete() || e.result.Status >= http.StatusInternalServerError
+}
+
 // attempt sends the job to the replica once.
 func (n *run) attempt(ctx context.Context, g grant) attemptEnd {
 	replica := g.decision.Replica
@@ -46,15 +55,12 @@
 	n.r.mu.Lock()
 	n.r.pump(now, n.job.Call.Model)
 	n.r.mu.Unlock()
-	if result.Complete() && !result.Streamed {
-		err = n.whole(replica.ID, result)
-	}
 	return attemptEnd{replica: replica.ID, result: result, err: err}
 }
 
 func (n *run) request() back.Request {
 	header := n.job.Header.Clone()
-	if n.job.Call.Key != "" && n.job.RemovesDuplicates {
+	if n.job.Call.Key != "" {
 		header.Set(headerKey, n.job.Call.Key)
 	}
 	body := n.job.Body
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -116,34 +116,57 @@
 		}
 		n.attempts++
 		end := n.attempt(ctx, g)
-		answer, again := n.judge(end)
-		if !again {
+		if answer, last := n.judge(end); last {
 			return answer
 		}
 		n.exclude = append(n.exclude, end.replica)
 	}
 }
 
-// judge decides what follows from an attempt.
-func (n *run) judge(e attemptEnd) (answer Answer, again bool) {
-	a := Answer{Replica: e.replica, Started: n.started, Reason: ReasonDone, Outcome: call.OutcomeRan}
-	if e.result.Complete() {
-		return a, false
+// judge decides what follows from an attempt: the job's last answer, or another
+// attempt.
+func (n *run) judge(e attemptEnd) (answer Answer, last bool) {
+	if n.mayTryAgain(e) {
+		return Answer{}, false
 	}
-	a.Outcome = n.outcome()
-	if e.result.Ending == back.EndingSink || e.result.Ending == back.EndingCancelled {
-		a.Reason, a.Failed, a.Status = ReasonCallerGone, true, statusCallerGone
-		return a, false
+	switch {
+	case e.result.Complete():
+		return n.finish(e), true
+	case e.callerGone():
+		return n.failure(e, statusCallerGone, ReasonCallerGone), true
+	case e.result.Ending == back.EndingRefused:
+		return n.failure(e, e.result.Status, ReasonRefusedThere), true
+	}
+	return n.failure(e, http.StatusBadGateway, ReasonBackend), true
+}
+
+func (n *run) mayTryAgain(e attemptEnd) bool {
+	if n.started || n.attempts >= n.r.c.Attempts || e.callerGone() || !e.failed() {
+		return false
+	}
+	return n.job.Call.Idempotent || !n.wrote
+}
+
+// finish hands over an answer that came whole.
+func (n *run) finish(e attemptEnd) Answer {
+	if !e.result.Streamed {
+		if err := n.whole(e.replica, e.result); err != nil {
+			return n.failure(e, statusCallerGone, ReasonCallerGone)
+		}
 	}
-	if !n.started && n.attempts < n.r.c.Attempts && (a.Outcome == call.OutcomeNotRun || n.job.Call.Idempotent) {
-		return Answer{}, true
+	return Answer{Replica: e.replica, Started: n.started, Reason: ReasonDone, Outcome: call.OutcomeRan}
+}
+
+func (n *run) failure(e attemptEnd, status int, reason Reason) Answer {
+	a := Answer{
+		Replica: e.replica, Started: n.started, Failed: n.started, Status: status, Reason: reason,
+		Outcome: n.outcome(), Message: "the backend server did not answer: " + string(e.result.Ending),
 	}
-	a.Failed, a.Status, a.Reason = true, http.StatusBadGateway, ReasonBackend
-	a.Message = "the backend server failed: " + string(e.result.Ending)
-	if a.Outcome != call.OutcomeUnknown || n.job.Call.Idempotent {
+	// Asking again must not run a request twice that can only be run once.
+	if n.job.Call.Idempotent || a.Outcome == call.OutcomeNotRun {
 		a.RetryAfter = n.r.c.RetryAfter
 	}
-	return a, false
+	return a
 }
 
 // outcome is what is known of all attempts: only if none wrote a byte that a
