--- a/io/conf/doc.go
+++ b/io/conf/doc.go
@@ -8,8 +8,8 @@
 //
 // # Usage
 //
-//	store := conf.NewStore(conf.StoreConfig{Service: svc, Now: time.Now})
-//	follower := conf.NewFollower(conf.FollowerConfig{
+//	store, err := conf.NewStore(conf.StoreConfig{Service: svc, Now: time.Now})
+//	follower, err := conf.NewFollower(conf.FollowerConfig{
 //		Store: store, Timer: timers, Rand: rnd, Self: "e1", Log: log,
 //		Fetch: fetchFromPeer, // asks another entry VM for its document
 //		Apply: func(s *tree.Snapshot) { ... },
--- a/io/conf/follower.go
+++ b/io/conf/follower.go
@@ -19,7 +19,7 @@
 // The defaults of a follower.
 const (
 	defaultPollInterval  = 4 * time.Second
-	defaultStartWait     = time.Second
+	defaultStartWait     = 2 * time.Second
 	defaultRestoreJitter = 3 * time.Second
 	defaultRewatchPause  = 500 * time.Millisecond
 	// hintCapacity bounds the peers' hints that wait for a fetch.
--- a/io/conf/store.go
+++ b/io/conf/store.go
@@ -61,6 +61,19 @@
 	}
 }
 
+// Validate checks that the needed fields are there.
+//
+// Errors: NotValid with the field's name.
+func (c *StoreConfig) Validate() error {
+	switch {
+	case c.Service.Get == nil, c.Service.List == nil, c.Service.Transact == nil, c.Service.Watch == nil:
+		return errors.NotValidf("StoreConfig.Validate: Service without Get, List, Transact or Watch")
+	case c.Now == nil:
+		return errors.NotValidf("StoreConfig.Validate: nil Now")
+	}
+	return nil
+}
+
 func newChangeID() string {
 	raw := make([]byte, changeIDBytes)
 	_, _ = rand.Read(raw)
@@ -73,9 +86,14 @@
 }
 
 // NewStore returns a store.
-func NewStore(c StoreConfig) *Store {
+//
+// Errors: NotValid for the configuration.
+func NewStore(c StoreConfig) (*Store, error) {
 	c.Defaults()
-	return &Store{c: c}
+	if err := c.Validate(); err != nil {
+		return nil, errors.Annotate(err, "NewStore")
+	}
+	return &Store{c: c}, nil
 }
 
 // Loaded is the tree as the platform holds it at one revision.
