Add a small site for tests of the whole path

Cause: failure tests of several parts need the same few processes' worth of stand-ins and entry VMs. Ruled out: processes for each test (slow to start; those of the demo are). Change: io/site starts a stand-in platform, engines, a ledger and entry VMs in one process on loopback; TestWholePath.

--- a/io/node/operators.go
+++ b/io/node/operators.go
@@ -55,13 +55,16 @@
 	return n.follower.Current().IsOperator(bearer)
 }
 
-func (n *Node) status(w http.ResponseWriter, _ *http.Request) {
-	n.writeJSON(w, Status{
+// Status returns what an operator sees of this VM.
+func (n *Node) Status() Status {
+	return Status{
 		VM: n.c.ID, Zone: n.c.Zone, SettingsVersion: n.settingsVersion(), Ready: n.ready(), Stop: n.drain.Status(),
 		Peers: len(n.fleet.peers()), Replicas: len(n.fleet.replicas(n.usable)), Ejected: n.router.Ejected(n.now()),
-	})
+	}
 }
 
+func (n *Node) status(w http.ResponseWriter, _ *http.Request) { n.writeJSON(w, n.Status()) }
+
 func (n *Node) startDrain(w http.ResponseWriter, _ *http.Request) {
 	n.StartDrain()
 	n.writeJSON(w, n.drain.Status())
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -13,8 +13,10 @@
 
 // makeSettings makes what keeps the newest settings in force.
 func (n *Node) makeSettings(Options) error {
-	store := conf.NewStore(conf.StoreConfig{Service: n.kvs, Now: n.now})
-	var err error
+	store, err := conf.NewStore(conf.StoreConfig{Service: n.kvs, Now: n.now})
+	if err != nil {
+		return errors.Trace(err)
+	}
 	n.follower, err = conf.NewFollower(conf.FollowerConfig{
 		Self: n.c.ID, Store: store, Timer: n.timers, Rand: n.rand(randSettings), Log: n.log,
 		Fetch: n.fetchSettings, Apply: n.apply,
--- /dev/null
+++ b/io/site/path_test.go
@@ -0,0 +1,48 @@
+package site
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"gentianwell/io/fakes"
+	"gentianwell/io/front"
+)
+
+func body(prompt string, stream bool) string {
+	text := `{"model":"drafts","max_tokens":8,"messages":[{"role":"user","content":"` + prompt + `"}]`
+	if stream {
+		text += `,"stream":true`
+	}
+	return text + "}"
+}
+
+func read(t *testing.T, resp *http.Response) string {
+	t.Helper()
+	raw, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return string(raw)
+}
+
+// The whole path: a streamed and a plain answer from every entry VM, and a
+// payment that is booked once.
+func TestWholePath(t *testing.T) {
+	s := New(t, Config{Entries: 3, Engines: 3, Services: 1})
+	for i := range s.Entries {
+		resp := s.Post(t, i, "/v1/chat/completions", body("hello", true), map[string]string{front.HeaderClass: "plot"})
+		got := read(t, resp)
+		assert.Equal(t, resp.StatusCode, http.StatusOK, got)
+		assert.Assert(t, strings.HasSuffix(got, "data: [DONE]\n\n"), got)
+		assert.Equal(t, resp.Header.Get(front.HeaderOutcome), "ran")
+
+		resp = s.Post(t, i, "/v1/chat/completions", body("hello", false), nil)
+		got = read(t, resp)
+		assert.Assert(t, strings.Contains(got, fakes.Text(fakes.ChatPrompt("hello"), 0, 8)), got)
+	}
+	resp := s.Post(t, 0, "/ledger/payments", `{"amount":1}`, map[string]string{front.HeaderKey: "k1"})
+	assert.Equal(t, resp.StatusCode/100, 2, read(t, resp))
+	assert.Equal(t, len(s.Plains[0].Bookings().Bookings), 1)
+}
--- /dev/null
+++ b/io/site/site.go
@@ -0,0 +1,294 @@
+// Package site runs a whole small site in one process for tests: a stand-in
+// platform, stand-in engines and a ledger, and entry VMs, all on loopback.
+//
+// # Usage
+//
+//	s := site.New(t, site.Config{Entries: 3, Engines: 3, Services: 1})
+//	resp := s.Post(t, 0, "/v1/chat/completions", body, nil)
+//	s.Engines[0].Inject(fakes.Fault{…})
+//
+// Everything is stopped at the end of the test.
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"gentianwell/core/call"
+	"gentianwell/core/gwtest"
+	"gentianwell/core/member"
+	"gentianwell/core/tree"
+	"gentianwell/io/conf"
+	"gentianwell/io/fakekv"
+	"gentianwell/io/fakes"
+	"gentianwell/io/node"
+	"gentianwell/io/peer"
+)
+
+// The keys of the site's one team and its operator.
+const (
+	TeamKey     = "team-key"
+	OperatorKey = "operator-key"
+)
+
+// startTimeout bounds the time until the site is ready.
+const startTimeout = 15 * time.Second
+
+// Config says how large a site is. Entry VMs and backend servers are spread
+// over the zones z0, z1, z2 in turn.
+type Config struct {
+	Entries  int
+	Engines  int
+	Services int
+	// Engine and Plain change the stand-ins' configurations.
+	Engine func(*fakes.EngineConfig)
+	Plain  func(*fakes.PlainConfig)
+	// Edits are settings besides the usual ones.
+	Edits tree.Edits
+	// Address returns what the platform's list says in place of a backend
+	// server's true address, for a relay between.
+	Address func(id call.VMID, address netip.AddrPort) netip.AddrPort
+	// Dial opens connections between entry VMs.
+	Dial func(from call.VMID) peer.DialFunc
+	// Notice is how long a planned stop leaves the balancer.
+	Notice time.Duration
+}
+
+// Entry is one entry VM.
+type Entry struct {
+	ID      call.VMID
+	Node    *node.Node
+	Callers netip.AddrPort
+	Peers   netip.AddrPort
+	// Log holds the log's entries.
+	Log    *logtest.Hook
+	config node.Config
+	cancel context.CancelFunc
+	done   chan error
+}
+
+// Site is a running site.
+type Site struct {
+	c        Config
+	Platform *fakekv.Fake
+	Engines  []*fakes.Engine
+	Plains   []*fakes.Plain
+	Entries  []*Entry
+	// Servers are the backend servers' listeners, engines first.
+	Servers  []*httptest.Server
+	platform netip.AddrPort
+}
+
+// New starts a site and waits until it serves.
+func New(t testing.TB, c Config) *Site {
+	t.Helper()
+	s := &Site{c: c, Platform: fakekv.New(fakekv.Config{})}
+	s.platform = s.serve(t, s.Platform.Handler())
+	for i := range c.Engines {
+		s.addEngine(t, i)
+	}
+	for i := range c.Services {
+		s.addPlain(t, i)
+	}
+	for i := range c.Entries {
+		s.addEntry(t, i)
+	}
+	s.configure(t)
+	for i := range c.Entries {
+		s.Start(t, i)
+	}
+	s.WaitReady(t)
+	return s
+}
+
+func zone(i int) call.Zone { return call.Zone(fmt.Sprintf("z%d", i%3)) }
+
+func (s *Site) serve(t testing.TB, h http.Handler) netip.AddrPort {
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.CloseClientConnections)
+	s.Servers = append(s.Servers, srv)
+	return netip.MustParseAddrPort(srv.Listener.Addr().String())
+}
+
+func (s *Site) addEngine(t testing.TB, i int) {
+	id := fmt.Sprintf("m%d", i)
+	c := fakes.EngineConfig{ID: id, Models: []string{"drafts"}, TokenGap: time.Millisecond}
+	if s.c.Engine != nil {
+		s.c.Engine(&c)
+	}
+	engine, err := fakes.NewEngine(c)
+	assert.NilError(t, err)
+	s.Engines = append(s.Engines, engine)
+	var models []call.Model
+	for _, m := range c.Models {
+		models = append(models, call.Model(m))
+	}
+	s.list(t, member.VM{
+		ID: call.VMID(id), Zone: zone(i), Role: member.RoleEngine,
+		Address: s.serve(t, engine.Handler()), Models: models, State: member.StateLive, ChecksOrders: c.CheckFencing,
+	})
+}
+
+func (s *Site) addPlain(t testing.TB, i int) {
+	id := fmt.Sprintf("l%d", i)
+	c := fakes.PlainConfig{ID: id}
+	if s.c.Plain != nil {
+		s.c.Plain(&c)
+	}
+	plain, err := fakes.NewPlain(c)
+	assert.NilError(t, err)
+	s.Plains = append(s.Plains, plain)
+	s.list(t, member.VM{
+		ID: call.VMID(id), Zone: zone(i), Role: member.RoleService,
+		Address: s.serve(t, plain.Handler()), Models: []call.Model{"ledger"}, State: member.StateLive,
+	})
+}
+
+// list puts a VM on the platform's list.
+func (s *Site) list(t testing.TB, vm member.VM) {
+	if s.c.Address != nil && vm.Role != member.RoleEntry {
+		vm.Address = s.c.Address(vm.ID, vm.Address)
+	}
+	s.List(t, vm)
+}
+
+// List puts a VM on the platform's list as it is given.
+func (s *Site) List(t testing.TB, vm member.VM) {
+	value, err := json.Marshal(vm)
+	assert.NilError(t, err)
+	s.Platform.Put(member.ListPrefix+string(vm.ID), value)
+}
+
+func (s *Site) addEntry(t testing.TB, i int) {
+	id := call.VMID(fmt.Sprintf("e%d", i))
+	e := &Entry{ID: id, Callers: freeAddress(t), Peers: freeAddress(t)}
+	e.config = node.Config{
+		ID: id, Zone: zone(i), Callers: e.Callers, Peers: e.Peers, Operators: freeAddress(t),
+		Platform: []netip.AddrPort{s.platform}, OperatorKeyHashes: []string{tree.HashKey(OperatorKey)},
+		Notice: node.Duration(max(s.c.Notice, 50*time.Millisecond)),
+	}
+	s.Entries = append(s.Entries, e)
+	s.list(t, member.VM{
+		ID: id, Zone: zone(i), Role: member.RoleEntry, Address: e.Callers, PeerAddress: e.Peers, State: member.StateLive,
+	})
+}
+
+// freeAddress returns an address of loopback that was free a moment ago.
+func freeAddress(t testing.TB) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// configure stores the usual settings.
+func (s *Site) configure(t testing.TB) {
+	s.Change(t, append(tree.Edits{
+		{Path: "classes.plot", Value: json.RawMessage(`{"tier":0}`)},
+		{Path: "classes.summary", Value: json.RawMessage(`{"tier":5}`)},
+		{Path: "site.defaultClass", Value: json.RawMessage(`"summary"`)},
+		{Path: "teams.judges", Value: json.RawMessage(`{"keyHashes":["` + tree.HashKey(TeamKey) + `"]}`)},
+		{Path: "models.drafts", Value: json.RawMessage(`{}`)},
+		{Path: "services.ledger", Value: json.RawMessage(`{"pathPrefix":"/ledger/"}`)},
+	}, s.c.Edits...))
+}
+
+// Change makes a change of the settings on the platform, past all entry VMs.
+func (s *Site) Change(t testing.TB, edits tree.Edits) {
+	store, err := conf.NewStore(conf.StoreConfig{Service: s.Platform.Service(), Now: time.Now})
+	assert.NilError(t, err)
+	_, err = store.Change(context.Background(), conf.Change{Author: "test", Edits: edits}, tree.Head{})
+	assert.NilError(t, err)
+}
+
+// Start starts an entry VM, anew after Stop or Kill.
+func (s *Site) Start(t testing.TB, i int) {
+	e := s.Entries[i]
+	log, hook := logtest.NewNullLogger()
+	log.SetLevel(logrus.DebugLevel)
+	e.Log = hook
+	var dial peer.DialFunc
+	if s.c.Dial != nil {
+		dial = s.c.Dial(e.ID)
+	}
+	n, err := node.New(node.Options{Config: e.config, Log: log, Now: time.Now, Seed: gwtest.Seed() + uint64(i), Dial: dial})
+	assert.NilError(t, err)
+	e.Node = n
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	e.cancel, e.done = cancel, done
+	go func() { done <- n.Run(ctx) }()
+	t.Cleanup(func() { s.Kill(t, i) })
+}
+
+// Stop begins a planned stop of an entry VM and returns a channel that gets its end.
+func (s *Site) Stop(i int) <-chan error {
+	s.Entries[i].cancel()
+	return s.Entries[i].done
+}
+
+// Kill ends an entry VM at once, cutting what it has in progress.
+func (s *Site) Kill(t testing.TB, i int) {
+	e := s.Entries[i]
+	if e.cancel == nil {
+		return
+	}
+	e.Node.Stop()
+	e.cancel()
+	e.cancel = nil
+	select {
+	case err := <-e.done:
+		assert.Check(t, err)
+	case <-time.After(startTimeout):
+		t.Errorf("entry VM %s does not end", e.ID)
+	}
+}
+
+// WaitReady waits until every entry VM serves and knows all backend servers.
+func (s *Site) WaitReady(t testing.TB) {
+	t.Helper()
+	want := s.c.Engines + s.c.Services
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, e := range s.Entries {
+			if st := e.Node.Status(); !st.Ready || st.Replicas < want {
+				return poll.Continue("%s: ready %t, %d of %d replicas", e.ID, st.Ready, st.Replicas, want)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(startTimeout), poll.WithDelay(10*time.Millisecond))
+}
+
+// Post sends a POST request to an entry VM with the team's key.
+func (s *Site) Post(t testing.TB, i int, path, body string, header map[string]string) *http.Response {
+	t.Helper()
+	resp, err := s.Send(context.Background(), i, http.MethodPost, path, body, header)
+	assert.NilError(t, err)
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
+// Send sends a request to an entry VM with the team's key.
+func (s *Site) Send(ctx context.Context, i int, method, path, body string, header map[string]string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.Entries[i].Callers.String()+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+TeamKey)
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	return http.DefaultClient.Do(req)
+}
