--- a/core/tree/edit.go
+++ b/core/tree/edit.go
@@ -15,6 +15,14 @@
 	Value json.RawMessage `json:"value,omitempty"`
 }
 
+// String returns "set PATH VALUE" or "unset PATH", long values shortened.
+func (e Edit) String() string {
+	if len(e.Value) == 0 {
+		return "unset " + e.Path
+	}
+	return "set " + e.Path + " " + shorten(string(e.Value))
+}
+
 // Edits are applied in their order.
 type Edits []Edit
 
--- a/core/tree/effective.go
+++ b/core/tree/effective.go
@@ -1,6 +1,7 @@
 package tree
 
 import (
+	"encoding/json"
 	"time"
 
 	"github.com/juju/errors"
@@ -21,8 +22,9 @@
 
 // Source tells which branch a value comes from.
 type Source struct {
-	Key    string `json:"key"`
-	Branch string `json:"branch"`
+	Key    string          `json:"key"`
+	Value  json.RawMessage `json:"value"`
+	Branch string          `json:"branch"`
 }
 
 // Sources are the sources of all values of a Policy, in the order of the keys.
@@ -83,8 +85,8 @@
 	sources := make(Sources, 0, len(valueFields))
 	for _, f := range valueFields {
 		for _, l := range levels {
-			if f.isSet(l.values) {
-				sources = append(sources, Source{Key: f.Name, Branch: l.branch.Path()})
+			if value, ok := f.get(l.values); ok {
+				sources = append(sources, Source{Key: f.Name, Value: value, Branch: l.branch.Path()})
 				break
 			}
 		}
--- a/core/tree/key.go
+++ b/core/tree/key.go
@@ -39,8 +39,8 @@
 	Key
 	// set stores a value; false if it is not allowed.
 	set func(target *S, raw json.RawMessage) bool
-	// isSet reports whether the branch holds the key.
-	isSet func(target *S) bool
+	// get returns the value in JSON; false if the branch does not set the key.
+	get func(target *S) (json.RawMessage, bool)
 }
 
 // optional binds a key to a pointer field, nil where the key is not set.
@@ -55,7 +55,12 @@
 			*at(target) = &value
 			return true
 		},
-		isSet: func(target *S) bool { return *at(target) != nil },
+		get: func(target *S) (json.RawMessage, bool) {
+			if *at(target) == nil {
+				return nil, false
+			}
+			return json.RawMessage(jsonText(*at(target))), true
+		},
 	}
 }
 
@@ -71,7 +76,6 @@
 			*at(target) = value
 			return true
 		},
-		isSet: func(*S) bool { return false },
 	}
 }
 
--- a/core/tree/problem.go
+++ b/core/tree/problem.go
@@ -48,7 +48,7 @@
 }
 
 // maxShown is the greatest number of a value's bytes that a Problem shows.
-const maxShown = 80
+const maxShown = 160
 
 func shorten(value string) string {
 	if len(value) <= maxShown {
--- a/io/conf/errors.go
+++ b/io/conf/errors.go
@@ -1,7 +1,6 @@
 package conf
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 
@@ -48,18 +47,7 @@
 func editsText(edits tree.Edits) string {
 	parts := make([]string, len(edits))
 	for i, e := range edits {
-		parts[i] = "unset " + e.Path
-		if len(e.Value) > 0 {
-			parts[i] = e.Path + "=" + compact(e.Value)
-		}
+		parts[i] = e.String()
 	}
 	return strings.Join(parts, ", ")
 }
-
-func compact(raw json.RawMessage) string {
-	const most = 200
-	if len(raw) > most {
-		return strings.ToValidUTF8(string(raw[:most]), "") + "..."
-	}
-	return string(raw)
-}
--- a/io/conf/store.go
+++ b/io/conf/store.go
@@ -45,7 +45,7 @@
 // Defaults fills in the fields left zero.
 func (c *StoreConfig) Defaults() {
 	if c.NewID == nil {
-		c.NewID = newChangeID
+		c.NewID = NewChangeID
 	}
 	if c.History == 0 {
 		c.History = defaultHistory
@@ -74,7 +74,8 @@
 	return nil
 }
 
-func newChangeID() string {
+// NewChangeID returns a random change id.
+func NewChangeID() string {
 	raw := make([]byte, changeIDBytes)
 	_, _ = rand.Read(raw)
 	return hex.EncodeToString(raw)
--- /dev/null
+++ b/io/oper/failure.go
@@ -0,0 +1,61 @@
+package oper
+
+import (
+	"net/http"
+
+	"github.com/juju/errors"
+
+	"gentianwell/core/tree"
+	"gentianwell/io/conf"
+	"gentianwell/io/kvs"
+)
+
+// failureOf tells what an error means for an operator.
+func failureOf(err error) *Failure {
+	f := &Failure{Kind: FailureInternal, Message: err.Error()}
+	var problem tree.Problem
+	switch {
+	case errors.As(err, &f.Problems):
+		f.Kind = FailureInvalid
+	case errors.As(err, &problem):
+		f.Kind, f.Problems = FailureInvalid, tree.Problems{problem}
+	case errors.As(err, &f.Conflict):
+		f.Kind = FailureConflict
+	case errors.Is(err, errors.NotValid), errors.Is(err, errors.NotSupported), errors.Is(err, conf.ErrTooLarge):
+		f.Kind = FailureInvalid
+	case errors.Is(err, conf.ErrBehind):
+		f.Kind = FailureBehind
+	case errors.Is(err, conf.ErrUnsettled):
+		f.Kind = FailureUnsettled
+	case errors.Is(err, kvs.ErrUnavailable), errors.Is(err, kvs.ErrUnknown):
+		f.Kind = FailureUnavailable
+	case errors.Is(err, errors.NotFound):
+		f.Kind = FailureNotFound
+	}
+	return f
+}
+
+// status returns the HTTP status of a failure.
+func (f *Failure) status() int {
+	switch f.Kind {
+	case FailureInvalid:
+		return http.StatusUnprocessableEntity
+	case FailureConflict:
+		return http.StatusConflict
+	case FailureBehind, FailureUnavailable:
+		return http.StatusServiceUnavailable
+	case FailureUnsettled:
+		return http.StatusGatewayTimeout
+	case FailureNotFound:
+		return http.StatusNotFound
+	default:
+		return http.StatusInternalServerError
+	}
+}
+
+// retryAfter is what a refusal tells where asking again makes sense, in seconds.
+const retryAfter = "5"
+
+func (f *Failure) again() bool {
+	return f.Kind == FailureBehind || f.Kind == FailureUnavailable || f.Kind == FailureUnsettled
+}
