Add the guard of streamed answers

Cause: a truncated, crossed, repeated or reordered stream must not look like a whole answer, and an engine that crashes in mid-stream should cost the caller nothing where another engine can continue. Ruled out: telling repeats by equal content (two equal tokens in a row give two equal chunks); dropping any text that overlaps the partial answer (a text may repeat itself); knowing a stranger's first chunk by itself. Change: token counts in each chunk as sequence numbers, the X-Request-Id in the answer's id, resume bodies with lowered limits, one id and one role towards the caller, an error event with its reason in every other case.

--- /dev/null
+++ b/core/stream/answer.go
@@ -0,0 +1,259 @@
+package stream
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// doneData is the payload that ends a stream.
+const doneData = "[DONE]"
+
+// Event is one server-sent event: as it came, and the payload of its data lines.
+type Event struct {
+	Raw  []byte
+	Data []byte
+}
+
+// Stats counts what happened to an answer.
+type Stats struct {
+	// Attempts is how many were begun.
+	Attempts int
+	// Tokens is how many tokens the caller was given.
+	Tokens int
+	// Wasted is how many tokens were generated and discarded or generated again,
+	// those of an answer that came to nothing included.
+	Wasted int
+	// Repeats is how many repeated chunks were dropped.
+	Repeats int
+}
+
+// Answer is one answer to one caller.
+type Answer struct {
+	c       Config
+	request request
+	choices []choice
+	stats   Stats
+
+	id      string // what the caller sees
+	model   string
+	created int64
+	passed  bool // the caller was given a chunk
+	prompt  int  // prompt tokens of the first attempt
+
+	answerID string // of the present attempt
+	parts    int    // chunks of the present attempt
+	resumed  bool
+	ended    bool
+	complete bool
+	broken   bool // the caller was given a wrong text
+}
+
+// New returns an answer of which nothing has come yet.
+//
+// Errors: NotValid for a configuration that is not, or a body that is no JSON object.
+func New(c Config) (*Answer, error) {
+	c = c.Defaults()
+	if err := c.Validate(); err != nil {
+		return nil, errors.Annotate(err, "New")
+	}
+	r, err := parseRequest(c)
+	if err != nil {
+		return nil, errors.Annotate(err, "New")
+	}
+	return &Answer{c: c, request: r, choices: make([]choice, r.choices()), ended: true}, nil
+}
+
+// Stats returns the counts so far.
+func (a *Answer) Stats() Stats { return a.stats }
+
+// Text returns the text so far of one choice.
+func (a *Answer) Text(index int) string { return a.choices[index].text.String() }
+
+// Complete reports whether the answer came whole.
+func (a *Answer) Complete() bool { return a.complete }
+
+// Begin begins an attempt and returns the body to send.
+func (a *Answer) Begin() ([]byte, error) {
+	a.stats.Attempts++
+	a.ended = false
+	a.answerID = ""
+	a.parts = 0
+	a.resumed = a.passedText()
+	for i := range a.choices {
+		a.choices[i].begin(a.resumed && a.c.Engine.Echoes)
+	}
+	if !a.resumed {
+		return a.request.first()
+	}
+	return a.request.resume(a.choices[0].text.String(), a.choices[0].tokens)
+}
+
+// AttemptID returns the id of the present attempt, to be sent as X-Request-Id.
+func (a *Answer) AttemptID() string { return fmt.Sprintf("%s-%d", a.c.RequestID, a.stats.Attempts) }
+
+// Feed takes the next event of the present attempt and returns what the caller is
+// to be given, which may be nothing. The slice is valid until the next call.
+//
+// Errors: a Fault, after which the attempt is to be given up and End called.
+func (a *Answer) Feed(e Event) ([]byte, error) {
+	switch {
+	case a.ended:
+		return nil, FaultOver
+	case len(e.Data) == 0:
+		return e.Raw, nil
+	case string(e.Data) == doneData:
+		return a.feedDone(e)
+	}
+	c, err := parse(e.Data)
+	if err != nil {
+		return nil, a.fault(err)
+	}
+	if err := a.identify(c); err != nil {
+		return nil, a.fault(err)
+	}
+	if len(c.Choices) == 0 {
+		return a.feedUsage(e, c)
+	}
+	return a.feedChoices(e, c)
+}
+
+func (a *Answer) fault(err error) error {
+	a.ended = true
+	a.broken = a.broken || errors.Is(err, FaultOrder) || errors.Is(err, FaultExcess)
+	return err
+}
+
+// identify checks that the chunk belongs to this attempt's answer.
+func (a *Answer) identify(c chunk) error {
+	if a.c.Engine.NamesRequest && !strings.HasSuffix(c.ID, "-"+a.AttemptID()) {
+		return FaultCrossed
+	}
+	if a.answerID == "" {
+		a.answerID = c.ID
+	}
+	if c.ID != a.answerID {
+		// With two chunks it cannot be told which of them is the stranger.
+		a.broken = a.broken || a.parts == 1 && a.chunks() > 0
+		return FaultCrossed
+	}
+	a.parts++
+	if a.c.Model != "" && c.Model != a.c.Model {
+		return FaultModel
+	}
+	if a.id == "" {
+		a.id, a.model, a.created = c.ID, c.Model, c.Created
+	}
+	if c.Model != a.model {
+		return FaultModel
+	}
+	return nil
+}
+
+func (a *Answer) feedDone(e Event) ([]byte, error) {
+	for i := range a.choices {
+		if !a.choices[i].finished {
+			return nil, a.fault(FaultNoFinish)
+		}
+	}
+	a.ended, a.complete = true, true
+	return e.Raw, nil
+}
+
+// feedChoices takes a chunk with parts of choices in.
+func (a *Answer) feedChoices(e Event, c chunk) ([]byte, error) {
+	edit := edit{}
+	for i, p := range c.Choices {
+		keep, text, err := a.take(p, c.Usage)
+		if err != nil {
+			return nil, a.fault(err)
+		}
+		if !keep {
+			edit.dropPart(i)
+			continue
+		}
+		if text != p.text() {
+			edit.setText(i, text)
+		}
+	}
+	a.notePrompt(c.Usage)
+	if edit.dropped() == len(c.Choices) {
+		return nil, nil
+	}
+	a.passed = true
+	return a.output(e, c, edit)
+}
+
+// take takes in one part of a choice; it reports whether the part is to be given
+// to the caller, and with what text.
+func (a *Answer) take(p part, u *Usage) (keep bool, text string, err error) {
+	if p.Index < 0 || p.Index >= len(a.choices) {
+		return false, "", FaultIndex
+	}
+	ch := &a.choices[p.Index]
+	count := a.countOf(u)
+	v, err := ch.check(p, count, a.c.Engine.TokenPerChunk)
+	if err != nil {
+		return false, "", err
+	}
+	if v == verdictDrop {
+		a.stats.Repeats++
+		return false, "", nil
+	}
+	text, err = ch.trimEcho(p.text())
+	if err != nil {
+		return false, "", err
+	}
+	before := ch.tokens
+	ch.add(p, text, count)
+	a.stats.Tokens += ch.tokens - before
+	// A later attempt begins with the role again, which the caller has.
+	empty := text == "" && !p.finished() && !p.Delta.Other
+	again := a.passed && a.stats.Attempts > 1
+	return !(again && empty), text, nil
+}
+
+func (a *Answer) countOf(u *Usage) int {
+	if u == nil || !a.c.Engine.CountsTokens {
+		return 0
+	}
+	return u.CompletionTokens
+}
+
+func (a *Answer) notePrompt(u *Usage) {
+	if u != nil && !a.resumed {
+		a.prompt = u.PromptTokens
+	}
+}
+
+// feedUsage takes the chunk that holds nothing but the token count of the answer.
+func (a *Answer) feedUsage(e Event, c chunk) ([]byte, error) {
+	a.notePrompt(c.Usage)
+	if c.Usage != nil && a.chunks() > c.Usage.CompletionTokens {
+		return nil, a.fault(FaultExcess)
+	}
+	if !a.request.wantsUsage {
+		return nil, nil
+	}
+	return a.output(e, c, edit{})
+}
+
+func (a *Answer) chunks() int {
+	n := 0
+	for i := range a.choices {
+		n += a.choices[i].chunks
+	}
+	return n
+}
+
+// passedText reports whether the caller was given more than empty chunks.
+func (a *Answer) passedText() bool {
+	for i := range a.choices {
+		ch := &a.choices[i]
+		if ch.text.Len() > 0 || ch.other || ch.finished {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/stream/answer_test.go
@@ -0,0 +1,363 @@
+package stream
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	_ "gentianwell/core/gwtest"
+)
+
+// script is an engine's answer in the tests: chunks of one attempt.
+type script struct {
+	id     string
+	kind   Kind
+	counts bool
+}
+
+func (s script) chunk(choice int, text string, count int, finish string) string {
+	member, reason, usage := "", "null", ""
+	if s.kind == KindChat {
+		member = fmt.Sprintf(`"delta":{"content":%q}`, text)
+	} else {
+		member = fmt.Sprintf(`"text":%q`, text)
+	}
+	if finish != "" {
+		reason = fmt.Sprintf("%q", finish)
+	}
+	if s.counts {
+		usage = fmt.Sprintf(`,"usage":{"prompt_tokens":3,"completion_tokens":%d,"total_tokens":%d}`, count, count+3)
+	}
+	const form = `{"id":%q,"created":1,"model":"m","choices":[{"index":%d,%s,"finish_reason":%s}]%s}`
+	return fmt.Sprintf(form, s.id, choice, member, reason, usage)
+}
+
+// chunks returns the whole answer of the tokens.
+func (s script) chunks(tokens []string) []string {
+	var out []string
+	for i, t := range tokens {
+		out = append(out, s.chunk(0, t, i+1, ""))
+	}
+	return append(out, s.chunk(0, "", len(tokens), "stop"), doneData)
+}
+
+// caller reads what a caller is given.
+type caller struct {
+	text   string
+	ids    map[string]bool
+	finish int
+	errors int
+	done   int
+}
+
+func (c *caller) read(out []byte) {
+	for _, block := range strings.Split(string(out), "\n\n") {
+		data := strings.TrimPrefix(block, "data: ")
+		switch {
+		case data == "":
+		case data == doneData:
+			c.done++
+		default:
+			c.readChunk(data)
+		}
+	}
+}
+
+func (c *caller) readChunk(data string) {
+	var got chunk
+	if err := json.Unmarshal([]byte(data), &got); err != nil {
+		panic(err)
+	}
+	if got.Error != nil {
+		c.errors++
+		return
+	}
+	c.ids[got.ID] = true
+	for _, p := range got.Choices {
+		c.text += p.text()
+		if p.finished() {
+			c.finish++
+		}
+	}
+}
+
+// run plays attempts until the answer ends; attempt returns the chunks for a body.
+func run(a *Answer, attempt func(n int, body []byte) []string) (*caller, Decision) {
+	c := &caller{ids: map[string]bool{}}
+	for n := 0; ; n++ {
+		body, err := a.Begin()
+		if err != nil {
+			panic(err)
+		}
+		cause := "connection was lost"
+		for _, data := range attempt(n, body) {
+			out, err := a.Feed(Event{Raw: []byte("data: " + data + "\n\n"), Data: []byte(data)})
+			if err != nil {
+				cause = err.Error()
+				break
+			}
+			c.read(out)
+		}
+		d := a.End(cause)
+		c.read(d.Event)
+		if !d.Action.Again() {
+			return c, d
+		}
+	}
+}
+
+// partialOf returns the partial answer in a resumed body.
+func partialOf(kind Kind, body []byte) string {
+	var r struct {
+		Prompt   string `json:"prompt"`
+		Messages []struct {
+			Role    string `json:"role"`
+			Content string `json:"content"`
+		} `json:"messages"`
+	}
+	if err := json.Unmarshal(body, &r); err != nil {
+		panic(err)
+	}
+	if kind == KindCompletion {
+		return strings.TrimPrefix(r.Prompt, "P")
+	}
+	if last := r.Messages[len(r.Messages)-1]; last.Role == "assistant" {
+		return last.Content
+	}
+	return ""
+}
+
+func bodyOf(kind Kind) []byte {
+	if kind == KindCompletion {
+		return []byte(`{"model":"m","stream":true,"prompt":"P"}`)
+	}
+	return []byte(`{"model":"m","stream":true,"messages":[{"role":"user","content":"P"}]}`)
+}
+
+// disturb cuts an answer and repeats, swaps, loses or crosses chunks of it. An
+// answer that does not name its request is not crossed at its first chunk, which
+// alone says whose answer it is.
+func disturb(t *rapid.T, chunks []string, faults []string, named bool) []string {
+	for range rapid.IntRange(0, 3).Draw(t, "faults") {
+		at := rapid.IntRange(0, len(chunks)-1).Draw(t, "at")
+		switch rapid.SampledFrom(faults).Draw(t, "fault") {
+		case "cut":
+			chunks = chunks[:max(at, 1)]
+		case "repeat":
+			to := rapid.IntRange(at, len(chunks)).Draw(t, "to")
+			chunks = append(chunks[:to:to], append([]string{chunks[at]}, chunks[to:]...)...)
+		case "swap":
+			other := rapid.IntRange(0, len(chunks)-1).Draw(t, "other")
+			chunks[at], chunks[other] = chunks[other], chunks[at]
+		case "lose":
+			chunks = append(chunks[:at:at], chunks[at+1:]...)
+		case "cross":
+			alien := script{id: "other", kind: KindChat}.chunk(0, "alien", 0, "")
+			if !named {
+				at = max(at, 1)
+			}
+			chunks = append(chunks[:at:at], append([]string{alien}, chunks[at:]...)...)
+		}
+		if len(chunks) == 0 {
+			return nil
+		}
+	}
+	return chunks
+}
+
+// Whatever befalls the chunks of each attempt, the caller gets the whole text
+// once, with one id, or an error event at the end.
+func TestWholeTextOrErrorEvent(t *testing.T) {
+	tests := []struct {
+		name   string
+		engine Profile
+		faults []string
+	}{
+		{"an engine that names the request and counts each token", Profile{CanResume: true, CountsTokens: true, TokenPerChunk: true, NamesRequest: true}, []string{"cut", "repeat", "swap", "lose", "cross"}},
+		{"an engine that counts", Profile{CanResume: true, CountsTokens: true}, []string{"cut", "repeat", "cross"}},
+		{"an engine that echoes", Profile{CanResume: true, Echoes: true}, []string{"cut", "cross"}},
+		{"an engine that cannot resume", Profile{CountsTokens: true}, []string{"cut", "repeat", "cross"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { rapid.Check(t, func(t *rapid.T) { checkWhole(t, tt.engine, tt.faults) }) })
+	}
+}
+
+func checkWhole(t *rapid.T, engine Profile, faults []string) {
+	kind := rapid.SampledFrom([]Kind{KindChat, KindCompletion}).Draw(t, "kind")
+	// Equal tokens in a row are what makes repeats hard to tell.
+	tokens := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "aa", " <&é"}), 1, 12).Draw(t, "tokens")
+	want := strings.Join(tokens, "")
+	a, err := New(Config{Kind: kind, Body: bodyOf(kind), Model: "m", Engine: engine, RequestID: "r", Idempotent: true})
+	assert.NilError(t, err)
+	got, d := run(a, func(n int, body []byte) []string {
+		partial := partialOf(kind, body)
+		s := script{id: fmt.Sprint("id-r-", n+1), kind: kind, counts: engine.CountsTokens}
+		chunks := s.chunks(tokens[tokensIn(t, tokens, partial):])
+		if engine.Echoes && partial != "" {
+			chunks = append([]string{s.chunk(0, partial, 0, "")}, chunks...)
+		}
+		return disturb(t, chunks, faults, engine.NamesRequest)
+	})
+	assert.Equal(t, len(got.ids) <= 1, true)
+	if d.Action == ActionFinish {
+		assert.Equal(t, got.text, want)
+		assert.Equal(t, got.finish == 1 && got.done == 1 && got.errors == 0, true, "%+v", got)
+		return
+	}
+	assert.Equal(t, d.Action, ActionFail)
+	assert.Equal(t, got.errors == 1 && got.done == 0, true, "%+v", got)
+	assert.Equal(t, a.Stats().Tokens, 0)
+}
+
+// tokensIn returns how many of the tokens a partial text holds; it has to end
+// between two of them, or the text that the caller has is wrong.
+func tokensIn(t *rapid.T, tokens []string, partial string) int {
+	text := ""
+	for i, token := range tokens {
+		if text == partial {
+			return i
+		}
+		text += token
+	}
+	assert.Equal(t, text, partial)
+	return len(tokens)
+}
+
+func TestFeedFaults(t *testing.T) {
+	s := script{id: "id", kind: KindChat}
+	tests := []struct {
+		name   string
+		chunks []string
+		want   string
+		action Action
+	}{
+		{"no finish", []string{s.chunk(0, "a", 0, ""), doneData}, "without a finish", ActionResume},
+		{"text after the finish", []string{s.chunk(0, "a", 0, "stop"), s.chunk(0, "b", 0, "")}, "text after the finish", ActionFail},
+		{"another answer", []string{s.chunk(0, "", 0, ""), script{id: "x", kind: KindChat}.chunk(0, "b", 0, "")}, "another answer", ActionRestart},
+		{"another choice", []string{s.chunk(1, "a", 0, "")}, "not asked for", ActionRestart},
+		{"another model", []string{strings.Replace(s.chunk(0, "a", 0, ""), `"m"`, `"x"`, 1)}, "another model", ActionRestart},
+		{"no JSON", []string{s.chunk(0, "a", 0, ""), `{"id":`}, "no JSON", ActionResume},
+		{"engine's error", []string{s.chunk(0, "a", 0, ""), `{"error":{"message":"x"}}`}, "engine reported", ActionResume},
+		{"more chunks than tokens", []string{
+			s.chunk(0, "a", 0, ""), s.chunk(0, "a", 0, ""), s.chunk(0, "", 0, "stop"),
+			`{"id":"id","created":1,"model":"m","choices":[],"usage":{"completion_tokens":1}}`,
+		}, "more chunks than tokens", ActionFail},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a, err := New(Config{Kind: KindChat, Body: bodyOf(KindChat), Model: "m", Engine: Profile{CanResume: true}, Idempotent: true})
+			assert.NilError(t, err)
+			_, err = a.Begin()
+			assert.NilError(t, err)
+			for _, data := range tt.chunks {
+				if _, err = a.Feed(Event{Data: []byte(data)}); err != nil {
+					break
+				}
+			}
+			assert.ErrorContains(t, err, tt.want)
+			assert.Equal(t, a.End(err.Error()).Action, tt.action)
+		})
+	}
+}
+
+func TestUsageOfAResumedAnswer(t *testing.T) {
+	body := []byte(`{"stream":true,"max_tokens":9,"stream_options":{"include_usage":true},"messages":[{"role":"user","content":"P"}]}`)
+	a, err := New(Config{Kind: KindChat, Body: body, Engine: Profile{CanResume: true, CountsTokens: true}, Idempotent: true})
+	assert.NilError(t, err)
+	usage := `{"id":"id1","created":2,"model":"m","choices":[],"usage":{"prompt_tokens":5,"completion_tokens":1,"total_tokens":6}}`
+	got, d := run(a, func(n int, body []byte) []string {
+		s := script{id: fmt.Sprint("id", n), kind: KindChat, counts: true}
+		if n == 0 {
+			return s.chunks([]string{"a", "b", "c"})[:2]
+		}
+		assert.Assert(t, strings.Contains(string(body), `"max_tokens":7`), "%s", body)
+		chunks := s.chunks([]string{"c"})
+		return append(chunks[:len(chunks)-1], usage, doneData)
+	})
+	assert.Equal(t, d.Action, ActionFinish)
+	assert.Equal(t, got.text, "abc")
+	assert.Equal(t, a.Stats(), Stats{Attempts: 2, Tokens: 3})
+}
+
+func TestUnresumable(t *testing.T) {
+	plain := `{"stream":true,"messages":[{"role":"user","content":"P"}]`
+	tool := `{"id":"id","model":"m","choices":[{"index":0,"delta":{"tool_calls":[{"index":0}]}}]}`
+	tests := []struct {
+		name, body, chunk, want string
+	}{
+		{"tool call", plain + `}`, tool, "more than text"},
+		{"tools", plain + `,"tools":[{"type":"function"}]}`, "", `"tools"`},
+		{"several choices", plain + `,"n":2}`, "", "several choices"},
+		{"limit", plain + `,"max_tokens":1}`, "", "token limit"},
+		{"continued parts", `{"stream":true,"continue_final_message":true,"messages":[{"role":"assistant","content":[]}]}`, "", "prompt"},
+		{"no messages", `{"stream":true,"messages":[]}`, "", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a, err := New(Config{Kind: KindChat, Body: []byte(tt.body), Engine: Profile{CanResume: true}, Idempotent: true})
+			assert.NilError(t, err)
+			_, err = a.Begin()
+			assert.NilError(t, err)
+			data := tt.chunk
+			if data == "" {
+				data = script{id: "id", kind: KindChat}.chunk(0, "a", 0, "")
+			}
+			_, err = a.Feed(Event{Data: []byte(data)})
+			assert.NilError(t, err)
+			d := a.End("lost")
+			assert.Equal(t, d.Action == ActionFail, tt.want != "", "%+v", d)
+			assert.Assert(t, strings.Contains(d.Reason, tt.want), d.Reason)
+		})
+	}
+}
+
+func TestNotIdempotentIsNeverRunAgain(t *testing.T) {
+	a, err := New(Config{Kind: KindChat, Body: bodyOf(KindChat), Engine: Profile{CanResume: true}})
+	assert.NilError(t, err)
+	got, d := run(a, func(int, []byte) []string { return nil })
+	assert.Equal(t, d.Action, ActionFail)
+	assert.Equal(t, got.errors, 1)
+	assert.Equal(t, a.Stats().Attempts, 1)
+}
+
+func TestCheckBody(t *testing.T) {
+	const form = `{"id":"x","model":"m","choices":[%s],"usage":{"completion_tokens":4}}`
+	whole := `{"index":0,"finish_reason":"stop"}`
+	tests := []struct {
+		name, body, want string
+	}{
+		{"whole", fmt.Sprintf(form, whole), ""},
+		{"no choices", fmt.Sprintf(form, ""), "without a finish"},
+		{"no finish", fmt.Sprintf(form, `{"index":0,"finish_reason":null}`), "without a finish"},
+		{"choice twice", fmt.Sprintf(form, whole+","+whole), "not asked for"},
+		{"cut", fmt.Sprintf(form, whole)[:30], "no JSON"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			u, err := CheckBody(Config{Body: bodyOf(KindChat), Model: "m"}, []byte(tt.body))
+			if tt.want == "" {
+				assert.NilError(t, err)
+				assert.Equal(t, u.CompletionTokens, 4)
+				return
+			}
+			assert.ErrorContains(t, err, tt.want)
+		})
+	}
+}
+
+func FuzzFeed(f *testing.F) {
+	s := script{id: "id", kind: KindChat, counts: true}
+	f.Add(s.chunk(0, "a", 1, ""), s.chunk(0, "b", 2, "stop"))
+	f.Add(`{"id":"x","choices":[{"delta":null}]}`, `{"error":{}}`)
+	f.Fuzz(func(t *testing.T, first, second string) {
+		a, err := New(Config{Kind: KindChat, Body: bodyOf(KindChat), Engine: Profile{CanResume: true, CountsTokens: true}, Idempotent: true})
+		assert.NilError(t, err)
+		got, d := run(a, func(int, []byte) []string { return []string{first, second, doneData} })
+		assert.Equal(t, d.Action == ActionFinish, got.done == 1 && got.errors == 0)
+	})
+}
--- /dev/null
+++ b/io/back/sse_test.go
@@ -0,0 +1,30 @@
+package back
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"gotest.tools/v3/assert"
+)
+
+// FuzzEvents splits input at arbitrary reads: the raw events are the input up to
+// its last empty line, whatever the reads.
+func FuzzEvents(f *testing.F) {
+	f.Add("data: {}\n\n: ping\n\ndata: [DONE]\r\n\r\n")
+	f.Add("data:a\ndata: b\nid: 1\n\ndata: cut off")
+	f.Fuzz(func(t *testing.T, in string) {
+		var whole, bytewise []string
+		for s := newEventScanner(strings.NewReader(in), 1<<20); s.Scan(); {
+			e := parseEvent(bytes.Clone(s.Bytes()))
+			assert.Assert(t, len(e.Data) < len(e.Raw))
+			whole = append(whole, string(e.Raw))
+		}
+		for s := newEventScanner(iotest.OneByteReader(strings.NewReader(in)), 1<<20); s.Scan(); {
+			bytewise = append(bytewise, s.Text())
+		}
+		assert.DeepEqual(t, whole, bytewise)
+		assert.Assert(t, strings.HasPrefix(in, strings.Join(whole, "")))
+	})
+}
--- a/io/fakes/answer.go
+++ b/io/fakes/answer.go
@@ -22,7 +22,7 @@
 	prompt, partial := req.split()
 	a := &answer{req: req, prompt: prompt, created: time.Now().Unix()}
 	a.chat = strings.HasSuffix(r.URL.Path, "/chat/completions")
-	a.id = e.newID(a.chat)
+	a.id = e.newID(a.chat, r.Header.Get("X-Request-Id"))
 	for choice := range max(req.N, 1) {
 		tokens, _ := tokensAfter(prompt, choice, partial)
 		finish := "stop"
@@ -75,6 +75,16 @@
 	return out
 }
 
+// counted adds the choice's tokens so far to a chunk where the request asks for it.
+func (a *answer) counted(chunk wireAnswer, tokens int) wireAnswer {
+	if !a.req.StreamOptions.ContinuousUsageStats {
+		return chunk
+	}
+	prompt := len(strings.Fields(a.prompt))
+	chunk.Usage = &wireUsage{PromptTokens: prompt, CompletionTokens: tokens, TotalTokens: prompt + tokens}
+	return chunk
+}
+
 func (a *answer) whole(steps int) wireAnswer {
 	object := "text_completion"
 	if a.chat {
@@ -137,9 +147,9 @@
 			continue
 		}
 		n++
-		out.event(a.chunk(choice, tokens[step], nil, step == 0))
+		out.event(a.counted(a.chunk(choice, tokens[step], nil, step == 0), step+1))
 		if step == len(tokens)-1 {
-			out.event(a.chunk(choice, "", &a.finish[choice], false))
+			out.event(a.counted(a.chunk(choice, "", &a.finish[choice], false), step+1))
 		}
 	}
 	return n
--- a/io/fakes/engine.go
+++ b/io/fakes/engine.go
@@ -134,10 +134,14 @@
 	}
 }
 
-func (e *Engine) newID(chat bool) string {
+// newID names an answer after its request where the request has an id.
+func (e *Engine) newID(chat bool, requestID string) string {
 	prefix := "cmpl"
 	if chat {
 		prefix = "chatcmpl"
 	}
+	if requestID != "" {
+		return prefix + "-" + requestID
+	}
 	return fmt.Sprintf("%s-%s-%d", prefix, e.c.ID, e.next.Add(1))
 }
--- a/io/fakes/wire.go
+++ b/io/fakes/wire.go
@@ -21,7 +21,8 @@
 }
 
 type streamOptions struct {
-	IncludeUsage bool `json:"include_usage"`
+	IncludeUsage         bool `json:"include_usage"`
+	ContinuousUsageStats bool `json:"continuous_usage_stats"`
 }
 
 type chatMessage struct {
