Guard streamed answers in the runner

Cause: the runner passed an engine's events on unjudged and never tried again once the caller had a byte, so that each engine crash in mid-stream ended the answer, and a stream that ended without a finish counted as whole. Ruled out: trying an excluded replica again before the caller has text (TestRunNotRun wants two attempts on two replicas). Change: core/stream decides between resume, restart and error event; answers in one piece are checked as well; an answer's fault counts against the replica, not as the caller's leaving. A caller that has text may be served by a replica that failed once where no other is left.

--- a/io/runner/attempt.go
+++ b/io/runner/attempt.go
@@ -5,8 +5,11 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/juju/errors"
+
 	"gentianwell/core/call"
 	"gentianwell/core/route"
+	"gentianwell/core/stream"
 	"gentianwell/io/back"
 )
 
@@ -24,16 +27,29 @@
 	replica call.ReplicaID
 	result  back.Result
 	err     error
+	// fault is what is wrong with the answer itself.
+	fault error
+	// next is the guard's decision on a streamed answer.
+	next stream.Decision
 }
 
 // callerGone reports whether the attempt ended because nobody waits for it.
 func (e attemptEnd) callerGone() bool {
-	return e.result.Ending == back.EndingSink || e.result.Ending == back.EndingCancelled
+	return e.fault == nil && (e.result.Ending == back.EndingSink || e.result.Ending == back.EndingCancelled)
 }
 
 // failed reports whether another replica might do better.
 func (e attemptEnd) failed() bool {
-	return !e.result.Complete() || e.result.Status >= http.StatusInternalServerError
+	return e.fault != nil || !e.result.Complete() || e.result.Status >= http.StatusInternalServerError
+}
+
+// whole reports whether the answer may be handed over, or has been. An answer
+// that has begun as a stream is whole only where the guard says so.
+func (e attemptEnd) whole(started bool) bool {
+	if started && e.next.Action != "" {
+		return e.next.Action == stream.ActionFinish
+	}
+	return e.fault == nil && e.result.Complete()
 }
 
 // attempt sends the job to the replica once.
@@ -44,33 +60,45 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	target := back.Target{ID: replica.ID, Address: replica.Address}
-	result, err := n.r.c.Send(ctx, target, n.request(), func(e back.Event) error {
-		return n.pass(replica.ID, e)
-	})
+	end := attemptEnd{replica: replica.ID}
+	end.result, end.err = n.send(ctx, target)
+	n.inspect(&end)
+	result := end.result
 	n.wrote = n.wrote || !result.NotRun()
 	now := n.r.c.Now()
 	n.r.c.Router.Finished(now, replica.ID, float64(n.cost), route.Result{
-		Status: routeStatus(result), FirstToken: result.First,
+		Status: routeStatus(end), FirstToken: result.First,
 	})
 	n.r.mu.Lock()
 	n.r.pump(now, n.job.Call.Model)
 	n.r.mu.Unlock()
-	return attemptEnd{replica: replica.ID, result: result, err: err}
+	return end
 }
 
-func (n *run) request() back.Request {
+func (n *run) send(ctx context.Context, t back.Target) (back.Result, error) {
+	req, err := n.request()
+	if err != nil {
+		return back.Result{Ending: back.EndingMalformed}, errors.Trace(err)
+	}
+	return n.r.c.Send(ctx, t, req, func(e back.Event) error { return n.pass(t.ID, e) })
+}
+
+func (n *run) request() (back.Request, error) {
 	header := n.job.Header.Clone()
 	if n.job.Call.Key != "" {
 		header.Set(headerKey, n.job.Call.Key)
 	}
-	body := n.job.Body
-	if n.job.Kind == KindEngine {
-		body = withPriority(body, n.job.Call.Tier)
-	}
-	return back.Request{
-		Method: n.job.Method, Path: n.job.Path, Header: header, Body: body,
+	req := back.Request{
+		Method: n.job.Method, Path: n.job.Path, Header: header, Body: n.job.Body,
 		Fresh: n.job.AtMostOnce, ProgressTimeout: n.job.Progress,
 	}
+	if err := n.guarded(&req); err != nil {
+		return back.Request{}, errors.Trace(err)
+	}
+	if n.job.Kind == KindEngine {
+		req.Body = withPriority(req.Body, n.job.Call.Tier)
+	}
+	return req, nil
 }
 
 // withPriority sets the priority field of a completion request, where a smaller
@@ -90,11 +118,18 @@
 
 // pass hands an event of a stream to the caller.
 func (n *run) pass(replica call.ReplicaID, e back.Event) error {
+	out, err := n.feed(e)
+	if err != nil {
+		return err
+	}
+	if len(out) == 0 {
+		return nil
+	}
 	if err := n.start(replica, http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}, "Cache-Control": {"no-cache"}}); err != nil {
 		return err
 	}
 	n.watch.part(n.r.c.Now())
-	return n.sink.Write(e.Raw)
+	return n.sink.Write(out)
 }
 
 // whole hands an answer that is no stream to the caller.
@@ -117,7 +152,11 @@
 	return n.sink.Start(status, header)
 }
 
-func routeStatus(r back.Result) route.Status {
+func routeStatus(e attemptEnd) route.Status {
+	r := e.result
+	if e.fault != nil {
+		return route.StatusFailed
+	}
 	switch r.Ending {
 	case back.EndingComplete:
 		if r.Status >= http.StatusInternalServerError {
--- /dev/null
+++ b/io/runner/guard.go
@@ -0,0 +1,101 @@
+package runner
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"gentianwell/core/call"
+	"gentianwell/core/stream"
+	"gentianwell/io/back"
+)
+
+// headerRequestID names an attempt towards an engine, which may name its answer
+// after it.
+const headerRequestID = "X-Request-Id"
+
+// EngineProfile is what engines can do where nothing else is said: they continue
+// a partial answer and count tokens in each chunk.
+func EngineProfile(call.Model) stream.Profile {
+	return stream.Profile{CanResume: true, CountsTokens: true}
+}
+
+// guardConfig returns how the wholeness of the job's answer is guarded.
+func (n *run) guardConfig() stream.Config {
+	kind := stream.KindCompletion
+	if strings.HasSuffix(n.job.Path, "/chat/completions") {
+		kind = stream.KindChat
+	}
+	c := n.job.Call
+	return stream.Config{
+		Kind: kind, Body: n.job.Body, Model: string(c.Model), Engine: n.r.c.Profile(c.Model),
+		RequestID: c.ID, Idempotent: c.Idempotent, MaxAttempts: n.r.c.Attempts,
+	}
+}
+
+// beginGuard prepares for a streamed answer of an engine.
+func (n *run) beginGuard() error {
+	if n.job.Kind != KindEngine || !n.job.Stream {
+		return nil
+	}
+	var err error
+	n.guard, err = stream.New(n.guardConfig())
+	return errors.Annotate(err, "run.beginGuard")
+}
+
+// guarded changes a request into the next attempt of a guarded answer.
+func (n *run) guarded(req *back.Request) error {
+	if n.job.Kind != KindEngine {
+		return nil
+	}
+	if n.guard == nil {
+		req.Header.Set(headerRequestID, n.job.Call.ID)
+		return nil
+	}
+	body, err := n.guard.Begin()
+	if err != nil {
+		return errors.Annotate(err, "run.guarded")
+	}
+	req.Body = body
+	req.Header.Set(headerRequestID, n.guard.AttemptID())
+	return nil
+}
+
+// feed returns what the caller is to see of an event.
+func (n *run) feed(e back.Event) ([]byte, error) {
+	if n.guard == nil {
+		return e.Raw, nil
+	}
+	out, err := n.guard.Feed(stream.Event{Raw: e.Raw, Data: e.Data})
+	if err != nil {
+		n.fault = err
+	}
+	return out, err
+}
+
+// inspect judges what came of an attempt beyond its connection.
+func (n *run) inspect(e *attemptEnd) {
+	if n.guard != nil {
+		n.inspectStream(e)
+		return
+	}
+	if n.job.Kind == KindEngine && e.result.Complete() && e.result.Status == http.StatusOK && !e.result.Streamed {
+		_, e.fault = stream.CheckBody(n.guardConfig(), e.result.Body)
+	}
+}
+
+// inspectStream lets the guard decide what follows an attempt.
+func (n *run) inspectStream(e *attemptEnd) {
+	e.fault = n.fault
+	n.fault = nil
+	switch {
+	case e.callerGone():
+		e.next = n.guard.Abandon("caller is gone")
+	case e.fault != nil:
+		e.next = n.guard.End(e.fault.Error())
+	default:
+		e.next = n.guard.End("replica " + string(e.replica) + ": " + string(e.result.Ending))
+	}
+	n.watch.wasted = n.guard.Stats().Wasted
+}
--- a/io/runner/job.go
+++ b/io/runner/job.go
@@ -82,6 +82,7 @@
 	ReasonKeyReused    Reason = "keyUsedForAnotherBody"
 	ReasonInProgress   Reason = "inProgress"
 	ReasonNoClaim      Reason = "claimNotPossible"
+	ReasonBadRequest   Reason = "badRequest"
 	ReasonBackend      Reason = "backendServerFailed"
 	ReasonTruncated    Reason = "answerNotWhole"
 	ReasonCallerGone   Reason = "callerGone"
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -24,6 +24,7 @@
 	"gentianwell/core/call"
 	"gentianwell/core/route"
 	"gentianwell/core/sched"
+	"gentianwell/core/stream"
 	"gentianwell/io/back"
 )
 
@@ -35,6 +36,8 @@
 	Send func(context.Context, back.Target, back.Request, func(back.Event) error) (back.Result, error)
 	// Estimate returns the cost in tokens and the time that a call will take.
 	Estimate func(c *call.Call) (cost int, service time.Duration)
+	// Profile says what the engines of a model can do; nil is EngineProfile.
+	Profile func(call.Model) stream.Profile
 	// Observe gets the measure of each job that has ended.
 	Observe func(Measure)
 	Now     func() time.Time
@@ -50,6 +53,9 @@
 	if c.Attempts == 0 {
 		c.Attempts = 3
 	}
+	if c.Profile == nil {
+		c.Profile = EngineProfile
+	}
 	if c.RetryAfter == 0 {
 		c.RetryAfter = time.Second
 	}
@@ -109,10 +115,19 @@
 	cost    int
 	service time.Duration
 	watch   stopwatch
+	// guard watches over a streamed answer of an engine; fault is what it found
+	// in the present attempt.
+	guard *stream.Answer
+	fault error
 }
 
 func (n *run) run(ctx context.Context) Answer {
 	n.cost, n.service = n.r.c.Estimate(&n.job.Call)
+	if err := n.beginGuard(); err != nil {
+		a := n.refusal(ReasonBadRequest, http.StatusBadRequest, 0)
+		a.Message = err.Error()
+		return *a
+	}
 	for {
 		g, refusal := n.r.wait(ctx, n)
 		if refusal != nil {
@@ -135,18 +150,27 @@
 		return Answer{}, false
 	}
 	switch {
-	case e.result.Complete():
+	case e.whole(n.started):
 		return n.finish(e), true
 	case e.callerGone():
 		return n.failure(e, statusCallerGone, ReasonCallerGone), true
-	case e.result.Ending == back.EndingRefused:
+	case e.result.Ending == back.EndingRefused && !n.started:
 		return n.failure(e, e.result.Status, ReasonRefusedThere), true
 	}
+	if e.fault != nil || n.started {
+		return n.failure(e, http.StatusBadGateway, ReasonTruncated), true
+	}
 	return n.failure(e, http.StatusBadGateway, ReasonBackend), true
 }
 
 func (n *run) mayTryAgain(e attemptEnd) bool {
-	if n.started || n.attempts >= n.r.c.Attempts || e.callerGone() || !e.failed() {
+	if n.attempts >= n.r.c.Attempts || e.callerGone() {
+		return false
+	}
+	if n.started {
+		return e.next.Action.Again()
+	}
+	if !e.failed() {
 		return false
 	}
 	return n.job.Call.Idempotent || !n.wrote
@@ -167,6 +191,9 @@
 		Replica: e.replica, Started: n.started, Failed: n.started, Status: status, Reason: reason,
 		Outcome: n.outcome(), Message: "the backend server did not answer: " + string(e.result.Ending),
 	}
+	if e.next.Reason != "" {
+		a.Message = "the answer is not whole: " + e.next.Reason
+	}
 	// Asking again must not run a request twice that can only be run once.
 	if n.job.Call.Idempotent || a.Outcome == call.OutcomeNotRun {
 		a.RetryAfter = n.r.c.RetryAfter
--- /dev/null
+++ b/io/runner/stream_test.go
@@ -0,0 +1,259 @@
+package runner
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"gotest.tools/v3/assert"
+
+	"gentianwell/core/call"
+	"gentianwell/core/gwtest"
+	"gentianwell/core/route"
+	"gentianwell/core/sched"
+	"gentianwell/core/stream"
+	"gentianwell/io/back"
+	"gentianwell/io/fakes"
+	"gentianwell/io/relay"
+)
+
+// progress is the progress timeout of the tests.
+const progress = 250 * time.Millisecond
+
+// engines are stand-in engines behind relays, and a runner before them.
+type engines struct {
+	*Runner
+	list   []*fakes.Engine
+	relays []*relay.Relay
+	last   Measure
+}
+
+func newEngines(t *testing.T, n int, profile stream.Profile) *engines {
+	t.Helper()
+	e := &engines{}
+	var replicas route.Replicas
+	for i := range n {
+		id := fmt.Sprintf("m%d", i)
+		engine, err := fakes.NewEngine(fakes.EngineConfig{ID: id, Models: []string{"m"}, TokenGap: time.Millisecond})
+		assert.NilError(t, err)
+		srv := httptest.NewServer(engine.Handler())
+		t.Cleanup(srv.Close)
+		r, err := relay.New(relay.Config{Target: srv.Listener.Addr().(*net.TCPAddr).AddrPort()})
+		assert.NilError(t, err)
+		t.Cleanup(r.Close)
+		e.list, e.relays = append(e.list, engine), append(e.relays, r)
+		replicas = append(replicas, route.Replica{ID: call.ReplicaID(id), Zone: "z", Address: r.Address(), Models: []call.Model{"m"}})
+	}
+	client, err := back.New(back.Config{FirstTimeout: progress, ProgressTimeout: progress})
+	assert.NilError(t, err)
+	t.Cleanup(client.Close)
+	router, err := route.New(route.Config{Self: "e1", Zone: "z", Rand: rand.New(rand.NewPCG(gwtest.Seed(), 1))})
+	assert.NilError(t, err)
+	router.SetReplicas(time.Now(), replicas)
+	qc := sched.Defaults()
+	qc.Rand = rand.New(rand.NewPCG(gwtest.Seed(), 2))
+	queue, err := sched.New(qc)
+	assert.NilError(t, err)
+	log, _ := logtest.NewNullLogger()
+	e.Runner, err = New(Config{
+		Queue: queue, Router: router, Now: time.Now, Log: log, Send: client.Do,
+		Estimate: func(*call.Call) (int, time.Duration) { return 1, 0 },
+		Observe:  func(m Measure) { e.last = m },
+		Profile:  func(call.Model) stream.Profile { return profile },
+	})
+	assert.NilError(t, err)
+	return e
+}
+
+// runs returns how often the engines ran anything.
+func (e *engines) runs() int {
+	total := 0
+	for _, engine := range e.list {
+		for _, n := range engine.Runs().Bodies {
+			total += n
+		}
+	}
+	return total
+}
+
+// streamJob asks for a streamed answer, chat or completion.
+func streamJob(kind stream.Kind, prompt string, idempotent bool) *Job {
+	j := job("r1", 0, idempotent)
+	j.Kind, j.Stream, j.AtMostOnce = KindEngine, true, false
+	j.Path = "/v1/completions"
+	j.Body = fmt.Appendf(nil, `{"model":"m","stream":true,"prompt":%q}`, prompt)
+	if kind == stream.KindChat {
+		j.Path = "/v1/chat/completions"
+		j.Body = fmt.Appendf(nil, `{"model":"m","stream":true,"messages":[{"role":"user","content":%q}]}`, prompt)
+	}
+	return j
+}
+
+// reader reads the stream that a caller gets.
+type reader struct {
+	text   string
+	ids    map[string]bool
+	finish int
+	done   int
+	parts  int
+	onPart func(n int)
+}
+
+type streamChunk struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		Delta  struct{ Content string } `json:"delta"`
+		Text   string                   `json:"text"`
+		Finish *string                  `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+func (r *reader) sink() Sink {
+	return Sink{Start: func(int, http.Header) error { return nil }, Write: r.write}
+}
+
+func (r *reader) write(part []byte) error {
+	r.parts++
+	if r.onPart != nil {
+		r.onPart(r.parts)
+	}
+	data := strings.TrimSpace(strings.TrimPrefix(string(part), "data: "))
+	if data == "[DONE]" {
+		r.done++
+		return nil
+	}
+	var c streamChunk
+	if err := json.Unmarshal([]byte(data), &c); err != nil {
+		return err
+	}
+	r.ids[c.ID] = true
+	for _, choice := range c.Choices {
+		r.text += choice.Delta.Content + choice.Text
+		if choice.Finish != nil {
+			r.finish++
+		}
+	}
+	return nil
+}
+
+var standIn = stream.Profile{CanResume: true, CountsTokens: true, TokenPerChunk: true, NamesRequest: true}
+
+// Two of three engines have the fault: the caller still gets the whole answer, in
+// one stream, from the third attempt at the latest.
+func TestStreamIsWholeDespiteFaults(t *testing.T) {
+	tests := []struct {
+		name     string
+		fault    fakes.Fault
+		attempts int
+	}{
+		{"cut", fakes.Fault{Kind: fakes.FaultCut, AfterTokens: 3, Times: 1}, 3},
+		{"cut before the first token", fakes.Fault{Kind: fakes.FaultCut, Times: 1}, 3},
+		{"frozen", fakes.Fault{Kind: fakes.FaultFreeze, AfterTokens: 3, Times: 1}, 3},
+		{"never answers", fakes.Fault{Kind: fakes.FaultHang, Times: 1}, 3},
+		{"short in good order", fakes.Fault{Kind: fakes.FaultTruncate, AfterTokens: 3, Times: 1}, 3},
+		{"another's chunk", fakes.Fault{Kind: fakes.FaultCrossed, AfterTokens: 2, Times: 1}, 3},
+		{"another's chunk first", fakes.Fault{Kind: fakes.FaultCrossed, Times: 1}, 3},
+		{"refused", fakes.Fault{Kind: fakes.FaultRefuse, Times: 1}, 3},
+		{"repeated chunk", fakes.Fault{Kind: fakes.FaultDuplicate, AfterTokens: 3, Times: 1}, 1},
+	}
+	for _, tt := range tests {
+		for _, kind := range []stream.Kind{stream.KindChat, stream.KindCompletion} {
+			t.Run(tt.name+", "+string(kind), func(t *testing.T) {
+				e := newEngines(t, 3, standIn)
+				for _, engine := range e.list[:2] {
+					engine.Inject(tt.fault)
+				}
+				r := &reader{ids: map[string]bool{}}
+				answer := e.Run(t.Context(), streamJob(kind, "hello [[length=12]]", true), r.sink())
+				assert.Equal(t, answer.Failed, false, answer.Message)
+				assert.Equal(t, answer.Outcome, call.OutcomeRan)
+				assert.Equal(t, r.text, fakes.Text("hello [[length=12]]", 0, -1))
+				assert.Equal(t, len(r.ids), 1)
+				assert.Equal(t, r.finish == 1 && r.done == 1, true, "%+v", r)
+				assert.Equal(t, e.runs() <= tt.attempts, true)
+			})
+		}
+	}
+}
+
+// The connection, not the engine, is cut or goes silent in mid-stream.
+func TestStreamIsWholeDespiteLostConnections(t *testing.T) {
+	tests := []struct {
+		name string
+		lose func(*relay.Relay)
+	}{
+		{"cut", (*relay.Relay).Cut},
+		{"frozen", (*relay.Relay).Freeze},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newEngines(t, 2, standIn)
+			const prompt = "hello [[length=300]]"
+			r := &reader{ids: map[string]bool{}, onPart: func(n int) {
+				if n == 5 || n == 50 {
+					tt.lose(e.relays[0])
+					tt.lose(e.relays[1])
+				}
+			}}
+			answer := e.Run(t.Context(), streamJob(stream.KindChat, prompt, true), r.sink())
+			assert.Equal(t, answer.Failed, false, answer.Message)
+			assert.Equal(t, r.text, fakes.Text(prompt, 0, -1))
+			assert.Equal(t, e.last.WastedParts, 0)
+		})
+	}
+}
+
+// Where the answer cannot be made whole, the caller is told: the answer has
+// failed, without a finish and without an end mark.
+func TestStreamFailsOpenly(t *testing.T) {
+	cut := fakes.Fault{Kind: fakes.FaultCut, AfterTokens: 3}
+	tests := []struct {
+		name       string
+		profile    stream.Profile
+		idempotent bool
+		fault      fakes.Fault
+		want       string
+		runs       int
+	}{
+		{"the engine cannot resume", stream.Profile{}, true, cut, "cannot resume", 1},
+		{"not to be run again", standIn, false, cut, "must not run again", 1},
+		{"every attempt is cut", standIn, true, cut, "no attempts are left", 3},
+		{"every engine crashes", standIn, true, fakes.Fault{Kind: fakes.FaultCrash, Match: "hello", AfterTokens: 3}, "crashed", 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newEngines(t, 3, tt.profile)
+			for _, engine := range e.list {
+				engine.Inject(tt.fault)
+			}
+			r := &reader{ids: map[string]bool{}}
+			answer := e.Run(t.Context(), streamJob(stream.KindChat, "hello [[length=12]]", tt.idempotent), r.sink())
+			assert.Equal(t, answer.Failed, true)
+			assert.Assert(t, strings.Contains(answer.Message, tt.want), answer.Message)
+			assert.Equal(t, r.finish+r.done, 0)
+			assert.Equal(t, e.runs(), tt.runs)
+			assert.Assert(t, e.last.WastedParts > 0)
+		})
+	}
+}
+
+// An answer in one piece is run again, if it may be, where it is not whole.
+func TestPlainAnswerIsWhole(t *testing.T) {
+	e := newEngines(t, 3, standIn)
+	for _, engine := range e.list[:2] {
+		engine.Inject(fakes.Fault{Kind: fakes.FaultTruncate, AfterTokens: 2, Times: 1})
+	}
+	j := streamJob(stream.KindChat, "hello", true)
+	j.Stream, j.Body = false, []byte(strings.Replace(string(j.Body), `"stream":true`, `"stream":false`, 1))
+	c := &collect{}
+	answer := e.Run(t.Context(), j, c.sink())
+	assert.Equal(t, answer.Failed, false, answer.Message)
+	assert.Assert(t, strings.Contains(c.text, fakes.Text("hello", 0, -1)), c.text)
+}
--- a/io/runner/wait.go
+++ b/io/runner/wait.go
@@ -46,7 +46,13 @@
 	defer r.mu.Unlock()
 	now := r.c.Now()
 	c := n.job.Call
-	if _, err := r.c.Router.Pick(now, c, n.exclude); errors.Is(err, route.ErrNoReplica) {
+	_, err := r.c.Router.Pick(now, c, n.exclude)
+	if n.started && errors.Is(err, route.ErrNoReplica) {
+		// A caller that has part of its answer gets the rest from a replica that
+		// failed once rather than an error.
+		_, err = r.pick(now, n)
+	}
+	if errors.Is(err, route.ErrNoReplica) {
 		return nil, n.refusal(ReasonNoReplica, http.StatusServiceUnavailable, r.c.RetryAfter)
 	}
 	w := &waiter{n: n, done: make(chan grant, 1)}
