Limit the wait for a first byte on connections that were used before

Cause: with a first timeout of a minute, for the engine's queue, a pooled connection that went silent while idle held its request for that minute. Ruled out: a short first timeout for all (cuts requests that an engine queues or prefills); TCP_USER_TIMEOUT (a box in between that still acknowledges passes it); a probe on another connection (says nothing of this one). Change: on a reused connection the progress timeout holds from the start; after such a silence the job's later attempts use new connections, which have the first timeout. Conclusion: TestFirstTimeoutIsForNewConnections fails without it.

--- a/io/back/attempt.go
+++ b/io/back/attempt.go
@@ -124,6 +124,11 @@
 	a.since = c.count()
 	a.result.Reused = info.Reused
 	a.watch.watch(c)
+	if info.Reused {
+		// The wait for an engine's queue and the silence of a connection that was
+		// lost while idle look alike; only a new connection gets the longer time.
+		a.watch.limit(min(a.request.FirstTimeout, a.request.ProgressTimeout))
+	}
 }
 
 func (a *attempt) readStream(res *http.Response) error {
--- a/io/back/config.go
+++ b/io/back/config.go
@@ -10,9 +10,10 @@
 type Config struct {
 	// DialTimeout bounds setting up a connection.
 	DialTimeout time.Duration
-	// FirstTimeout bounds the wait for the first part of an answer, during which
-	// an engine may queue the request; ProgressTimeout the time between bytes
-	// from then on.
+	// FirstTimeout bounds the wait for the first part of an answer on a new
+	// connection, during which an engine may queue the request; ProgressTimeout
+	// the time between bytes from then on, and all of it on a connection that was
+	// used before, which may have gone silent meanwhile.
 	FirstTimeout    time.Duration
 	ProgressTimeout time.Duration
 	// IdleTimeout bounds how long an unused connection is kept.
--- a/io/back/silent_test.go
+++ b/io/back/silent_test.go
@@ -1,6 +1,7 @@
 package back
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -54,6 +55,21 @@
 	assert.Equal(t, b.relay.Accepted(), pooled+1)
 }
 
+// A new connection gives an engine the time to queue the request; on a reused one
+// the progress timeout holds from the start.
+func TestFirstTimeoutIsForNewConnections(t *testing.T) {
+	b := newBench(t, fakes.EngineConfig{PrefillGap: 2 * testTimeout})
+	slow := chat(strings.Repeat("x", fakes.BlockBytes))
+	slow.FirstTimeout = 10 * testTimeout
+	res, err := b.do(t, slow, discard)
+	assert.NilError(t, err)
+	assert.Equal(t, res.Reused, false)
+	b.relay.Freeze()
+	res, err = b.do(t, slow, discard)
+	assert.Assert(t, res.SilentReused(), "%v", err)
+	assert.Assert(t, res.Total < 2*testTimeout, "%v", res.Total)
+}
+
 // A fresh connection is not touched by what happened to the pooled ones.
 func TestFreshIgnoresThePool(t *testing.T) {
 	b := newBench(t, fakes.EngineConfig{})
--- a/io/back/types.go
+++ b/io/back/types.go
@@ -83,6 +83,11 @@
 	Total time.Duration
 }
 
+// SilentReused reports whether the attempt ended by silence on a connection that
+// had been used before: the backend server may be well, and a new connection to
+// it may work.
+func (r Result) SilentReused() bool { return r.Ending == EndingSilent && r.Reused }
+
 // Complete reports whether the answer came whole; its status may still be an error.
 func (r Result) Complete() bool { return r.Ending == EndingComplete }
 
--- a/io/runner/attempt.go
+++ b/io/runner/attempt.go
@@ -64,6 +64,7 @@
 	end.result, end.err = n.send(ctx, target)
 	n.inspect(&end)
 	result := end.result
+	n.fresh = n.fresh || result.SilentReused()
 	n.wrote = n.wrote || !result.NotRun()
 	now := n.r.c.Now()
 	n.r.c.Router.Finished(now, replica.ID, float64(n.cost), route.Result{
@@ -90,7 +91,7 @@
 	}
 	req := back.Request{
 		Method: n.job.Method, Path: n.job.Path, Header: header, Body: n.job.Body,
-		Fresh: n.job.AtMostOnce, ProgressTimeout: n.job.Progress,
+		Fresh: n.job.AtMostOnce || n.fresh, ProgressTimeout: n.job.Progress,
 	}
 	if err := n.guarded(&req); err != nil {
 		return back.Request{}, errors.Trace(err)
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -110,6 +110,8 @@
 	attempts int
 	// wrote is true where a backend server may have run the job.
 	wrote bool
+	// fresh is true once a connection that was kept open has gone silent.
+	fresh bool
 	// exclude holds the replicas that have failed this job.
 	exclude []call.ReplicaID
 	cost    int
