--- a/core/sched/config.go
+++ b/core/sched/config.go
@@ -39,7 +39,7 @@
 	RetryMin, RetryMax time.Duration
 	// Rate returns the rate in tokens a second at which the model's queue on
 	// this VM is served, 0 where it is not known.
-	Rate func(call.Model) float64
+	Rate func(now time.Time, model call.Model) float64
 	// Rand spreads the Retry-After of callers.
 	Rand *rand.Rand
 }
@@ -54,7 +54,7 @@
 		Tiers:      defaultTiers(),
 		RetryMin:   time.Second,
 		RetryMax:   2 * time.Minute,
-		Rate:       func(call.Model) float64 { return 0 },
+		Rate:       func(time.Time, call.Model) float64 { return 0 },
 	}
 }
 
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -82,14 +82,14 @@
 	q.giveUp(now)
 	m := q.model(item.Call.Model)
 	if reason := q.refusal(now, m, item); reason != "" {
-		v := Verdict{Reason: reason, RetryAfter: q.retryAfter(m, item.Call.Tier)}
+		v := Verdict{Reason: reason, RetryAfter: q.retryAfter(now, m, item.Call.Tier)}
 		q.drop(m)
 		return v
 	}
 	v := Verdict{Queued: true, Reason: ReasonQueued}
 	if !m.placeFor(item.Call.Tier) {
 		victim := m.victim(item.Call.Tier)
-		v.Displaced = append(v.Displaced, q.refuse(victim, ReasonDisplaced))
+		v.Displaced = append(v.Displaced, q.refuse(now, victim, ReasonDisplaced))
 	}
 	q.insert(now, m, item)
 	return v
@@ -154,6 +154,12 @@
 // Len returns how many calls wait.
 func (q *Queue) Len() int { return len(q.byID) }
 
+// Backlogged reports whether calls for the model wait.
+func (q *Queue) Backlogged(model call.Model) bool {
+	_, ok := q.models[model]
+	return ok
+}
+
 // Waiting returns the models that have waiting calls, in no order.
 func (q *Queue) Waiting() []call.Model {
 	models := make([]call.Model, 0, len(q.models))
@@ -193,7 +199,7 @@
 	if deadline.IsZero() {
 		return false
 	}
-	wait := q.wait(m, item.Call.Tier, item.Call.Team, item.Cost)
+	wait := q.wait(now, m, item.Call.Tier, item.Call.Team, item.Cost)
 	return now.Add(wait + item.Service).After(deadline)
 }
 
@@ -215,12 +221,12 @@
 func (q *Queue) giveUp(now time.Time) {
 	for len(q.expiry.list) > 0 && !q.expiry.list[0].expires.After(now) {
 		e := q.expiry.list[0]
-		q.pending = append(q.pending, q.refuse(e, e.reason))
+		q.pending = append(q.pending, q.refuse(now, e, e.reason))
 	}
 }
 
-func (q *Queue) refuse(e *entry, reason Reason) Refusal {
-	after := q.retryAfter(e.model, e.item.Call.Tier)
+func (q *Queue) refuse(now time.Time, e *entry, reason Reason) Refusal {
+	after := q.retryAfter(now, e.model, e.item.Call.Tier)
 	q.remove(e)
 	return Refusal{Item: e.item, Reason: reason, RetryAfter: after}
 }
--- a/core/sched/queue_test.go
+++ b/core/sched/queue_test.go
@@ -63,7 +63,7 @@
 }
 
 func TestDeadlines(t *testing.T) {
-	q := newTestQueue(t, func(c *Config) { c.Rate = func(call.Model) float64 { return 100 } })
+	q := newTestQueue(t, func(c *Config) { c.Rate = func(time.Time, call.Model) float64 { return 100 } })
 	late := item("late", 3, "a", 10)
 	late.Call.Deadline, late.Service = start.Add(time.Second), 2*time.Second
 	assert.Equal(t, q.Offer(start, late).Reason, ReasonHopeless)
@@ -89,18 +89,18 @@
 }
 
 func TestRetryAfterSpreadsAndGrows(t *testing.T) {
-	q := newTestQueue(t, func(c *Config) { c.Rate = func(call.Model) float64 { return 100 } })
+	q := newTestQueue(t, func(c *Config) { c.Rate = func(time.Time, call.Model) float64 { return 100 } })
 	m := q.model("m")
 	few, many := map[time.Duration]bool{}, time.Duration(0)
 	for range 100 {
-		after := q.retryAfter(m, 3)
+		after := q.retryAfter(start, m, 3)
 		assert.Assert(t, after >= time.Second && after <= 2*time.Second)
 		few[after.Round(50*time.Millisecond)] = true
 	}
 	assert.Assert(t, len(few) > 10)
 	q.Offer(start, item("big", 3, "a", 1000))
 	for range 100 {
-		many = max(many, q.retryAfter(q.model("m"), 3))
+		many = max(many, q.retryAfter(start, q.model("m"), 3))
 	}
 	assert.Assert(t, many > 15*time.Second)
 }
--- a/core/sched/retry.go
+++ b/core/sched/retry.go
@@ -9,8 +9,8 @@
 // wait estimates how long one more item of the tier and team would wait: behind
 // all higher tiers, and behind its own tier as far as fair sharing lets the
 // others' items go first. It is 0 where the rate is not known.
-func (q *Queue) wait(m *modelQueue, t call.Tier, team call.Team, cost int) time.Duration {
-	rate := q.config.Rate(m.name)
+func (q *Queue) wait(now time.Time, m *modelQueue, t call.Tier, team call.Team, cost int) time.Duration {
+	rate := q.config.Rate(now, m.name)
 	if rate <= 0 {
 		return 0
 	}
@@ -43,9 +43,9 @@
 
 // retryAfter returns when a refused caller should come back: after about the
 // time that the work before it takes, spread over as long again.
-func (q *Queue) retryAfter(m *modelQueue, t call.Tier) time.Duration {
+func (q *Queue) retryAfter(now time.Time, m *modelQueue, t call.Tier) time.Duration {
 	after := q.config.RetryMin
-	if rate := q.config.Rate(m.name); rate > 0 {
+	if rate := q.config.Rate(now, m.name); rate > 0 {
 		after += seconds(float64(m.tokensAbove(t+1)) / rate)
 	}
 	after = min(after, q.config.RetryMax/2)
