Add limits that hold across VMs by shares

Change: core/limit. A home for each limit (rendezvous hash) grants shares by max-min of demand, for a time; VMs enforce them with token buckets of x/time/rate; zones stand to the site's home as VMs to their zone's. A lowered share counts in full until it has run out, a new home is quiet for one TTL, and the VMs' fallback rates are kept back, so that the shares in force never exceed the limit while there is one home.

Ruled out: letting the member confirm what it holds, to free a lowered share sooner. A delayed request would then confirm less than it holds after a later answer, and free too much.

Command: go test -count=1 ./core/limit (4.5 s)

--- /dev/null
+++ b/core/limit/example_test.go
@@ -0,0 +1,46 @@
+package limit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"gentianwell/core/limit"
+)
+
+func Example() {
+	homeConfig := limit.HomeDefaults()
+	homeConfig.Capacity = func(time.Time, limit.Key) (float64, time.Time) { return 100, time.Time{} }
+	localConfig := limit.LocalDefaults()
+	localConfig.Limit = func(limit.Key) float64 { return 100 }
+	localConfig.Fallback = func() float64 { return 0.1 / 9 }
+	localConfig.Rand = rand.New(rand.NewPCG(1, 0))
+	now := time.Unix(0, 0)
+	home, err := limit.NewHome(now, homeConfig)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	local, err := limit.NewLocal(localConfig)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	now = now.Add(homeConfig.TTL) // The home is quiet until then.
+	key := limit.TeamRequests("judges")
+	allowed := func() (n int) {
+		for range 60 {
+			if local.Allow(now, limit.Charge{Key: key, Units: 1}).Allowed {
+				n++
+			}
+		}
+		return n
+	}
+	fmt.Println("without a share:", allowed())
+	local.Grant(now, now, home.Report(now, "e1", local.Demands(now)))
+	now = now.Add(time.Second)
+	fmt.Println("with a share:", allowed())
+	// Output:
+	// without a share: 2
+	// with a share: 60
+}
--- /dev/null
+++ b/core/limit/types.go
@@ -0,0 +1,72 @@
+package limit
+
+import (
+	"time"
+
+	"gentianwell/core/call"
+)
+
+// Key names one limit.
+type Key string
+
+// TeamRequests is the key of a team's limit on requests.
+func TeamRequests(t call.Team) Key { return Key("team/" + string(t) + "/requests") }
+
+// TeamTokens is the key of a team's limit on tokens.
+func TeamTokens(t call.Team) Key { return Key("team/" + string(t) + "/tokens") }
+
+// ClassRequests is the key of a class's limit on requests.
+func ClassRequests(c call.Class) Key { return Key("class/" + string(c) + "/requests") }
+
+// ClassTokens is the key of a class's limit on tokens.
+func ClassTokens(c call.Class) Key { return Key("class/" + string(c) + "/tokens") }
+
+// Member is who gets a share: a VM at a zone's home, a zone at the site's home.
+type Member string
+
+// Demand is what a member wants of one limit.
+type Demand struct {
+	Key Key
+	// Wanted is in units a second.
+	Wanted float64
+}
+
+// Demands is a list of demands.
+type Demands []Demand
+
+// Share is what a member may use of one limit.
+type Share struct {
+	Key Key
+	// Rate is in units a second.
+	Rate float64
+	// TTL is how long the share is in force, from when the member sent its demand.
+	TTL time.Duration
+}
+
+// Shares is a list of shares.
+type Shares []Share
+
+// Charge is what one call takes from one limit.
+type Charge struct {
+	Key   Key
+	Units int
+}
+
+// Reason says why a call is allowed or not.
+type Reason string
+
+// The reasons of Local.Allow.
+const (
+	ReasonWithin Reason = "withinLimit"
+	ReasonOver   Reason = "overLimit"
+)
+
+// Decision is the answer of Local.Allow.
+type Decision struct {
+	Allowed bool
+	Reason  Reason
+	// Key is the limit that refused the call.
+	Key Key
+	// RetryAfter is for the caller of a refused call.
+	RetryAfter time.Duration
+}
