--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -133,3 +133,13 @@
 	_, err = NewLocal(LocalDefaults())
 	assert.ErrorContains(t, err, "no Limit")
 }
+
+// TestSharesEndWithCapacity: a zone's VMs hold nothing beyond the zone's own share.
+func TestSharesEndWithCapacity(t *testing.T) {
+	now := start.Add(testTTL)
+	until := now.Add(3 * time.Second)
+	h := newTestHome(t, start, 0, func(time.Time, Key) (float64, time.Time) { return testLimit, until })
+	got := h.Report(now, "a", Demands{{testKey, 10}})
+	assert.Equal(t, got[0].TTL, 3*time.Second)
+	assert.Equal(t, len(h.Report(until, "a", Demands{{testKey, 10}})), 0)
+}
