Add the registry of requests that crash backend servers

Cause: one request that crashes each server that runs it takes down server after server, because its caller sends it again through other VMs. Change: core/poison. A suspect (two crashes) runs alone, a crash alone convicts, runs that finish exonerate. Bystanders that finish on their VM cost no message.

--- /dev/null
+++ b/core/poison/registry.go
@@ -0,0 +1,257 @@
+package poison
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"gentianwell/core/call"
+)
+
+// Registry keeps the records of one VM and those that it has heard of.
+type Registry struct {
+	c       Config
+	mu      sync.Mutex
+	entries map[Fingerprint]*entry
+	pending map[Fingerprint]bool
+}
+
+// entry is all that is known of one fingerprint.
+type entry struct {
+	records map[call.VMID]Record
+	// published is true once the own record is to spread; version is its last.
+	published bool
+	version   uint64
+	updated   time.Time
+}
+
+// New returns an empty registry. Unset fields of the config get their defaults.
+//
+// Errors: NotValid.
+func New(c Config) (*Registry, error) {
+	c = c.Defaults()
+	if err := c.Validate(); err != nil {
+		return nil, errors.Annotate(err, "poison.New")
+	}
+	return &Registry{c: c, entries: map[Fingerprint]*entry{}, pending: map[Fingerprint]bool{}}, nil
+}
+
+// Judge returns what may be done with a request.
+func (r *Registry) Judge(now time.Time, fp Fingerprint) Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[fp]
+	if e == nil {
+		return Verdict{Action: ActionRun, Reason: ReasonUnknown}
+	}
+	return e.judge(now, r.c)
+}
+
+func (e *entry) judge(now time.Time, c Config) Verdict {
+	crashes, finishes := e.sum(now, c)
+	v := Verdict{Action: ActionRun, Reason: ReasonUnknown, Crashes: crashes.distinct(c.CrashWindow), Finishes: finishes}
+	switch {
+	case v.Crashes == 0:
+	case finishes >= v.Crashes:
+		v.Reason = ReasonExonerated
+	case crashes.anyAlone():
+		v.Action = ActionRefuse
+		v.Reason = ReasonCrashedOnly
+	case v.Crashes >= c.SuspectAfter:
+		v.Action = ActionAlone
+		v.Reason = ReasonSuspect
+	default:
+		v.Reason = ReasonFewCrashes
+	}
+	return v
+}
+
+// sum joins the records of all VMs, but for crashes that are too old.
+func (e *entry) sum(now time.Time, c Config) (Crashes, int) {
+	var all Crashes
+	finishes := 0
+	for _, record := range e.records {
+		all = append(all, record.Crashes.since(now.Add(-c.MemoryTime))...)
+		finishes += record.Finishes
+	}
+	slices.SortFunc(all, compareCrashes)
+	return all, finishes
+}
+
+// Crashed records that a replica crashed under a request, and returns what may
+// be done next on this VM.
+func (r *Registry) Crashed(now time.Time, fp Fingerprint, id call.ReplicaID, alone bool) Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entry(now, fp)
+	own := e.records[r.c.Self]
+	own.Crashes = own.Crashes.merge(Crashes{{Replica: id, At: now, Alone: alone}})
+	r.setOwn(now, fp, e, own)
+	v := e.judge(now, r.c)
+	if v.Crashes >= r.c.SuspectAfter {
+		r.publish(fp, e)
+	}
+	return v
+}
+
+// Finished records that a run ended with a whole answer. It costs a look-up for
+// a request that has seen no crash or is exonerated.
+func (r *Registry) Finished(now time.Time, fp Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[fp]
+	if e == nil {
+		return
+	}
+	if v := e.judge(now, r.c); v.Finishes >= v.Crashes {
+		return
+	}
+	own := e.records[r.c.Self]
+	own.Finishes++
+	r.setOwn(now, fp, e, own)
+	if !e.onlyOwn(r.c.Self) {
+		r.publish(fp, e)
+		return
+	}
+	if e.judge(now, r.c).Reason == ReasonExonerated {
+		delete(r.entries, fp)
+	}
+}
+
+// onlyOwn reports whether no other VM has heard or told of the fingerprint.
+func (e *entry) onlyOwn(self call.VMID) bool {
+	_, own := e.records[self]
+	return !e.published && own && len(e.records) == 1
+}
+
+// Answering is to be called before a call that saw a crash gets its failed
+// answer. It returns how long the answer has to wait: until the other VMs know
+// of the crash, since the caller may send the request again through any of them.
+func (r *Registry) Answering(now time.Time, fp Fingerprint) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[fp]
+	if e == nil {
+		return 0
+	}
+	if !e.published {
+		r.publish(fp, e)
+		return r.c.SpreadTime
+	}
+	crashed := e.records[r.c.Self].Crashes.latest()
+	return max(0, r.c.SpreadTime-now.Sub(crashed))
+}
+
+func (r *Registry) setOwn(now time.Time, fp Fingerprint, e *entry, own Record) {
+	e.records[r.c.Self] = own
+	e.updated = now
+	e.version = max(e.version+1, uint64(now.UnixNano()))
+	if e.published {
+		r.pending[fp] = true
+	}
+}
+
+func (r *Registry) publish(fp Fingerprint, e *entry) {
+	e.published = true
+	r.pending[fp] = true
+}
+
+// Pending returns the own records to spread that are new since the last call.
+func (r *Registry) Pending(now time.Time) Items {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out Items
+	for fp := range r.pending {
+		if e := r.entries[fp]; e != nil {
+			out = append(out, r.item(now, fp, e))
+		}
+	}
+	clear(r.pending)
+	slices.SortFunc(out, func(a, b Item) int { return cmp.Compare(a.Key, b.Key) })
+	return out
+}
+
+func (r *Registry) item(now time.Time, fp Fingerprint, e *entry) Item {
+	value, err := json.Marshal(e.records[r.c.Self])
+	if err != nil {
+		// Only times beyond year 9999 can't be written; there are none.
+		value = []byte("{}")
+	}
+	return Item{Key: itemKey(fp, r.c.Self), Version: e.version, Value: value, Expires: now.Add(r.c.MemoryTime)}
+}
+
+// Merge takes an item that was heard. The order and number of times in which
+// items arrive make no difference. The own record comes back after a restart.
+//
+// Errors: NotValid; then nothing is changed.
+func (r *Registry) Merge(now time.Time, item Item) error {
+	fp, by, err := parseItemKey(item.Key)
+	if err != nil {
+		return errors.Annotate(err, "Registry.Merge")
+	}
+	record, err := ParseRecord(item.Value)
+	if err != nil {
+		return errors.Annotatef(err, "Registry.Merge: %s", item.Key)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entry(now, fp)
+	e.records[by] = e.records[by].Merge(record)
+	e.updated = now
+	if by == r.c.Self {
+		e.published = true
+		e.version = max(e.version, item.Version)
+	}
+	return nil
+}
+
+// Len returns the number of fingerprints known.
+func (r *Registry) Len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.entries)
+}
+
+// entry returns the entry of a fingerprint, a new one where there is none.
+func (r *Registry) entry(now time.Time, fp Fingerprint) *entry {
+	e := r.entries[fp]
+	if e == nil {
+		r.makeRoom(now)
+		e = &entry{records: map[call.VMID]Record{}}
+		r.entries[fp] = e
+	}
+	return e
+}
+
+// makeRoom forgets what is too old and, where that is not enough, a quarter:
+// first what only this VM knows, and of that the oldest.
+func (r *Registry) makeRoom(now time.Time) {
+	if len(r.entries) < r.c.MaxFingerprints {
+		return
+	}
+	old := make([]Fingerprint, 0, len(r.entries))
+	for fp, e := range r.entries {
+		if now.Sub(e.updated) >= r.c.MemoryTime {
+			delete(r.entries, fp)
+			continue
+		}
+		old = append(old, fp)
+	}
+	if len(old) < r.c.MaxFingerprints {
+		return
+	}
+	slices.SortFunc(old, func(a, b Fingerprint) int {
+		x, y := r.entries[a], r.entries[b]
+		return cmp.Or(compareBool(x.known(), y.known()), x.updated.Compare(y.updated), cmp.Compare(a, b))
+	})
+	for _, fp := range old[:len(old)/4+1] {
+		delete(r.entries, fp)
+	}
+}
+
+// known reports whether several VMs know of the fingerprint.
+func (e *entry) known() bool { return e.published || len(e.records) > 1 }
