Keep one replica free for a call that has to be alone

Cause: at load no replica is ever idle, so a suspect request would never run. Ruled out: keeping several replicas free; many suspects after one crash would then take the model's replicas from all other calls. Change: Router.PickAlone keeps the least loaded replica free until it is idle, at most one of a model, and none of a model with a single busy replica.

--- a/core/route/alone.go
+++ b/core/route/alone.go
@@ -9,10 +9,19 @@
 	"gentianwell/core/call"
 )
 
+// minToKeepFree is how many replicas a model needs for one of them to be kept
+// free of other calls before a call that has to be alone.
+const minToKeepFree = 2
+
 // PickAlone chooses a replica on which, as far as is known, nobody has anything
-// in flight. It searches all replicas of the model, not only the subset.
+// in flight. It searches all replicas of the model, not only the subset. The
+// replica is kept free of this VM's other calls for AloneWait or until
+// FinishedAlone; other VMs have to be told. Where none is idle, the least loaded
+// one is kept free: the error is ErrBusy, the decision names the replica, and a
+// later PickAlone returns it. At most one replica of a model is kept free or in
+// use for this at a time, so that the others go on serving.
 //
-// Errors: ErrNoReplica, ErrBusy where every replica has something in flight.
+// Errors: ErrNoReplica, ErrBusy.
 func (r *Router) PickAlone(now time.Time, c call.Call, exclude []call.ReplicaID) (Decision, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -20,35 +29,79 @@
 	if p == nil {
 		return Decision{}, errors.Annotatef(ErrNoReplica, "Router.PickAlone: %s", c.Model)
 	}
-	var d Decision
-	idle, busy := r.idle(now, p, exclude, &d)
-	if len(idle) == 0 {
-		if busy {
-			return d, errors.Annotatef(ErrBusy, "Router.PickAlone: %s", c.Model)
-		}
+	d := Decision{Reason: ReasonAlone}
+	left := r.left(now, p, exclude, &d)
+	if len(left) == 0 {
 		return d, errors.Annotatef(ErrNoReplica, "Router.PickAlone: %s", c.Model)
 	}
-	d.Replica = idle[r.c.Rand.IntN(len(idle))].Replica
-	d.Reason = ReasonAlone
-	d.Usable = len(idle)
+	s := r.keptFree(now, p, left)
+	if s == nil {
+		return d, errors.Annotatef(ErrBusy, "Router.PickAlone: %s", c.Model)
+	}
+	s.keptUntil = now.Add(r.c.AloneWait)
+	d.Replica = s.Replica
+	d.Load = s.load(now, r.c.ReportMaxAge) / float64(s.Slots)
+	d.Usable = len(left)
+	if d.Load > 0 {
+		return d, errors.Annotatef(ErrBusy, "Router.PickAlone: %s", c.Model)
+	}
 	return d, nil
 }
 
-func (r *Router) idle(now time.Time, p *pool, exclude []call.ReplicaID, d *Decision) (idle []*state, busy bool) {
+// left returns the replicas that are neither excluded nor ejected.
+func (r *Router) left(now time.Time, p *pool, exclude []call.ReplicaID, d *Decision) []*state {
+	var left []*state
 	for _, s := range p.all {
 		switch {
 		case slices.Contains(exclude, s.ID):
 			d.pass(s.ID, PassedExcluded)
 		case s.ejected(now):
 			d.pass(s.ID, PassedEjected)
-		case s.reserved(now), s.load(now, r.c.ReportMaxAge) > 0:
-			busy = true
-			d.pass(s.ID, PassedInUse)
 		default:
-			idle = append(idle, s)
+			left = append(left, s)
+		}
+	}
+	return left
+}
+
+// keptFree returns the replica to be kept free: an idle one, the one that is kept
+// already or, where the model has several replicas, the least loaded. It returns
+// nil where none may be.
+func (r *Router) keptFree(now time.Time, p *pool, left []*state) *state {
+	var kept *state
+	for _, s := range p.all {
+		if s.running() || now.Before(s.reservedUntil) {
+			return nil
+		}
+		if s.kept(now) {
+			kept = s
+		}
+	}
+	s := r.leastLoaded(now, left)
+	switch {
+	case s.load(now, r.c.ReportMaxAge) == 0:
+		if kept != nil {
+			kept.keptUntil = time.Time{}
+		}
+		return s
+	case slices.Contains(left, kept):
+		return kept
+	case len(p.all) < minToKeepFree:
+		return nil
+	}
+	return s
+}
+
+// leastLoaded starts at a random replica, so that ties are broken at random.
+func (r *Router) leastLoaded(now time.Time, list []*state) *state {
+	start := r.c.Rand.IntN(len(list))
+	best := list[start]
+	for _, s := range slices.Concat(list[start:], list[:start]) {
+		if s.load(now, r.c.ReportMaxAge) < best.load(now, r.c.ReportMaxAge) {
+			best = s
 		}
 	}
-	return idle, busy
+	return best
 }
 
 // StartedAlone is Started for a call that has to be alone: until FinishedAlone
@@ -57,7 +110,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s := r.byID[id]; s != nil {
-		s.reservedBy++
+		s.alone++
+		s.keptUntil = time.Time{}
 		r.start(now, s, cost)
 	}
 }
@@ -66,7 +120,7 @@
 func (r *Router) FinishedAlone(now time.Time, id call.ReplicaID, cost float64, result Result) EjectReason {
 	r.mu.Lock()
 	if s := r.byID[id]; s != nil {
-		s.reservedBy = max(0, s.reservedBy-1)
+		s.alone = max(0, s.alone-1)
 	}
 	r.mu.Unlock()
 	return r.Finished(now, id, cost, result)
--- a/core/route/config.go
+++ b/core/route/config.go
@@ -27,6 +27,7 @@
 	defaultSlowSamples     = 8
 	defaultEjectTime       = 5 * time.Second
 	defaultEjectTimeMax    = time.Minute
+	defaultAloneWait       = 30 * time.Second
 	defaultEjectedShareMax = 0.34
 )
 
@@ -79,6 +80,8 @@
 	// EjectedShareMax is the greatest share of a model's replicas that is
 	// ejected at the same time, 0 to below 1.
 	EjectedShareMax float64
+	// AloneWait is how long a replica is kept free for a call that has to be alone.
+	AloneWait time.Duration
 }
 
 // Defaults returns the config with its unset fields filled in.
@@ -94,6 +97,7 @@
 	setTime(&c.SlowFloor, defaultSlowFloor)
 	setTime(&c.EjectTime, defaultEjectTime)
 	setTime(&c.EjectTimeMax, defaultEjectTimeMax)
+	setTime(&c.AloneWait, defaultAloneWait)
 	setFloat(&c.ZonePenalty, defaultZonePenalty)
 	setFloat(&c.AffinityWeight, defaultAffinityWeight)
 	setFloat(&c.AffinityBound, defaultAffinityBound)
@@ -120,7 +124,7 @@
 		return errors.NotValidf("Config.Validate: Slots %d, at least 1", c.Slots)
 	case c.SubsetMin < 1 || c.SubsetCover < 1:
 		return errors.NotValidf("Config.Validate: SubsetMin %d, SubsetCover %d, at least 1", c.SubsetMin, c.SubsetCover)
-	case c.ReportMaxAge < 0 || c.SlowStart < 0 || c.EjectTime < 0:
+	case c.ReportMaxAge < 0 || c.SlowStart < 0 || c.EjectTime < 0 || c.AloneWait < 0:
 		return errors.NotValidf("Config.Validate: negative duration")
 	case c.EjectTimeMax < c.EjectTime:
 		return errors.NotValidf("Config.Validate: EjectTimeMax %s below EjectTime %s", c.EjectTimeMax, c.EjectTime)
--- a/core/route/decision.go
+++ b/core/route/decision.go
@@ -38,7 +38,6 @@
 	PassedExcluded PassedReason = "excluded"
 	PassedEjected  PassedReason = "ejected"
 	PassedFull     PassedReason = "full"
-	PassedInUse    PassedReason = "inUse"
 	PassedReserved PassedReason = "reserved"
 	PassedWorse    PassedReason = "worse"
 )
--- a/core/route/pick_test.go
+++ b/core/route/pick_test.go
@@ -156,26 +156,66 @@
 }
 
 func TestPickAlone(t *testing.T) {
-	r := newRouter(t, Config{})
+	r := newRouter(t, Config{AloneWait: time.Minute})
 	r.SetReplicas(t0, fleet(3, 3))
 	r.Started(t0, "r0", 1)
 	r.Report(t0, "r1", Load{Running: 1, Taken: t0})
 	d, err := r.PickAlone(t0, request, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, d.Replica.ID, call.ReplicaID("r2"))
+	assert.Equal(t, send(t, r, t0, request, 5)["r2"], 0, "kept free")
 
 	r.StartedAlone(t0, "r2", 1)
-	_, err = r.PickAlone(t0, request, nil)
+	d, err = r.PickAlone(t0, request, nil)
 	assert.ErrorIs(t, err, ErrBusy)
-	got := send(t, r, t0, request, 10)
-	assert.Equal(t, got["r2"], 0)
+	assert.Equal(t, d.Replica.ID, call.ReplicaID(""), "one at a time")
+	assert.Equal(t, send(t, r, at(time.Minute), request, 5)["r2"], 0)
 	r.FinishedAlone(t0, "r2", 1, Result{Status: StatusOK})
-	_, err = r.PickAlone(t0, request, nil)
-	assert.NilError(t, err)
+	assert.Assert(t, send(t, r, at(time.Minute), request, 5)["r2"] > 0)
+}
 
-	r.Reserve("r2", at(time.Second))
-	_, err = r.PickAlone(t0, request, nil)
+// Where none is idle, one is kept free until it is, and no more than one.
+func TestPickAloneWaitsForOne(t *testing.T) {
+	r := newRouter(t, Config{AloneWait: time.Minute})
+	r.SetReplicas(t0, fleet(3, 1))
+	for _, id := range []call.ReplicaID{"r0", "r0", "r1", "r2", "r2"} {
+		r.Started(t0, id, 1)
+	}
+	for range 3 {
+		d, err := r.PickAlone(t0, request, nil)
+		assert.ErrorIs(t, err, ErrBusy)
+		assert.Equal(t, d.Replica.ID, call.ReplicaID("r1"))
+	}
+	assert.Equal(t, send(t, r, t0, request, 6)["r1"], 0)
+	r.Report(t0, "r1", Load{Running: 10, Taken: t0})
+	d, err := r.PickAlone(t0, request, nil)
 	assert.ErrorIs(t, err, ErrBusy)
-	_, err = r.PickAlone(at(time.Second), request, nil)
+	assert.Equal(t, d.Replica.ID, call.ReplicaID("r1"), "it stays, whatever others do")
+	r.Finished(t0, "r1", 1, Result{Status: StatusOK})
+	d, err = r.PickAlone(at(defaultReportMaxAge), request, nil)
 	assert.NilError(t, err)
+	assert.Equal(t, d.Replica.ID, call.ReplicaID("r1"))
+
+	_, err = r.PickAlone(t0, request, []call.ReplicaID{"r0", "r1", "r2"})
+	assert.ErrorIs(t, err, ErrNoReplica)
+}
+
+func TestReserveByOtherVM(t *testing.T) {
+	r := newRouter(t, Config{})
+	r.SetReplicas(t0, fleet(2, 1))
+	r.Reserve("r1", at(time.Second))
+	_, err := r.PickAlone(t0, request, nil)
+	assert.ErrorIs(t, err, ErrBusy, "one at a time")
+	assert.Equal(t, send(t, r, t0, request, 5)["r1"], 0)
+	assert.Assert(t, send(t, r, at(time.Second), request, 5)["r1"] > 0)
+}
+
+// The only replica of a model is not kept free while others need it.
+func TestPickAloneOfOne(t *testing.T) {
+	r := newRouter(t, Config{})
+	r.SetReplicas(t0, fleet(1, 1))
+	r.Started(t0, "r0", 1)
+	_, err := r.PickAlone(t0, request, nil)
+	assert.ErrorIs(t, err, ErrBusy)
+	send(t, r, t0, request, 3)
 }
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -23,9 +23,10 @@
 	// foreign is the other VMs' load by the last report, taken at reported.
 	foreign  float64
 	reported time.Time
-	// reservedBy counts own calls that have to be alone; reservedUntil is what
-	// another VM announced.
-	reservedBy    int
+	// alone counts own calls in flight that have to be alone, keptUntil is how
+	// long the replica is kept free for one, reservedUntil what another VM told.
+	alone         int
+	keptUntil     time.Time
 	reservedUntil time.Time
 	// failures counts failures in a row, the last of them at failed; good
 	// counts successes in a row.
@@ -106,8 +107,13 @@
 	return float64(s.failures) * (1 - float64(age)/float64(fade))
 }
 
+func (s *state) running() bool { return s.alone > 0 }
+
+func (s *state) kept(now time.Time) bool { return now.Before(s.keptUntil) }
+
+// reserved reports whether ordinary calls are kept off.
 func (s *state) reserved(now time.Time) bool {
-	return s.reservedBy > 0 || now.Before(s.reservedUntil)
+	return s.running() || s.kept(now) || now.Before(s.reservedUntil)
 }
 
 func (s *state) ejected(now time.Time) bool { return now.Before(s.ejectedUntil) }
