Add benchmarks; make the repeated judgement and list cheap

Cause: the daemon judges all VMs and hands over the replicas twice a second. Change: the view keeps its VMs in order, the router leaves an unchanged list alone.

--- a/core/member/entry.go
+++ b/core/member/entry.go
@@ -9,6 +9,7 @@
 
 // entry is what is known about one VM.
 type entry struct {
+	id call.VMID
 	// listed is the VM as on the last list that had it; onList tells whether the
 	// last list has it, gone when a list first came without it.
 	listed VM
@@ -28,11 +29,11 @@
 	opinions map[call.VMID]time.Time
 }
 
-func (e *entry) vm() VM {
+func (e *entry) vm() *VM {
 	if e.onList || e.said.Incarnation == 0 {
-		return e.listed
+		return &e.listed
 	}
-	return e.said.VM
+	return &e.said.VM
 }
 
 // hear takes a statement; it returns false for one that is not newer.
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -19,6 +20,8 @@
 	c       Config
 	mu      sync.Mutex
 	entries map[call.VMID]*entry
+	// order holds the entries sorted by id; nil after a VM has come or gone.
+	order []*entry
 	// list is when the last list was taken.
 	list time.Time
 }
@@ -89,6 +92,7 @@
 	}
 	if now.Sub(latest) >= v.c.StatementMaxAge {
 		delete(v.entries, id)
+		v.order = nil
 	}
 }
 
@@ -181,7 +185,7 @@
 		return Verdict{VM: VM{ID: id}, Reason: ReasonUnknown}
 	}
 	reason := e.reason(now, v.list, v.c)
-	return Verdict{VM: e.vm(), Usable: usable(reason), Reason: reason}
+	return Verdict{VM: *e.vm(), Usable: usable(reason), Reason: reason}
 }
 
 // Judged returns the verdicts about all VMs of a role. Where silence or
@@ -189,24 +193,30 @@
 func (v *View) Judged(now time.Time, role Role) Verdicts {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var out Verdicts
+	out := make(Verdicts, 0, len(v.entries))
 	none := true
-	for _, e := range v.entries {
+	for _, e := range v.sorted() {
 		vm := e.vm()
 		if vm.Role != role {
 			continue
 		}
 		reason := e.reason(now, v.list, v.c)
 		none = none && !usable(reason)
-		out = append(out, Verdict{VM: vm, Usable: usable(reason), Reason: reason})
+		out = append(out, Verdict{VM: *vm, Usable: usable(reason), Reason: reason})
 	}
-	slices.SortFunc(out, func(a, b Verdict) int { return cmp.Compare(a.VM.ID, b.VM.ID) })
 	if none {
 		out.assumeLive()
 	}
 	return out
 }
 
+func (v *View) sorted() []*entry {
+	if v.order == nil {
+		v.order = slices.SortedFunc(maps.Values(v.entries), func(a, b *entry) int { return cmp.Compare(a.id, b.id) })
+	}
+	return v.order
+}
+
 func (v Verdicts) assumeLive() {
 	for i := range v {
 		if v[i].Reason == ReasonSilent || v[i].Reason == ReasonSuspected {
@@ -234,8 +244,9 @@
 func (v *View) entry(id call.VMID) *entry {
 	e := v.entries[id]
 	if e == nil {
-		e = &entry{}
+		e = &entry{id: id}
 		v.entries[id] = e
+		v.order = nil
 	}
 	return e
 }
--- /dev/null
+++ b/core/poison/bench_test.go
@@ -0,0 +1,77 @@
+package poison
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"gentianwell/core/call"
+)
+
+var benchSizes = []int{1000, 4000, 8000, 16000}
+
+func benchItems(b *testing.B, n int) Items {
+	r := newRegistry(b, Config{Self: "other"})
+	for i := range n {
+		r.Crashed(t0, Fingerprint(i), call.ReplicaID("replica-1"), false)
+		r.Crashed(t0, Fingerprint(i), call.ReplicaID("replica-2"), false)
+	}
+	return r.Pending(t0)
+}
+
+func BenchmarkMerge(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			items := benchItems(b, n)
+			r := newRegistry(b, Config{})
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				assert.NilError(b, r.Merge(t0, items[i%n]))
+				i++
+			}
+		})
+	}
+}
+
+func BenchmarkJudge(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := newRegistry(b, Config{})
+			for _, item := range benchItems(b, n) {
+				assert.NilError(b, r.Merge(t0, item))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Judge(t0, 1<<60)
+			}
+		})
+	}
+}
+
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			items := benchItems(b, n)
+			for b.Loop() {
+				before := heap()
+				r := newRegistry(b, Config{})
+				for _, item := range items {
+					assert.NilError(b, r.Merge(t0, item))
+				}
+				b.ReportMetric(float64(heap()-before)/float64(n), "B/fingerprint")
+				runtime.KeepAlive(r)
+			}
+			b.ReportMetric(float64(len(items[0].Key)+len(items[0].Value)), "B/item")
+		})
+	}
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/core/poison/config.go
+++ b/core/poison/config.go
@@ -12,7 +12,7 @@
 const (
 	defaultSuspectAfter    = 2
 	defaultCrashWindow     = 10 * time.Second
-	defaultSpreadTime      = 2 * time.Second
+	defaultSpreadTime      = 4 * time.Second
 	defaultMemoryTime      = 24 * time.Hour
 	defaultMaxFingerprints = 16384
 )
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -19,6 +19,8 @@
 	mu    sync.Mutex
 	byID  map[call.ReplicaID]*state
 	pools map[call.Model]*pool
+	// list is the last list.
+	list Replicas
 	// vms is how many VMs route, for the size of the subsets.
 	vms      int
 	started  bool
@@ -46,10 +48,15 @@
 
 // SetReplicas replaces the list. What is known about the replicas that stay is
 // kept. A replica that is new, or that has come back under another address, has
-// a slow start, but for those of the first list.
+// a slow start, but for those of the first list. The list is not changed
+// afterwards by the caller.
 func (r *Router) SetReplicas(now time.Time, list Replicas) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.list.equal(list) {
+		return
+	}
+	r.list = list
 	for _, s := range r.byID {
 		s.listed = false
 	}
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"gentianwell/core/call"
@@ -20,6 +21,13 @@
 // Replicas is the whole list.
 type Replicas []Replica
 
+func (l Replicas) equal(other Replicas) bool {
+	return slices.EqualFunc(l, other, func(a, b Replica) bool {
+		same := a.ID == b.ID && a.Zone == b.Zone && a.Address == b.Address && a.Slots == b.Slots
+		return same && slices.Equal(a.Models, b.Models)
+	})
+}
+
 // Load is a replica's own report of its load.
 type Load struct {
 	// Running and Waiting are requests, those of all VMs.
