Add the placer: one VM at a time orders the engines

The lease's create revision is the fencing number. Each order is given after a look at the clock, none from a plan of an earlier tenure; engines that check numbers get the new one first, by an order for what they hold already.

Ruled out: trusting renewals alone. With the holder's clock check removed, the tests passed at first, since the next renewal finds the lease gone; the paused holder is now cut off from the platform as well when it wakes up. Two checks of the floor saw the copy back after a second; the engines now remember a drain.

--- /dev/null
+++ b/io/placer/placer_test.go
@@ -0,0 +1,405 @@
+package placer
+
+import (
+	"context"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"gentianwell/core/call"
+	"gentianwell/core/place"
+	"gentianwell/io/fakekv"
+	"gentianwell/io/kvs"
+)
+
+func TestMain(m *testing.M) {
+	logrus.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
+
+// taken is an order as an engine took it.
+type taken struct {
+	vm      call.VMID
+	order   Order
+	at      time.Time
+	refused bool
+}
+
+// site is a few engines that remember their orders.
+type site struct {
+	mu       sync.Mutex
+	replicas place.Replicas
+	needs    place.Needs
+	fences   map[call.ReplicaID]int64
+	log      []taken
+	// drained is true once an order has brought a model below its floor.
+	drained bool
+}
+
+func (s *site) reports() place.Replicas {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := slices.Clone(s.replicas)
+	for i := range out {
+		out[i].Loaded = slices.Clone(out[i].Loaded)
+		out[i].Reported = time.Now()
+	}
+	return out
+}
+
+// take lets an engine carry out an order, or refuse it if it checks numbers.
+func (s *site) take(vm call.VMID, o Order) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.IndexFunc(s.replicas, func(r place.Replica) bool { return r.ID == o.Replica })
+	r := &s.replicas[i]
+	refused := r.ChecksOrders && o.Fencing < s.fences[r.ID]
+	s.log = append(s.log, taken{vm, o, time.Now(), refused})
+	if refused {
+		return errors.Trace(ErrRefused)
+	}
+	s.fences[r.ID] = o.Fencing
+	at := slices.Index(r.Loaded, o.Artifact)
+	if o.Action == place.ActionUnload && at >= 0 {
+		r.Loaded = slices.Delete(r.Loaded, at, at+1)
+		s.drained = s.drained || s.count(o.Artifact.Model) == 0
+	}
+	if o.Action == place.ActionLoad && at < 0 {
+		r.Loaded = append(r.Loaded, o.Artifact)
+	}
+	return nil
+}
+
+// orders returns what the VM's orders were, without those that only fence.
+func (s *site) orders(vm call.VMID) []taken {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []taken
+	for _, t := range s.log {
+		if t.vm == vm && t.order.Reason != "new fencing number" {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+func (s *site) copies(m call.Model) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.count(m)
+}
+
+func (s *site) count(m call.Model) int {
+	n := 0
+	for _, r := range s.replicas {
+		if slices.Contains(r.Loaded, place.Artifact{Model: m}) {
+			n++
+		}
+	}
+	return n
+}
+
+var nonces atomic.Int64
+
+// seams are where a test stops a VM.
+type seams struct {
+	order   func()
+	reports func()
+	service kvs.Service
+}
+
+// every is the timer service of a bubble.
+func every(ctx context.Context) func(string, time.Duration, func(time.Time)) func() {
+	return func(_ string, interval time.Duration, fn func(time.Time)) func() {
+		ticker := time.NewTicker(interval)
+		go func() {
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case now := <-ticker.C:
+					fn(now)
+				}
+			}
+		}()
+		return ticker.Stop
+	}
+}
+
+func (s *site) start(ctx context.Context, vm call.VMID, at seams) {
+	p := New(Config{
+		Service: at.service, VM: vm, Nonce: func() string { return strconv.FormatInt(nonces.Add(1), 10) },
+		Every: every(ctx), Needs: func() place.Needs { s.mu.Lock(); defer s.mu.Unlock(); return slices.Clone(s.needs) },
+		Replicas: func() place.Replicas {
+			out := s.reports()
+			at.reports()
+			return out
+		},
+		Order: func(_ context.Context, o Order) error {
+			at.order()
+			return s.take(vm, o)
+		},
+	})
+	go func() {
+		if err := p.Run(ctx); err != nil {
+			panic(err)
+		}
+	}()
+}
+
+func free(svc kvs.Service) seams {
+	return seams{order: func() {}, reports: func() {}, service: svc}
+}
+
+// cutOff makes renewals fail while cut is true, so that only the holder's own
+// clock tells it that the lease has lapsed.
+func cutOff(svc *kvs.Service, cut *atomic.Bool) {
+	renew := svc.Renew
+	svc.Renew = func(ctx context.Context, id kvs.LeaseID) (time.Duration, error) {
+		if cut.Load() {
+			return 0, errors.Trace(kvs.ErrUnavailable)
+		}
+		return renew(ctx, id)
+	}
+}
+
+// newSite has three one-slot engines with "rules" and a need for more "plots".
+func newSite(checks bool) *site {
+	s := &site{fences: map[call.ReplicaID]int64{}}
+	for _, id := range []call.ReplicaID{"r1", "r2", "r3"} {
+		s.replicas = append(s.replicas, place.Replica{
+			ID: id, Slots: 1, ChecksOrders: checks, Loaded: []place.Artifact{{Model: "rules"}},
+		})
+	}
+	s.needs = place.Needs{
+		{Artifact: place.Artifact{Model: "plots"}, Copies: 1, Tier: 0, MinCopies: 1, Megabytes: 1},
+		{Artifact: place.Artifact{Model: "rules"}, Copies: 1, Tier: 1, MinCopies: 1, Megabytes: 1},
+	}
+	return s
+}
+
+// bubble runs a test on fake time.
+func bubble(t *testing.T, fn func(t *testing.T, ctx context.Context, fake *fakekv.Fake)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fn(t, ctx, fakekv.New(fakekv.Config{}))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// A holder is paused in the midst of its work for longer than its lease, and
+// another takes over. Awake, and cut off from the platform, it gives no order where it looks at the clock
+// before; between the look and the write one order leaves, which engines that
+// check numbers refuse and after which those that don't keep a copy.
+func TestPausedHolder(t *testing.T) {
+	tests := []struct {
+		name   string
+		checks bool
+		inside bool
+	}{
+		{"before the look, checking engines", true, false},
+		{"before the look, ignoring engines", false, false},
+		{"before the write, checking engines", true, true},
+		{"before the write, ignoring engines", false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, ctx context.Context, fake *fakekv.Fake) {
+				s := newSite(tt.checks)
+				var paused atomic.Bool
+				wake := make(chan struct{})
+				pause := func(here bool) func() {
+					return func() {
+						if here && paused.CompareAndSwap(true, false) {
+							<-wake
+						}
+					}
+				}
+				a := free(fake.Service())
+				var cut atomic.Bool
+				cutOff(&a.service, &cut)
+				a.order, a.reports = pause(tt.inside), pause(!tt.inside)
+				s.start(ctx, "a", a)
+				time.Sleep(10 * time.Second)
+				s.mu.Lock()
+				s.needs = append(s.needs, place.Need{Artifact: place.Artifact{Model: "ink"}, Tier: 2, Copies: 1, Megabytes: 1})
+				s.mu.Unlock()
+				paused.Store(true)
+				// Pauses the holder at its next order or report, its renewals included.
+				time.Sleep(3 * time.Minute)
+				s.mu.Lock()
+				slices.Reverse(s.replicas) // another list order, other choices
+				s.mu.Unlock()
+				s.start(ctx, "b", free(fake.Service()))
+				time.Sleep(3 * time.Minute)
+				before := len(s.orders("a"))
+				cut.Store(true)
+				close(wake)
+				time.Sleep(5 * time.Second)
+				late := s.orders("a")[before:]
+				want := 0
+				if tt.inside {
+					want = 1
+				}
+				assert.Equal(t, len(late), want, "%v", late)
+				for _, l := range late {
+					assert.Equal(t, l.refused, tt.checks)
+				}
+				time.Sleep(3 * time.Minute)
+				assert.Assert(t, !s.drained, "%v", s.log)
+				assert.Assert(t, s.copies("plots") >= 1)
+				assert.Equal(t, len(s.orders("a")), before+len(late), "a goes on ordering")
+			})
+		})
+	}
+}
+
+// A new holder orders engines that ignore numbers only after the old lease and
+// the longest order have ended, others at once.
+func TestTakeOver(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		t.Run(strconv.FormatBool(checks), func(t *testing.T) {
+			bubble(t, func(t *testing.T, ctx context.Context, fake *fakekv.Fake) {
+				s := newSite(checks)
+				begun := time.Now()
+				s.start(ctx, "a", free(fake.Service()))
+				time.Sleep(2 * time.Minute)
+				first := s.orders("a")[0].at.Sub(begun)
+				if checks {
+					assert.Assert(t, first <= 5*time.Second, "%s", first)
+				} else {
+					assert.Assert(t, first >= defaultTTL+10*time.Second, "%s", first)
+				}
+				assert.Equal(t, s.copies("plots"), 1)
+				assert.Assert(t, s.copies("rules") >= 1)
+			})
+		})
+	}
+}
+
+// A renewal's answer that comes late doesn't lengthen the holder's belief: no
+// order carries a number whose lease has lapsed.
+func TestLateRenewal(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, fake *fakekv.Fake) {
+		s := newSite(true)
+		var slow, cut atomic.Bool
+		var lapsed time.Time
+		at := free(fake.Service())
+		cutOff(&at.service, &cut)
+		renew := at.service.Renew
+		at.service.Renew = func(ctx context.Context, id kvs.LeaseID) (time.Duration, error) {
+			ttl, err := renew(ctx, id)
+			if slow.CompareAndSwap(true, false) {
+				lapsed = time.Now().Add(ttl)
+				time.Sleep(time.Minute)
+				cut.Store(true)
+			}
+			return ttl, err
+		}
+		s.start(ctx, "a", at)
+		time.Sleep(20 * time.Second)
+		first := s.log[0].order.Fencing
+		slow.Store(true)
+		time.Sleep(30 * time.Second)
+		s.mu.Lock()
+		s.needs = append(s.needs, place.Need{Artifact: place.Artifact{Model: "ink"}, Copies: 1, Megabytes: 1})
+		s.mu.Unlock()
+		time.Sleep(2 * time.Minute)
+		for _, l := range s.log {
+			assert.Assert(t, l.order.Fencing != first || l.at.Before(lapsed), "%v", l)
+		}
+		assert.Equal(t, s.copies("ink"), 1)
+	})
+}
+
+// What was planned in one tenure isn't ordered in the next, in which the reports
+// that it was planned by don't count.
+func TestPlanEndsWithTenure(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, fake *fakekv.Fake) {
+		s := newSite(true)
+		s.needs = append(s.needs, place.Need{Artifact: place.Artifact{Model: "ink"}, Copies: 1, Megabytes: 1})
+		at := free(fake.Service())
+		var once sync.Once
+		at.order = func() {
+			if len(s.log) == len(s.replicas) { // the first after the fencing ones
+				once.Do(func() { time.Sleep(2 * time.Minute) })
+			}
+		}
+		s.start(ctx, "a", at)
+		time.Sleep(4 * time.Minute)
+		first := map[int64]string{}
+		for _, l := range s.log {
+			if _, ok := first[l.order.Fencing]; !ok {
+				first[l.order.Fencing] = l.order.Reason
+			}
+		}
+		assert.Equal(t, len(first), 2)
+		for _, reason := range first {
+			assert.Equal(t, reason, "new fencing number")
+		}
+	})
+}
+
+// Lost replies to the key's creation are settled at once, by the nonce: of two
+// VMs that find the key free, one holds the lease.
+func TestLostCreation(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, fake *fakekv.Fake) {
+		s := newSite(true)
+		for _, vm := range []call.VMID{"a", "b"} {
+			at := free(fake.Service())
+			get, transact := at.service.Get, at.service.Transact
+			at.service.Get = func(ctx context.Context, key string) (kvs.Lookup, error) {
+				found, err := get(ctx, key)
+				time.Sleep(time.Second)
+				return found, err
+			}
+			at.service.Transact = func(ctx context.Context, txn kvs.Txn) (kvs.TxnResult, error) {
+				if _, err := transact(ctx, txn); err != nil {
+					return kvs.TxnResult{}, err
+				}
+				return kvs.TxnResult{}, errors.Trace(kvs.ErrUnknown)
+			}
+			s.start(ctx, vm, at)
+		}
+		time.Sleep(10 * time.Second)
+		holders := map[call.VMID]bool{}
+		for _, l := range s.log {
+			holders[l.vm] = true
+		}
+		assert.Equal(t, len(holders), 1, "%v", holders)
+	})
+}
+
+// Only one of several VMs holds the lease, although replies of its creation are
+// lost, and the standing-by ones cost the platform little.
+func TestElection(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, fake *fakekv.Fake) {
+		s := newSite(true)
+		fake.SetFaults(fakekv.Faults{LoseReplies: 2})
+		for i := range 9 {
+			s.start(ctx, call.VMID(strconv.Itoa(i)), free(fake.Service()))
+		}
+		time.Sleep(time.Minute)
+		before := fake.Counts()
+		time.Sleep(time.Minute)
+		numbers := map[int64]call.VMID{}
+		for _, l := range s.log {
+			numbers[l.order.Fencing] = l.vm
+		}
+		assert.Equal(t, len(numbers), 1, "%v", numbers)
+		after := fake.Counts()
+		assert.Assert(t, after.Reads-before.Reads <= 8*4, "%d reads", after.Reads-before.Reads)
+		assert.Assert(t, after.Leases-before.Leases <= 7, "%d lease calls", after.Leases-before.Leases)
+	})
+}
