Hold claims over the whole path; charge limits; learn answer lengths

Cause: a payment repeated on another VM was booked twice, limits and estimates had no effect. Ruled out: checking the claim after the queue (a repeat that the queue refuses would be told not run although its first attempt ran); telling every caller not run while the platform is down (the same lie for a repeat): a caller may declare its first attempt by a header, else the outcome is unknown. Change: io/runner begins the claim before the queue and finishes or releases it at the end; io/node wires claims, limits (two levels of homes) and estimates. Conclusion: services that remove duplicates by key themselves take no claim.

--- a/io/front/completion.go
+++ b/io/front/completion.go
@@ -53,7 +53,7 @@
 			Prefixes: p.prefixes(), PromptTokens: p.tokens(), MaxTokens: p.maxTokens(), Arrived: r.arrived, Deadline: due,
 		},
 		Kind: runner.KindEngine, Method: r.Method, Path: r.URL.Path, Header: forward(r.Header), Body: body,
-		Stream: p.Stream, AtMostOnce: policy.AtMostOnce,
+		Stream: p.Stream, AtMostOnce: policy.AtMostOnce, FirstAttempt: r.Header.Get(HeaderAttempt) == "1",
 		Retention: policy.Retention, MaxWait: policy.MaxWait, Progress: policy.Progress,
 		FirstTokenTarget: policy.FirstTokenTarget, TokenGapTarget: policy.TokenGapTarget,
 	}, nil
--- a/io/front/service.go
+++ b/io/front/service.go
@@ -48,16 +48,17 @@
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
-	idempotent := slices.Contains(service.Idempotent, r.Method)
+	key := r.Header.Get(HeaderKey)
+	idempotent := slices.Contains(service.Idempotent, r.Method) || service.RemovesDuplicates && key != ""
 	fingerprint := xxhash.Sum64(append([]byte(r.Method+" "+path+"\n"), body...))
 	return &runner.Job{
 		Call: call.Call{
 			ID: r.id, Team: r.team, Class: policy.Class, Tier: policy.Tier, Model: service.Name, Zone: s.c.Zone,
-			Key: r.Header.Get(HeaderKey), Idempotent: idempotent, Fingerprint: fingerprint,
+			Key: key, Idempotent: idempotent, Fingerprint: fingerprint,
 			Arrived: r.arrived, Deadline: due,
 		},
 		Kind: runner.KindService, Method: r.Method, Path: path, Header: forward(r.Header), Body: body,
-		AtMostOnce: !idempotent, RemovesDuplicates: service.RemovesDuplicates,
+		AtMostOnce: !idempotent, FirstAttempt: r.Header.Get(HeaderAttempt) == "1",
 		Retention: policy.Retention, MaxWait: policy.MaxWait, Progress: policy.Progress,
 		FirstTokenTarget: policy.FirstTokenTarget, TokenGapTarget: policy.TokenGapTarget,
 	}, nil
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -67,3 +67,14 @@
 	}
 	return out
 }
+
+// zones returns the live entry VMs of each zone, this one included.
+func (f *fleet) zones() map[call.Zone][]peer.Peer {
+	out := map[call.Zone][]peer.Peer{}
+	for _, vm := range f.all() {
+		if vm.Role == member.RoleEntry && (vm.State == member.StateLive || vm.ID == f.self) {
+			out[vm.Zone] = append(out[vm.Zone], peer.Peer{ID: vm.ID, Address: vm.PeerAddress})
+		}
+	}
+	return out
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -9,6 +9,8 @@
 package node
 
 import (
+	"context"
+	crand "crypto/rand"
 	"math/rand/v2"
 	"time"
 
@@ -18,16 +20,19 @@
 
 	"gentianwell/core/call"
 	"gentianwell/core/drain"
+	"gentianwell/core/estim"
 	"gentianwell/core/route"
 	"gentianwell/core/sched"
 	"gentianwell/core/spread"
 	"gentianwell/core/timer"
 	"gentianwell/io/back"
+	"gentianwell/io/claims"
 	"gentianwell/io/conf"
 	"gentianwell/io/front"
 	"gentianwell/io/kvs"
 	"gentianwell/io/metric"
 	"gentianwell/io/peer"
+	"gentianwell/io/peerpb"
 	"gentianwell/io/runner"
 )
 
@@ -38,6 +43,7 @@
 	loadInterval   = time.Second
 	fleetInterval  = 500 * time.Millisecond
 	drainInterval  = 50 * time.Millisecond
+	limitInterval  = time.Second
 )
 
 // Options are what a Node is made of.
@@ -71,6 +77,9 @@
 	gossip   *peer.Gossip
 	loads    *loads
 	metrics  *metric.Set
+	limits   *limits
+	claims   *claims.Claims
+	learned  *estimates
 }
 
 // New checks the options and puts the parts together; nothing is started.
@@ -86,7 +95,7 @@
 	n.drain = drain.New(drain.Config{Notice: time.Duration(o.Config.Notice)})
 	n.kvs = kvs.NewGateway(kvs.GatewayConfig{Addresses: o.Config.Platform}).Service()
 	n.fleet = &fleet{self: o.Config.ID, log: o.Log}
-	for _, make := range []func(Options) error{n.makeSettings, n.makeRouting, n.makePeers, n.makeFront} {
+	for _, make := range []func(Options) error{n.makeSettings, n.makePeers, n.makeLimits, n.makeClaims, n.makeRouting, n.makeFront} {
 		if err := make(o); err != nil {
 			return nil, errors.Annotate(err, "node.New")
 		}
@@ -104,6 +113,7 @@
 	randSpread
 	randMirror
 	randSettings
+	randLimits
 	randID
 )
 
@@ -117,8 +127,14 @@
 		return errors.Trace(err)
 	}
 	n.loads = &loads{fetch: n.client.FetchLoad, report: n.router.Report, now: n.now, busy: map[call.ReplicaID]bool{}}
+	estimator, err := estim.New(estim.Defaults())
+	if err != nil {
+		return errors.Trace(err)
+	}
+	n.learned = &estimates{e: estimator, now: n.now}
 	qc := sched.Defaults()
 	qc.Rand = n.rand(randQueue)
+	qc.Rate = n.learned.rate
 	queue, err := sched.New(qc)
 	if err != nil {
 		return errors.Trace(err)
@@ -128,15 +144,27 @@
 		InFlight: func() int { return n.drain.Status().InFlight }, SettingsVersion: n.settingsVersion,
 	})
 	n.runner, err = runner.New(runner.Config{
-		Queue: queue, Router: n.router, Send: n.client.Do, Estimate: estimate, Observe: n.metrics.Observe,
+		Queue: queue, Router: n.router, Send: n.client.Do, Estimate: n.learned.guess, Observe: n.metrics.Observe,
+		Allow: n.limits.allow, Settle: n.limits.settle, Learn: n.learned.learn, Dispatched: n.learned.dispatched,
+		Claims: runner.Claims{
+			Begin: n.claims.Begin, Finish: n.claims.Finish, Release: n.claims.Release, RetryAfter: n.claims.RetryAfter,
+		},
 		Now: n.now, Log: n.log,
 	})
 	return errors.Trace(err)
 }
 
-// estimate is the cost of a call of which nothing has been learned.
-func estimate(c *call.Call) (int, time.Duration) {
-	return c.PromptTokens + max(c.MaxTokens, 1), 0
+func (n *Node) makeLimits(Options) error {
+	var err error
+	n.limits, err = newLimits(&limits{
+		self: n.c.ID, zone: n.c.Zone, now: n.now, pool: n.pool, zones: n.fleet.zones,
+	}, n.rand(randLimits))
+	return errors.Trace(err)
+}
+
+func (n *Node) makeClaims(Options) error {
+	n.claims = claims.New(claims.Config{Service: n.kvs, VM: n.c.ID, Nonce: crand.Text, Now: n.now})
+	return nil
 }
 
 func (n *Node) makePeers(o Options) error {
@@ -153,6 +181,9 @@
 		Contacted:       func(time.Time, peer.Contact) {},
 		Behind:          n.follower.Behind,
 		Settings:        n.follower.Answer,
+		Shares: func(ctx context.Context, req *peerpb.SharesRequest) (*peerpb.SharesReply, error) {
+			return n.limits.shares(ctx, req)
+		},
 	})
 	return nil
 }
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -49,6 +49,7 @@
 	part(n.timers.Run)
 	part(vms.Run)
 	part(n.follower.Run)
+	part(n.claims.Run)
 	part(n.servePeers(listeners.peers))
 	addHTTP(&g, n.front.HTTP(), listeners.callers, n.c.CallersTLS)
 	addHTTP(&g, n.operatorsHTTP(), listeners.operators, nil)
@@ -86,6 +87,7 @@
 func (n *Node) subscribe() {
 	n.timers.Every("queue", queueInterval, n.runner.Tick)
 	n.timers.Every("gossip", gossipInterval, n.gossip.Round)
+	n.timers.Every("limits", limitInterval, n.limits.exchange)
 	n.timers.Every("fleet", fleetInterval, n.updateReplicas)
 	n.timers.Every("loads", loadInterval, func(time.Time) { n.loads.poll(n.fleet.replicas(n.usable)) })
 }
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -57,4 +57,5 @@
 // apply puts what a new snapshot says of the site into force.
 func (n *Node) apply(s *tree.Snapshot) {
 	n.drain.SetLimit(s.Site().StopLimit)
+	n.limits.apply(s)
 }
--- a/io/runner/attempt.go
+++ b/io/runner/attempt.go
@@ -64,6 +64,8 @@
 	end.result, end.err = n.send(ctx, target)
 	n.inspect(&end)
 	result := end.result
+	n.unmark(result)
+	n.record(result)
 	n.fresh = n.fresh || result.SilentReused()
 	n.wrote = n.wrote || !result.NotRun()
 	now := n.r.c.Now()
@@ -81,6 +83,9 @@
 	if err != nil {
 		return back.Result{Ending: back.EndingMalformed}, errors.Trace(err)
 	}
+	if err := n.mark(); err != nil {
+		return back.Result{Ending: back.EndingMalformed}, errors.Trace(err)
+	}
 	return n.r.c.Send(ctx, t, req, func(e back.Event) error { return n.pass(t.ID, e) })
 }
 
--- a/io/runner/guard.go
+++ b/io/runner/guard.go
@@ -81,7 +81,9 @@
 		return
 	}
 	if n.job.Kind == KindEngine && e.result.Complete() && e.result.Status == http.StatusOK && !e.result.Streamed {
-		_, e.fault = stream.CheckBody(n.guardConfig(), e.result.Body)
+		var usage stream.Usage
+		usage, e.fault = stream.CheckBody(n.guardConfig(), e.result.Body)
+		n.tokens = usage.CompletionTokens
 	}
 }
 
@@ -98,4 +100,5 @@
 		e.next = n.guard.End("replica " + string(e.replica) + ": " + string(e.result.Ending))
 	}
 	n.watch.wasted = n.guard.Stats().Wasted
+	n.tokens = n.guard.Stats().Tokens
 }
--- a/io/runner/job.go
+++ b/io/runner/job.go
@@ -30,8 +30,9 @@
 	// AtMostOnce is true where the request must not be run a second time. With
 	// a key in Call.Key, repeats on any VM get the recorded answer.
 	AtMostOnce bool
-	// RemovesDuplicates is true where the backend server itself runs a key once.
-	RemovesDuplicates bool
+	// FirstAttempt is true where the caller says that it has not sent the request
+	// before.
+	FirstAttempt bool
 	// Retention is how long a claim is kept, MaxWait the longest time in the
 	// queue, Progress the longest silence of a backend server.
 	Retention time.Duration
@@ -85,6 +86,8 @@
 	ReasonBadRequest   Reason = "badRequest"
 	ReasonBackend      Reason = "backendServerFailed"
 	ReasonTruncated    Reason = "answerNotWhole"
+	ReasonReplayed     Reason = "replayed"
+	ReasonNotKept      Reason = "answerNotKept"
 	ReasonCallerGone   Reason = "callerGone"
 	ReasonDeadline     Reason = "deadline"
 	ReasonStopping     Reason = "stopping"
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -22,13 +22,16 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianwell/core/call"
+	"gentianwell/core/claim"
+	"gentianwell/core/estim"
+	"gentianwell/core/limit"
 	"gentianwell/core/route"
 	"gentianwell/core/sched"
 	"gentianwell/core/stream"
 	"gentianwell/io/back"
 )
 
-// Config configures a Runner. All fields are needed.
+// Config configures a Runner.
 type Config struct {
 	Queue  *sched.Queue
 	Router *route.Router
@@ -40,8 +43,17 @@
 	Profile func(call.Model) stream.Profile
 	// Observe gets the measure of each job that has ended.
 	Observe func(Measure)
-	Now     func() time.Time
-	Log     logrus.FieldLogger
+	// Allow charges the limits of a call's team and class; nil allows all.
+	Allow func(now time.Time, c *call.Call, cost int) limit.Decision
+	// Settle charges tokens that an answer took beyond its estimated cost; may be nil.
+	Settle func(now time.Time, c *call.Call, tokens int)
+	// Learn gets what was seen of a whole answer, Dispatched each dispatch; both
+	// may be nil. Without Claims, jobs that need one are refused.
+	Learn      func(estim.Sample)
+	Dispatched func(now time.Time, model call.Model, cost int, backlogged bool)
+	Claims     Claims
+	Now        func() time.Time
+	Log        logrus.FieldLogger
 	// Attempts bounds the attempts at one job.
 	Attempts int
 	// RetryAfter is what a caller is told where nothing better is known.
@@ -59,6 +71,21 @@
 	if c.RetryAfter == 0 {
 		c.RetryAfter = time.Second
 	}
+	if c.Allow == nil {
+		c.Allow = func(time.Time, *call.Call, int) limit.Decision { return limit.Decision{Allowed: true} }
+	}
+	if c.Settle == nil {
+		c.Settle = func(time.Time, *call.Call, int) {}
+	}
+	if c.Learn == nil {
+		c.Learn = func(estim.Sample) {}
+	}
+	if c.Dispatched == nil {
+		c.Dispatched = func(time.Time, call.Model, int, bool) {}
+	}
+	if c.Claims.Begin == nil {
+		c.Claims = noClaims(c.RetryAfter)
+	}
 }
 
 // Validate checks that all needed fields are there.
@@ -97,6 +124,7 @@
 	run := &run{r: r, job: job, sink: sink}
 	answer := run.run(ctx)
 	run.logEnd(answer)
+	run.learn(answer)
 	r.c.Observe(run.measure(r.c.Now(), answer))
 	return answer
 }
@@ -117,10 +145,15 @@
 	cost    int
 	service time.Duration
 	watch   stopwatch
+	// tokens is the answer's length, zero where it is not known.
+	tokens int
 	// guard watches over a streamed answer of an engine; fault is what it found
 	// in the present attempt.
 	guard *stream.Answer
 	fault error
+	// claim is held for a job that may run only once, outcomeKept is its record.
+	claim       *claim.Attempt
+	outcomeKept claim.Outcome
 }
 
 func (n *run) run(ctx context.Context) Answer {
@@ -130,6 +163,20 @@
 		a.Message = err.Error()
 		return *a
 	}
+	if d := n.r.c.Allow(n.job.Call.Arrived, &n.job.Call, n.cost); !d.Allowed {
+		a := n.refusal(ReasonLimit, http.StatusTooManyRequests, d.RetryAfter)
+		a.Message = "over the limit " + string(d.Key)
+		return *a
+	}
+	if refusal := n.begin(ctx); refusal != nil {
+		return *refusal
+	}
+	defer n.settle(ctx)
+	return n.tryAll(ctx)
+}
+
+// tryAll makes attempts until one is the last.
+func (n *run) tryAll(ctx context.Context) Answer {
 	for {
 		g, refusal := n.r.wait(ctx, n)
 		if refusal != nil {
--- a/io/runner/wait.go
+++ b/io/runner/wait.go
@@ -117,6 +117,7 @@
 		return
 	}
 	r.c.Router.Started(now, d.Replica.ID, float64(item.Cost))
+	r.c.Dispatched(now, item.Call.Model, item.Cost, r.c.Queue.Len() > 0)
 	r.c.Router.Hints().Sent(item.Call.Model, item.Call.Prefixes, d.Replica.ID)
 	r.logDecision(now, w.n, d, reason)
 	w.done <- grant{decision: d, reason: reason}
@@ -150,12 +151,18 @@
 		Outcome: call.OutcomeNotRun, Status: status, Reason: reason, RetryAfter: retryAfter,
 		Message: "refused: " + string(reason), Started: n.started, Failed: n.started,
 	}
-	if n.wrote {
+	if n.wrote || n.mayHaveRunBefore() {
 		a.Outcome = call.OutcomeUnknown
 	}
 	return a
 }
 
+// mayHaveRunBefore reports whether an earlier request with the same key may have
+// been run: none has been ruled out before the claim is held.
+func (n *run) mayHaveRunBefore() bool {
+	return n.keyed() && n.claim == nil && !n.job.FirstAttempt
+}
+
 func statusOf(reason sched.Reason) int {
 	switch reason {
 	case sched.ReasonNotValid, sched.ReasonTwice:
