--- /dev/null
+++ b/core/tree/fuzz_test.go
@@ -0,0 +1,53 @@
+package tree
+
+import (
+	"encoding/json"
+	"testing"
+)
+
+// FuzzParse checks that no document makes Parse panic, and that a tree that was
+// accepted survives being written and read again, as a whole and by branches.
+func FuzzParse(f *testing.F) {
+	seeds := []string{
+		sample, `{}`, `null`, `{"site": null}`, `[{"a": [1, {}]}]`, `{"site": {"deadline": "1h", "tier": 1e1}}`,
+		`{"teams": {"a": {"classes": {}}}}`, `{"classes": {"é": {}}}`, `{"models": {"a.tier": {"versions": ["x"]}}}`,
+		"[{\"a\": 2/R [1, {}]}]", `{"site": {"weight": 1e999}}`,
+		`{"services": {"s": {"pathPrefix": "/a/", "idempotentMethods": []}}}`, `{"teams": {"a": {}, "a": {}}}`, "{\"site\": {\"weight\": 1}} x",
+	}
+	for _, s := range seeds {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, document []byte) {
+		first, err := Parse(document)
+		if err != nil {
+			if err.Error() == "" {
+				t.Fatal("empty message")
+			}
+			return
+		}
+		raw, err := json.Marshal(first)
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, err := Parse(raw)
+		if err != nil {
+			t.Fatalf("%s: %v", raw, err)
+		}
+		branches := map[Branch][]byte{}
+		for _, b := range first.Branches() {
+			key, err := ParseBranchKey(b.Key())
+			if err != nil || key != b {
+				t.Fatalf("%v: %v", b, err)
+			}
+			branches[b], _ = first.Encode(b)
+		}
+		third, err := Assemble(branches)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := append(first.Diff(second), first.Diff(third)...); len(d) > 0 {
+			t.Fatalf("%s: %v", document, d)
+		}
+		NewSnapshot(Document{Tree: second})
+	})
+}
--- /dev/null
+++ b/core/tree/history_test.go
@@ -0,0 +1,193 @@
+package tree
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"gentianwell/core/call"
+
+	_ "gentianwell/core/gwtest"
+)
+
+// fleet is a model of VMs, peers and a platform that may come back older. What
+// a VM has in force is moved by Judge and MergeInto alone.
+type fleet struct {
+	platform Document
+	records  Records
+	// backup is a state of the platform to which it may come back.
+	backup        Document
+	backupRecords Records
+	vms           []Document
+	// everInForce are the values that a VM had in force at some time.
+	everInForce map[string]bool
+	changes     int
+}
+
+const fleetSize = 3
+
+func newFleet() *fleet {
+	empty := Document{Tree: (&Tree{}).clone()}
+	return &fleet{
+		platform: empty, backup: empty, vms: []Document{empty, empty, empty},
+		everInForce: map[string]bool{},
+	}
+}
+
+// offer lets a VM judge a document as a follower does.
+func (f *fleet) offer(t *rapid.T, vm int, d Document) Verdict {
+	before := f.vms[vm]
+	verdict := before.Judge(d.Head).Verdict
+	if verdict != VerdictAdopt {
+		return verdict
+	}
+	f.vms[vm] = d
+	if d.Version <= before.Version {
+		t.Fatalf("VM %d went from %s to %s", vm, before.Mark, d.Mark)
+	}
+	for key := range before.Tree.Classes {
+		if _, ok := d.Tree.Classes[key]; !ok {
+			t.Fatalf("VM %d lost %s from %s to %s", vm, key, before.Mark, d.Mark)
+		}
+	}
+	for key := range d.Tree.Classes {
+		f.everInForce[string(key)] = true
+	}
+	return verdict
+}
+
+// change is accepted by the platform through a VM that is not ahead of it.
+func (f *fleet) change(t *rapid.T, vm int) {
+	if v := f.vms[vm].Judge(f.platform.Head).Verdict; v != VerdictSame && v != VerdictAdopt {
+		return
+	}
+	f.changes++
+	name := fmt.Sprintf("c%d", f.changes)
+	edits := Edits{{Path: "classes." + name, Value: []byte("{}")}}
+	next, err := f.platform.Tree.Apply(edits)
+	if err != nil {
+		t.Fatal(err)
+	}
+	head := f.platform.Next(name, "anna", time.Time{})
+	f.platform = Document{Head: head, Tree: next}
+	f.records = append(f.records[:len(f.records):len(f.records)], Record{Mark: head.Mark, Edits: edits})
+	f.offer(t, vm, f.platform)
+}
+
+// restore brings the platform up to what a VM has in force.
+func (f *fleet) restore(t *rapid.T, vm int) {
+	present, inForce := f.platform, f.vms[vm]
+	next := inForce
+	switch inForce.Judge(present.Head).Verdict {
+	case VerdictSame, VerdictAdopt:
+		return
+	case VerdictDiverged:
+		f.changes++
+		merged := inForce.MergeInto(present, Merge{Records: f.records, ChangeID: fmt.Sprintf("m%d", f.changes)})
+		if len(merged.Dropped) > 0 {
+			t.Fatalf("merge of %s and %s dropped %v", inForce.Mark, present.Mark, merged.Dropped)
+		}
+		next = merged.Document
+	}
+	record := Record{Mark: next.Mark, Edits: present.Tree.Diff(next.Tree), Covers: next.Since(present.Head)}
+	f.platform = next
+	f.records = append(f.records[:len(f.records):len(f.records)], record)
+	f.offer(t, vm, next)
+}
+
+// settle lets everybody talk until nothing changes any more.
+func (f *fleet) settle(t *rapid.T) {
+	for range 2 * fleetSize {
+		for vm := range f.vms {
+			f.restore(t, vm)
+			f.offer(t, vm, f.platform)
+		}
+	}
+	for vm, d := range f.vms {
+		if d.Mark != f.platform.Mark {
+			t.Fatalf("VM %d stays at %s, the platform is at %s", vm, d.Mark, f.platform.Mark)
+		}
+	}
+	for key := range f.everInForce {
+		if _, ok := f.platform.Tree.Classes[call.Class(key)]; !ok {
+			t.Fatalf("%s was in force and is lost at %s", key, f.platform.Mark)
+		}
+	}
+}
+
+// Whatever order changes, gossip, restarts, backups and restores come in: no VM
+// goes down or sideways, and no change that was in force anywhere is lost while
+// a VM that had it lives.
+func TestHistoriesNeverRevert(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet()
+		vm := rapid.IntRange(0, fleetSize-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"change":   func(t *rapid.T) { f.change(t, vm.Draw(t, "vm")) },
+			"platform": func(t *rapid.T) { f.offer(t, vm.Draw(t, "vm"), f.platform) },
+			"peer":     func(t *rapid.T) { f.offer(t, vm.Draw(t, "to"), f.vms[vm.Draw(t, "from")]) },
+			"restore":  func(t *rapid.T) { f.restore(t, vm.Draw(t, "vm")) },
+			"backup":   func(*rapid.T) { f.backup, f.backupRecords = f.platform, f.records },
+			"older": func(*rapid.T) {
+				f.platform, f.records = f.backup, f.backupRecords
+				f.forget()
+			},
+			"restart": func(t *rapid.T) {
+				f.vms[vm.Draw(t, "vm")] = Document{Tree: (&Tree{}).clone()}
+				f.forget()
+			},
+		})
+		f.settle(t)
+	})
+}
+
+// forget drops the values that nobody has any more, after a VM was replaced or
+// the platform came back older.
+func (f *fleet) forget() {
+	for key := range f.everInForce {
+		if !f.holdsAnywhere(key) {
+			delete(f.everInForce, key)
+		}
+	}
+}
+
+func (f *fleet) holdsAnywhere(key string) bool {
+	for _, d := range append([]Document{f.platform}, f.vms...) {
+		if _, ok := d.Tree.Classes[call.Class(key)]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+func TestHeadKeepsABoundedNumberOfMarks(t *testing.T) {
+	var h Head
+	for i := range 3 * MaxRecent {
+		h = h.Next(fmt.Sprint(i), "anna", time.Time{})
+	}
+	assert.Equal(t, len(h.Recent), MaxRecent)
+	assert.Assert(t, h.Holds(Mark{Version: 1, ChangeID: "0"}))
+	assert.Assert(t, !h.Holds(Mark{Version: h.Version - 1, ChangeID: "another"}))
+}
+
+func TestMergeDropsWhatMakesTheTreeInvalid(t *testing.T) {
+	base := Document{Head: Head{}.Next("base", "anna", time.Time{}), Tree: mustParse(t, `{"classes": {"plot": {}}, "teams": {"judges": {}}}`)}
+	commit := func(d Document, id string, edits Edits) (Document, Record) {
+		next, err := d.Tree.Apply(edits)
+		assert.NilError(t, err)
+		head := d.Next(id, "anna", time.Time{})
+		return Document{Head: head, Tree: next}, Record{Mark: head.Mark, Edits: edits}
+	}
+	ours, _ := commit(base, "ours", Edits{{Path: "classes.plot"}})
+	theirs, record := commit(base, "theirs", Edits{{Path: "teams.judges.defaultClass", Value: []byte(`"plot"`)}})
+	merged := ours.MergeInto(theirs, Merge{Records: Records{record}, ChangeID: "merge"})
+	assert.DeepEqual(t, merged.Dropped, []Mark{theirs.Mark})
+	assert.Equal(t, merged.Document.Version, int64(3))
+	assert.NilError(t, merged.Document.Tree.Validate())
+	for _, d := range []Document{ours, theirs} {
+		assert.Equal(t, d.Judge(merged.Document.Head).Verdict, VerdictAdopt)
+	}
+}
--- a/core/tree/parse.go
+++ b/core/tree/parse.go
@@ -1,9 +1,7 @@
 package tree
 
 import (
-	"bytes"
 	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
 
@@ -188,47 +186,3 @@
 }
 
 func sortedKeys(obj object) []string { return slices.Sorted(maps.Keys(obj)) }
-
-// firstDuplicate returns the path of the first key that stands twice in one
-// object, which encoding/json would pass over in silence.
-func firstDuplicate(document []byte) (string, bool) {
-	dec := json.NewDecoder(bytes.NewReader(document))
-	return duplicateIn(dec, "")
-}
-
-func duplicateIn(dec *json.Decoder, path string) (string, bool) {
-	token, err := dec.Token()
-	if err != nil {
-		return "", false
-	}
-	seen := map[string]bool{}
-	for i := 0; token == json.Delim('{') || token == json.Delim('['); i++ {
-		if !dec.More() {
-			_, _ = dec.Token()
-			return "", false
-		}
-		child := fmt.Sprint(i)
-		if token == json.Delim('{') {
-			name, err := dec.Token()
-			if err != nil {
-				return "", false
-			}
-			child = fmt.Sprint(name)
-			if seen[child] {
-				return join(path, child), true
-			}
-			seen[child] = true
-		}
-		if found, ok := duplicateIn(dec, join(path, child)); ok {
-			return found, true
-		}
-	}
-	return "", false
-}
-
-func join(path, name string) string {
-	if path == "" {
-		return name
-	}
-	return path + "." + name
-}
