--- /dev/null
+++ b/cmd/gentianwell/settings_check.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+)
+
+const settingsCheckHelp = `Checks a file with a whole tree, without any VM or platform, and names every
+mistake with its path, the value and what is allowed.
+
+Examples:
+   gentianwell settings check docs/examples/lindqvist.json
+   gentianwell settings get | gentianwell settings check -`
+
+func settingsCheckCommand() *cli.Command {
+	return &cli.Command{
+		Name: "check", Usage: "check a file", ArgsUsage: "FILE", Description: settingsCheckHelp,
+		Action: settingsCheck,
+	}
+}
+
+func settingsCheck(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() != 1 {
+		return usageError("settings check takes one FILE")
+	}
+	t, err := readTree(cmd, cmd.Args().First())
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(cmd.Root().Writer, "ok classes=%d teams=%d models=%d services=%d\n",
+		len(t.Classes), len(t.Teams), len(t.Models), len(t.Services))
+	return err
+}
--- /dev/null
+++ b/cmd/gentianwell/settings_undo.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/urfave/cli/v3"
+
+	"gentianwell/core/tree"
+	"gentianwell/io/oper"
+)
+
+const settingsUndoHelp = `Undoes one change of the history by a new change that puts its branches back as
+they were. If a later change has touched one of them, nothing is stored.
+
+Example:
+   gentianwell settings undo 17 --wait 11s`
+
+func settingsUndoCommand() *cli.Command {
+	return &cli.Command{
+		Name: "undo", Usage: "undo a change", ArgsUsage: "VERSION", Description: settingsUndoHelp,
+		Flags: changeFlags(), Action: settingsUndo,
+	}
+}
+
+func settingsUndo(ctx context.Context, cmd *cli.Command) error {
+	version, err := strconv.ParseInt(cmd.Args().First(), 10, 64)
+	if err != nil || cmd.Args().Len() != 1 {
+		return usageError("settings undo takes one VERSION; see gentianwell settings history")
+	}
+	client, err := settingsClient(cmd)
+	if err != nil {
+		return err
+	}
+	answer, err := client.Undo(ctx, oper.UndoRequest{
+		Version: version, Author: cmd.String("author"), Wait: tree.Duration(cmd.Duration("wait")),
+	})
+	if err != nil {
+		return settingsExit(err)
+	}
+	return printAnswer(cmd, answer)
+}
