--- a/io/fakes/engine.go
+++ b/io/fakes/engine.go
@@ -74,6 +74,9 @@
 // Tokens returns how many tokens were generated, whether anyone read them or not.
 func (e *Engine) Tokens() int64 { return e.tokens.Load() }
 
+// Running returns how many requests are in the batch.
+func (e *Engine) Running() int { return e.slots.inBatch() }
+
 func (e *Engine) serveFault(w http.ResponseWriter, r *http.Request) {
 	var f Fault
 	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
--- a/io/fakes/slots.go
+++ b/io/fakes/slots.go
@@ -119,6 +119,12 @@
 	}
 }
 
+func (s *slots) inBatch() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running
+}
+
 // report returns the load as it was one lag ago.
 func (s *slots) report() loadSample {
 	s.mu.Lock()
