--- /dev/null
+++ b/io/model/class.go
@@ -0,0 +1,33 @@
+package model
+
+import (
+	"time"
+
+	"gentianwell/core/call"
+)
+
+// Class is a request class of a workload.
+type Class struct {
+	Name call.Class
+	Tier call.Tier
+	// Weight is the class's part of the requests.
+	Weight float64
+	// PromptTokens and AnswerTokens are means.
+	PromptTokens, AnswerTokens int
+	// FirstToken and TokenGap are the targets; Patience is when the caller leaves.
+	FirstToken, TokenGap, Patience time.Duration
+}
+
+// Classes is a list of classes.
+type Classes []Class
+
+// classes returns the classes of all workloads: urgent ones with the letter's
+// targets, and three that can wait.
+func classes() Classes {
+	return Classes{
+		{"plot", 0, 0.30, 200, 80, 370 * time.Millisecond, 45 * time.Millisecond, 20 * time.Second},
+		{"question", 2, 0.30, 300, 150, 2 * time.Second, 60 * time.Millisecond, 30 * time.Second},
+		{"rules", 5, 0.20, 300, 150, 5 * time.Second, 80 * time.Millisecond, 60 * time.Second},
+		{"summary", 7, 0.20, 800, 350, 30 * time.Second, 100 * time.Millisecond, 180 * time.Second},
+	}
+}
--- /dev/null
+++ b/io/model/clock.go
@@ -0,0 +1,75 @@
+package model
+
+import (
+	"container/heap"
+	"time"
+)
+
+// origin is when each run begins.
+var origin = time.Unix(1_000_000, 0)
+
+// clock runs events in order of time.
+type clock struct {
+	now    time.Time
+	events eventHeap
+	seq    int
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type eventHeap []event
+
+// Len is part of heap.Interface.
+func (h eventHeap) Len() int { return len(h) }
+
+// Less is part of heap.Interface.
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].seq < h[j].seq
+	}
+	return h[i].at.Before(h[j].at)
+}
+
+// Swap is part of heap.Interface.
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push is part of heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop is part of heap.Interface.
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	*h = (*h)[:last]
+	return e
+}
+
+func (c *clock) at(t time.Time, do func()) {
+	c.seq++
+	heap.Push(&c.events, event{at: t, seq: c.seq, do: do})
+}
+
+func (c *clock) after(d time.Duration, do func()) { c.at(c.now.Add(d), do) }
+
+// every runs do at each interval until the end.
+func (c *clock) every(interval time.Duration, end time.Time, do func()) {
+	c.after(interval, func() {
+		do()
+		if c.now.Before(end) {
+			c.every(interval, end, do)
+		}
+	})
+}
+
+// run runs all events.
+func (c *clock) run() {
+	for len(c.events) > 0 {
+		e := heap.Pop(&c.events).(event)
+		c.now = e.at
+		e.do()
+	}
+}
--- /dev/null
+++ b/io/model/figures.go
@@ -0,0 +1,96 @@
+package model
+
+import (
+	"time"
+
+	"gentianwell/core/call"
+)
+
+// ClassFigures are the figures of one class.
+type ClassFigures struct {
+	Class   call.Class `json:"class"`
+	Tier    call.Tier  `json:"tier"`
+	Offered int        `json:"offered"`
+	Done    int        `json:"done"`
+	Good    int        `json:"good"`
+	Refused int        `json:"refused"`
+	Left    int        `json:"left"`
+	Failed  int        `json:"failed"`
+	// MaxGap is the longest time without a completion while requests arrived.
+	MaxGap time.Duration `json:"maxGap"`
+	last   time.Time
+}
+
+// Attainment is the part of the offered requests answered within the targets.
+func (c *ClassFigures) Attainment() float64 { return ratio(c.Good, c.Offered) }
+
+// Figures are the figures of one run.
+type Figures struct {
+	Policy   Policy         `json:"policy"`
+	Workload string         `json:"workload"`
+	Site     string         `json:"site"`
+	Seed     uint64         `json:"seed"`
+	Classes  []ClassFigures `json:"classes"`
+	// Tokens were generated, Wasted of them discarded or generated again.
+	Tokens int `json:"tokens"`
+	Wasted int `json:"wasted"`
+	// CalmOffered and CalmGood are of the teams that do not crowd.
+	CalmOffered int `json:"calmOffered"`
+	CalmGood    int `json:"calmGood"`
+}
+
+// Goodput is the number of requests answered within their targets.
+func (f *Figures) Goodput() int {
+	sum := 0
+	for _, c := range f.Classes {
+		sum += c.Good
+	}
+	return sum
+}
+
+// WastedShare is the wasted part of the generated tokens.
+func (f *Figures) WastedShare() float64 { return ratio(f.Wasted, f.Tokens) }
+
+// CalmAttainment is the attainment of the teams that do not crowd.
+func (f *Figures) CalmAttainment() float64 { return ratio(f.CalmGood, f.CalmOffered) }
+
+func ratio(a, b int) float64 {
+	if b == 0 {
+		return 0
+	}
+	return float64(a) / float64(b)
+}
+
+// count takes in how a request ended.
+func (f *Figures) count(r *request, now time.Time, calm bool) {
+	for i := range f.Classes {
+		if f.Classes[i].Class == r.class.Name {
+			f.Classes[i].count(r, now)
+		}
+	}
+	if calm {
+		f.CalmOffered++
+		if r.good() {
+			f.CalmGood++
+		}
+	}
+}
+
+func (c *ClassFigures) count(r *request, now time.Time) {
+	c.Offered++
+	switch r.state {
+	case stateDone:
+		c.Done++
+		c.MaxGap = max(c.MaxGap, now.Sub(c.last))
+		c.last = now
+	case stateRefused:
+		c.Refused++
+	case stateLeft:
+		c.Left++
+	default:
+		c.Failed++
+	}
+	if r.good() {
+		c.Good++
+	}
+}
--- /dev/null
+++ b/io/model/summary.go
@@ -0,0 +1,103 @@
+package model
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Targets are what the project's policy is to reach; they are printed before any
+// figure.
+const Targets = `Targets for the policy "tiers":
+  overload and burst at twice the capacity: attainment of tier 0 at least 99 %
+  every class completes work: no gap between completions above its tier's stated wait
+  goodput above every plain policy in each workload
+  wasted tokens below 0.5 %, where engines crash below 2 %
+Each cell: mean over the seeds (least to greatest).
+`
+
+// Spread is a mean with its least and greatest value.
+type Spread struct {
+	Mean, Least, Greatest float64
+}
+
+func spreadOf(values []float64) Spread {
+	s := Spread{Least: slices.Min(values), Greatest: slices.Max(values)}
+	for _, v := range values {
+		s.Mean += v / float64(len(values))
+	}
+	return s
+}
+
+// percent writes the spread of shares.
+func (s Spread) percent() string {
+	return fmt.Sprintf("%.1f (%.1f-%.1f)", 100*s.Mean, 100*s.Least, 100*s.Greatest)
+}
+
+func (s Spread) whole() string { return fmt.Sprintf("%.0f (%.0f-%.0f)", s.Mean, s.Least, s.Greatest) }
+
+// ClassSummary is one class over several runs.
+type ClassSummary struct {
+	Attainment Spread
+	MaxGap     time.Duration
+}
+
+// Summary is one policy over several runs.
+type Summary struct {
+	Policy          Policy
+	Goodput, Wasted Spread
+	Calm            Spread
+	Classes         []ClassSummary
+}
+
+// Summaries is a list of summaries.
+type Summaries []Summary
+
+// Summarize takes together runs that differ by their seed; there is one at least.
+func Summarize(runs []*Figures) Summary {
+	s := Summary{Policy: runs[0].Policy}
+	s.Goodput = over(runs, func(f *Figures) float64 { return float64(f.Goodput()) })
+	s.Wasted = over(runs, (*Figures).WastedShare)
+	s.Calm = over(runs, (*Figures).CalmAttainment)
+	for i := range runs[0].Classes {
+		class := ClassSummary{Attainment: over(runs, func(f *Figures) float64 { return f.Classes[i].Attainment() })}
+		for _, f := range runs {
+			class.MaxGap = max(class.MaxGap, f.Classes[i].MaxGap)
+		}
+		s.Classes = append(s.Classes, class)
+	}
+	return s
+}
+
+func over(runs []*Figures, value func(*Figures) float64) Spread {
+	var values []float64
+	for _, f := range runs {
+		values = append(values, value(f))
+	}
+	return spreadOf(values)
+}
+
+// Table writes one line for each policy: goodput in requests, attainment of each
+// class and wasted tokens in per cent, and the greatest gap between completions.
+func (s Summaries) Table() string {
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	fmt.Fprint(w, "policy\tgoodput\twasted %\tcalm teams %")
+	for _, c := range classes() {
+		fmt.Fprintf(w, "\t%s (tier %d) %%\tgap", c.Name, c.Tier)
+	}
+	fmt.Fprintln(w)
+	for _, line := range s {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s", line.Policy, line.Goodput.whole(), line.Wasted.percent(), line.Calm.percent())
+		for _, c := range line.Classes {
+			fmt.Fprintf(w, "\t%s\t%.1fs", c.Attainment.percent(), c.MaxGap.Seconds())
+		}
+		fmt.Fprintln(w)
+	}
+	if err := w.Flush(); err != nil {
+		return err.Error()
+	}
+	return b.String()
+}
