--- a/io/placer/placer_test.go
+++ b/io/placer/placer_test.go
@@ -80,6 +80,19 @@
 	return nil
 }
 
+func (s *site) wasDrained() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.drained
+}
+
+// all returns all orders so far.
+func (s *site) all() []taken {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.log)
+}
+
 // orders returns what the VM's orders were, without those that only fence.
 func (s *site) orders(vm call.VMID) []taken {
 	s.mu.Lock()
@@ -257,7 +270,7 @@
 					assert.Equal(t, l.refused, tt.checks)
 				}
 				time.Sleep(3 * time.Minute)
-				assert.Assert(t, !s.drained, "%v", s.log)
+				assert.Assert(t, !s.wasDrained(), "%v", s.all())
 				assert.Assert(t, s.copies("plots") >= 1)
 				assert.Equal(t, len(s.orders("a")), before+len(late), "a goes on ordering")
 			})
@@ -294,14 +307,14 @@
 	bubble(t, func(t *testing.T, ctx context.Context, fake *fakekv.Fake) {
 		s := newSite(true)
 		var slow, cut atomic.Bool
-		var lapsed time.Time
+		var lapsed atomic.Int64 // in Unix nanoseconds
 		at := free(fake.Service())
 		cutOff(&at.service, &cut)
 		renew := at.service.Renew
 		at.service.Renew = func(ctx context.Context, id kvs.LeaseID) (time.Duration, error) {
 			ttl, err := renew(ctx, id)
 			if slow.CompareAndSwap(true, false) {
-				lapsed = time.Now().Add(ttl)
+				lapsed.Store(time.Now().Add(ttl).UnixNano())
 				time.Sleep(time.Minute)
 				cut.Store(true)
 			}
@@ -309,15 +322,15 @@
 		}
 		s.start(ctx, "a", at)
 		time.Sleep(20 * time.Second)
-		first := s.log[0].order.Fencing
+		first := s.all()[0].order.Fencing
 		slow.Store(true)
 		time.Sleep(30 * time.Second)
 		s.mu.Lock()
 		s.needs = append(s.needs, place.Need{Artifact: place.Artifact{Model: "ink"}, Copies: 1, Megabytes: 1})
 		s.mu.Unlock()
 		time.Sleep(2 * time.Minute)
-		for _, l := range s.log {
-			assert.Assert(t, l.order.Fencing != first || l.at.Before(lapsed), "%v", l)
+		for _, l := range s.all() {
+			assert.Assert(t, l.order.Fencing != first || l.at.UnixNano() < lapsed.Load(), "%v", l)
 		}
 		assert.Equal(t, s.copies("ink"), 1)
 	})
@@ -332,14 +345,14 @@
 		at := free(fake.Service())
 		var once sync.Once
 		at.order = func() {
-			if len(s.log) == len(s.replicas) { // the first after the fencing ones
+			if len(s.all()) == 3 { // the first after the fencing ones
 				once.Do(func() { time.Sleep(2 * time.Minute) })
 			}
 		}
 		s.start(ctx, "a", at)
 		time.Sleep(4 * time.Minute)
 		first := map[int64]string{}
-		for _, l := range s.log {
+		for _, l := range s.all() {
 			if _, ok := first[l.order.Fencing]; !ok {
 				first[l.order.Fencing] = l.order.Reason
 			}
@@ -374,7 +387,7 @@
 		}
 		time.Sleep(10 * time.Second)
 		holders := map[call.VMID]bool{}
-		for _, l := range s.log {
+		for _, l := range s.all() {
 			holders[l.vm] = true
 		}
 		assert.Equal(t, len(holders), 1, "%v", holders)
@@ -394,7 +407,7 @@
 		before := fake.Counts()
 		time.Sleep(time.Minute)
 		numbers := map[int64]call.VMID{}
-		for _, l := range s.log {
+		for _, l := range s.all() {
 			numbers[l.order.Fencing] = l.vm
 		}
 		assert.Equal(t, len(numbers), 1, "%v", numbers)
