--- a/io/claims/config.go
+++ b/io/claims/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"gentianwell/core/call"
 	"gentianwell/core/claim"
@@ -50,6 +51,9 @@
 	Timeout time.Duration
 	// Repeat is how often debts are tried again.
 	Repeat time.Duration
+	// Log gets a line for each write that is given up; logrus's standard logger by
+	// default.
+	Log logrus.FieldLogger
 }
 
 // Defaults returns the config with all unset fields filled in.
@@ -57,6 +61,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Log == nil {
+		c.Log = logrus.StandardLogger()
+	}
 	if c.Prefix == "" {
 		c.Prefix = DefaultPrefix
 	}
--- a/io/claims/debts.go
+++ b/io/claims/debts.go
@@ -16,7 +16,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.debts) >= c.config.MaxDebts {
-		logrus.WithField("attempt", c.debts[0].Request().ID).Warn("claim write dropped")
+		dropped := c.debts[0].Request()
+		c.config.Log.WithFields(logrus.Fields{
+			"event": "claimDropped", "request": dropped.ID, "team": dropped.Team, "model": dropped.Service,
+		}).Warn("claim's last write given up")
 		c.debts = c.debts[1:]
 	}
 	c.debts = append(c.debts, attempt)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -21,6 +21,7 @@
 	"gentianwell/core/call"
 	"gentianwell/core/drain"
 	"gentianwell/core/estim"
+	"gentianwell/core/place"
 	"gentianwell/core/route"
 	"gentianwell/core/sched"
 	"gentianwell/core/spread"
@@ -33,6 +34,7 @@
 	"gentianwell/io/metric"
 	"gentianwell/io/peer"
 	"gentianwell/io/peerpb"
+	"gentianwell/io/placer"
 	"gentianwell/io/runner"
 )
 
@@ -55,6 +57,9 @@
 	Seed uint64
 	// Dial opens connections to peers; nil dials TCP.
 	Dial peer.DialFunc
+	// Placement configures the planning of orders to engines; zero fields get
+	// their defaults.
+	Placement place.Config
 }
 
 // Node is the process of one entry VM.
@@ -79,6 +84,7 @@
 	metrics  *metric.Set
 	limits   *limits
 	claims   *claims.Claims
+	placer   *placer.Placer
 	learned  *estimates
 }
 
@@ -95,7 +101,7 @@
 	n.drain = drain.New(drain.Config{Notice: time.Duration(o.Config.Notice)})
 	n.kvs = kvs.NewGateway(kvs.GatewayConfig{Addresses: o.Config.Platform}).Service()
 	n.fleet = &fleet{self: o.Config.ID, log: o.Log}
-	for _, make := range []func(Options) error{n.makeSettings, n.makePeers, n.makeLimits, n.makeClaims, n.makeRouting, n.makeFront} {
+	for _, make := range []func(Options) error{n.makeSettings, n.makePeers, n.makeLimits, n.makeClaims, n.makeRouting, n.makePlacer, n.makeFront} {
 		if err := make(o); err != nil {
 			return nil, errors.Annotate(err, "node.New")
 		}
@@ -163,7 +169,7 @@
 }
 
 func (n *Node) makeClaims(Options) error {
-	n.claims = claims.New(claims.Config{Service: n.kvs, VM: n.c.ID, Nonce: crand.Text, Now: n.now})
+	n.claims = claims.New(claims.Config{Service: n.kvs, VM: n.c.ID, Nonce: crand.Text, Now: n.now, Log: n.log})
 	return nil
 }
 
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -50,6 +50,7 @@
 	part(vms.Run)
 	part(n.follower.Run)
 	part(n.claims.Run)
+	part(n.placer.Run)
 	part(n.servePeers(listeners.peers))
 	addHTTP(&g, n.front.HTTP(), listeners.callers, n.c.CallersTLS)
 	addHTTP(&g, n.operatorsHTTP(), listeners.operators, nil)
--- a/io/placer/config.go
+++ b/io/placer/config.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"gentianwell/core/call"
 	"gentianwell/core/place"
@@ -19,6 +20,8 @@
 	defaultMargin   = 3 * time.Second
 	defaultInterval = time.Second
 	defaultMaxFence = 64
+	// resignTimeout bounds the giving back of the lease at the end.
+	resignTimeout = time.Second
 	// renewShare and pollShare are divisors of the TTL that give how often the
 	// holder renews the lease and the others look whether it is free.
 	renewShare = 5
@@ -68,6 +71,8 @@
 	//
 	// Errors: ErrRefused, ErrNotSent; after others the order may have been taken.
 	Order func(ctx context.Context, o Order) error
+	// Log gets a line for each order; logrus's standard logger by default.
+	Log logrus.FieldLogger
 }
 
 // Defaults returns the config with all unset fields filled in.
@@ -75,6 +80,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Log == nil {
+		c.Log = logrus.StandardLogger()
+	}
 	if c.Key == "" {
 		c.Key = DefaultKey
 	}
--- a/io/placer/elect.go
+++ b/io/placer/elect.go
@@ -35,6 +35,18 @@
 	return nil
 }
 
+// resign gives the lease back, so that another VM needs not wait for its end.
+func (e *elector) resign() error {
+	if e.tenure == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
+	defer cancel()
+	err := e.config.Service.Revoke(ctx, e.lease)
+	e.drop()
+	return errors.Annotate(err, "elector.resign")
+}
+
 func (e *elector) drop() { e.tenure, e.lease = nil, 0 }
 
 func (e *elector) renew(ctx context.Context, now time.Time) error {
--- a/io/placer/placer.go
+++ b/io/placer/placer.go
@@ -44,6 +44,9 @@
 	for {
 		select {
 		case <-ctx.Done():
+			if err := p.elector.resign(); err != nil {
+				p.config.Log.WithError(err).WithField("event", "placerLease").Warn("lease not given back")
+			}
 			return nil
 		case <-due:
 			p.step(ctx)
@@ -84,7 +87,7 @@
 // keep takes or keeps the lease, and reports whether it is held.
 func (p *Placer) keep(ctx context.Context) bool {
 	if err := p.elector.step(ctx); err != nil {
-		logrus.WithError(err).WithField("event", "placerLease").Warn("lease not renewed or taken")
+		p.config.Log.WithError(err).WithField("event", "placerLease").Warn("lease not renewed or taken")
 	}
 	tenure := p.elector.tenure
 	if tenure == nil {
@@ -94,7 +97,7 @@
 		p.number = tenure.Fencing
 		p.planner = place.NewPlanner(p.config.Planner)
 		p.fenced = map[call.ReplicaID]time.Time{}
-		logrus.WithFields(logrus.Fields{"event": "placerTaken", "vm": p.config.VM, "fencing": p.number}).Info("placer took over")
+		p.config.Log.WithFields(logrus.Fields{"event": "placerTaken", "vm": p.config.VM, "fencing": p.number}).Info("placer took over")
 	}
 	return true
 }
@@ -171,7 +174,7 @@
 }
 
 func (p *Placer) log(o place.Order, err error) {
-	logrus.WithFields(logrus.Fields{
+	p.config.Log.WithFields(logrus.Fields{
 		"event": "order", "replica": o.Replica, "model": o.Artifact.String(), "action": o.Action,
 		"reason": o.Reason, "fencing": p.number, "error": err,
 	}).Info("order given")
--- a/io/placer/placer_test.go
+++ b/io/placer/placer_test.go
@@ -394,6 +394,21 @@
 	})
 }
 
+// A holder that stops gives the lease back.
+func TestResign(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, fake *fakekv.Fake) {
+		s := newSite(true)
+		first, stop := context.WithCancel(ctx)
+		s.start(first, "a", free(fake.Service()))
+		time.Sleep(5 * time.Second)
+		s.start(ctx, "b", free(fake.Service()))
+		stop()
+		time.Sleep(defaultTTL/pollShare + 2*time.Second)
+		all := s.all()
+		assert.Equal(t, all[len(all)-1].vm, call.VMID("b"))
+	})
+}
+
 // Only one of several VMs holds the lease, although replies of its creation are
 // lost, and the standing-by ones cost the platform little.
 func TestElection(t *testing.T) {
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -30,6 +30,7 @@
 	"gentianwell/core/call"
 	"gentianwell/core/gwtest"
 	"gentianwell/core/member"
+	"gentianwell/core/place"
 	"gentianwell/core/tree"
 	"gentianwell/io/conf"
 	"gentianwell/io/fakekv"
@@ -65,6 +66,8 @@
 	Dial func(from call.VMID) peer.DialFunc
 	// Notice is how long a planned stop leaves the balancer.
 	Notice time.Duration
+	// Placement configures the planning of orders to engines.
+	Placement place.Config
 }
 
 // Entry is one entry VM.
@@ -224,7 +227,7 @@
 	if s.c.Dial != nil {
 		dial = s.c.Dial(e.ID)
 	}
-	n, err := node.New(node.Options{Config: e.config, Log: log, Now: time.Now, Seed: gwtest.Seed() + uint64(i), Dial: dial})
+	n, err := node.New(node.Options{Config: e.config, Log: log, Now: time.Now, Seed: gwtest.Seed() + uint64(i), Dial: dial, Placement: s.c.Placement})
 	assert.NilError(t, err)
 	e.Node = n
 	ctx, cancel := context.WithCancel(context.Background())
