--- a/io/claims/claims_test.go
+++ b/io/claims/claims_test.go
@@ -20,9 +20,27 @@
 
 func nonce() string { return strconv.FormatInt(nonces.Add(1), 10) }
 
+// every is the timer service of a bubble.
+func every(ctx context.Context) func(string, time.Duration, func(time.Time)) func() {
+	return func(_ string, interval time.Duration, fn func(time.Time)) func() {
+		ticker := time.NewTicker(interval)
+		go func() {
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case now := <-ticker.C:
+					fn(now)
+				}
+			}
+		}()
+		return ticker.Stop
+	}
+}
+
 // startVM runs Claims of one VM until the context ends.
 func startVM(ctx context.Context, vm call.VMID, svc kvs.Service) *Claims {
-	c := New(Config{Service: svc, VM: vm, Nonce: nonce})
+	c := New(Config{Service: svc, VM: vm, Nonce: nonce, Every: every(ctx)})
 	go func() {
 		if err := c.Run(ctx); err != nil {
 			panic(err)
--- a/io/claims/config.go
+++ b/io/claims/config.go
@@ -30,8 +30,10 @@
 	Service kvs.Service
 	VM      call.VMID
 	// Nonce returns a string that no other call on any VM ever returned.
-	Nonce  func() string
-	Now    func() time.Time
+	Nonce func() string
+	Now   func() time.Time
+	// Every subscribes to the timer service.
+	Every  func(name string, interval time.Duration, fn func(now time.Time)) func()
 	Prefix string
 	// Retention is for how long a claim surely exists; up to a quarter is added.
 	Retention time.Duration
@@ -93,8 +95,8 @@
 	switch {
 	case c.VM == "":
 		return errors.NotValidf("Config.Validate: empty VM")
-	case c.Nonce == nil:
-		return errors.NotValidf("Config.Validate: no Nonce")
+	case c.Nonce == nil || c.Every == nil:
+		return errors.NotValidf("Config.Validate: no Nonce or Every")
 	case c.Service.Transact == nil || c.Service.Grant == nil:
 		return errors.NotValidf("Config.Validate: no Service")
 	}
--- a/io/claims/debts.go
+++ b/io/claims/debts.go
@@ -27,13 +27,19 @@
 
 // payDebts tries the pending writes until ctx ends.
 func (c *Claims) payDebts(ctx context.Context) {
-	tick := time.NewTicker(c.config.Repeat)
-	defer tick.Stop()
+	due := make(chan struct{}, 1)
+	stop := c.config.Every("claim debts", c.config.Repeat, func(time.Time) {
+		select {
+		case due <- struct{}{}:
+		default:
+		}
+	})
+	defer stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-due:
 			c.payAll(ctx)
 		}
 	}
--- a/io/claims/doc.go
+++ b/io/claims/doc.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	c := claims.New(claims.Config{Service: svc, VM: "e1", Nonce: rand.Text})
+//	c := claims.New(claims.Config{Service: svc, VM: "e1", Nonce: rand.Text, Every: timers.Every})
 //	group.Add(func() error { return c.Run(ctx) }, func(error) { cancel() })
 //
 //	attempt := c.Begin(ctx, claim.Request{ID: id, Team: team, Service: model, Key: key, Fingerprint: sum})
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -169,7 +169,7 @@
 }
 
 func (n *Node) makeClaims(Options) error {
-	n.claims = claims.New(claims.Config{Service: n.kvs, VM: n.c.ID, Nonce: crand.Text, Now: n.now, Log: n.log})
+	n.claims = claims.New(claims.Config{Service: n.kvs, VM: n.c.ID, Nonce: crand.Text, Now: n.now, Every: n.timers.Every, Log: n.log})
 	return nil
 }
 
