Keep claims for as long as the settings say

Cause: claimRetention was accepted but not used; claims were kept 24 h. Each retention in use has a lease of its own. Less than an hour is raised to an hour: a claim has to outlive any pause of its holder.

TestOwnRetention fails without the least retention, and with one lease's time for all. go test -count=1 ./io/claims: ok, 2.2 s.

--- a/core/claim/attempt.go
+++ b/core/claim/attempt.go
@@ -34,8 +34,6 @@
 	Nonce func() string
 	// Now is the time before the first write.
 	Now time.Time
-	// Retention is for how long a record surely exists.
-	Retention time.Duration
 	// MaxBody bounds the stored body, in bytes.
 	MaxBody int
 }
--- a/core/claim/claim_test.go
+++ b/core/claim/claim_test.go
@@ -13,12 +13,11 @@
 
 func newAttempt(req Request) *Attempt {
 	return NewAttempt(AttemptConfig{
-		Request: req, VM: "e1", Nonce: func() string { return "n" }, Now: start,
-		Retention: 24 * time.Hour, MaxBody: 4,
+		Request: req, VM: "e1", Nonce: func() string { return "n" }, Now: start, MaxBody: 4,
 	})
 }
 
-var request = Request{ID: "r1", Team: "judges", Service: "entries", Key: "k", Fingerprint: 7}
+var request = Request{ID: "r1", Team: "judges", Service: "entries", Key: "k", Fingerprint: 7, Retention: 24 * time.Hour}
 
 // An attempt whose reply is lost and can't be settled ends as "not run", is
 // never sent, and gives back what it may have claimed once the platform answers.
@@ -172,8 +171,8 @@
 func Example() {
 	now := time.Unix(0, 0)
 	a := NewAttempt(AttemptConfig{
-		Request: Request{ID: "r-1", Team: "judges", Service: "entries", Key: "entry-17", Fingerprint: 42},
-		VM:      "e1", Nonce: func() string { return "n-1" }, Now: now, Retention: time.Hour, MaxBody: 100,
+		Request: Request{ID: "r-1", Team: "judges", Service: "entries", Key: "entry-17", Fingerprint: 42, Retention: time.Hour},
+		VM:      "e1", Nonce: func() string { return "n-1" }, Now: now, MaxBody: 100,
 	})
 	write := a.Next()
 	fmt.Println(write.If, write.Put.State, a.Request().Path())
--- a/core/claim/holder.go
+++ b/core/claim/holder.go
@@ -26,7 +26,7 @@
 	if a.phase != phaseHeld {
 		return errors.Annotatef(ErrNotHeld, "Attempt.Send: %s", a.phase)
 	}
-	if age := a.age(now); age > a.config.Retention/sendShare {
+	if age := a.age(now); age > a.config.Request.Retention/sendShare {
 		return errors.Annotatef(ErrExpired, "Attempt.Send: %s", age)
 	}
 	a.phase = phaseSent
--- a/core/claim/machine_test.go
+++ b/core/claim/machine_test.go
@@ -62,10 +62,10 @@
 	nonces := 0
 	c := AttemptConfig{
 		Request: Request{
-			ID: id, Team: "t", Service: "s", Key: "k",
+			ID: id, Team: "t", Service: "s", Key: "k", Retention: time.Hour,
 			Fingerprint: rapid.SampledFrom([]uint64{1, 1, 1, 2}).Draw(t, "body"),
 		},
-		VM: call.VMID(id), Retention: time.Hour, MaxBody: 10,
+		VM: call.VMID(id), MaxBody: 10,
 		Nonce: func() string { nonces++; return id + "." + strconv.Itoa(nonces) },
 	}
 	m.all = append(m.all, &handling{Attempt: NewAttempt(c)})
--- a/core/claim/request.go
+++ b/core/claim/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/url"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -24,6 +25,8 @@
 	// Dedupes is true where the settings say that the service removes duplicates
 	// by the key itself.
 	Dedupes bool
+	// Retention is for how long the claim and its outcome are kept at least.
+	Retention time.Duration
 }
 
 // Validate checks the request.
--- a/io/claims/claims.go
+++ b/io/claims/claims.go
@@ -50,9 +50,13 @@
 	if err := req.Validate(); err != nil {
 		return nil, errors.Annotate(err, "Claims.Begin")
 	}
+	if req.Retention == 0 {
+		req.Retention = c.config.Retention
+	}
+	req.Retention = max(req.Retention, MinRetention)
 	attempt := claim.NewAttempt(claim.AttemptConfig{
 		Request: req, VM: c.config.VM, Nonce: c.config.Nonce, Now: c.config.Now(),
-		Retention: c.config.Retention, MaxBody: c.config.MaxBody,
+		MaxBody: c.config.MaxBody,
 	})
 	if !c.admit() {
 		attempt.Apply(claim.Reply{Result: claim.ResultNoEffect})
@@ -61,7 +65,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
 	defer cancel()
 	for attempt.Verdict().Kind == "" {
-		attempt.Apply(c.writer.write(ctx, req.Path(), attempt.Next()))
+		attempt.Apply(c.writer.write(ctx, req, attempt.Next()))
 	}
 	kind := attempt.Verdict().Kind
 	c.report(kind != claim.KindRefused && kind != claim.KindPassOn)
@@ -108,7 +112,7 @@
 func (c *Claims) settle(ctx context.Context, attempt *claim.Attempt) error {
 	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
 	defer cancel()
-	reply := c.writer.write(ctx, attempt.Request().Path(), attempt.Next())
+	reply := c.writer.write(ctx, attempt.Request(), attempt.Next())
 	attempt.Apply(reply)
 	if !attempt.Pending() {
 		return nil
--- a/io/claims/claims_test.go
+++ b/io/claims/claims_test.go
@@ -144,6 +144,30 @@
 	})
 }
 
+// A request's own retention counts, but no less than the least one.
+func TestOwnRetention(t *testing.T) {
+	tests := []struct{ own, want time.Duration }{
+		{2 * time.Hour, 2 * time.Hour}, {time.Minute, MinRetention}, {0, defaultRetention},
+	}
+	for _, tt := range tests {
+		t.Run(tt.own.String(), func(t *testing.T) {
+			inBubble(t, func(t *testing.T, _ *fakekv.Fake, a, b *Claims) {
+				req := claim.Request{ID: "r", Team: "t", Service: "s", Key: "k", Retention: tt.own}
+				for _, c := range []*Claims{a, b} {
+					begun, err := c.Begin(t.Context(), req)
+					assert.NilError(t, err)
+					wantKind(t, begun, claim.KindRun)
+					time.Sleep(tt.want - time.Minute)
+					again, err := b.Begin(t.Context(), req)
+					assert.NilError(t, err)
+					wantKind(t, again, claim.KindInProgress)
+					time.Sleep(tt.want/leaseShare + 2*time.Minute)
+				}
+			})
+		})
+	}
+}
+
 func TestLostReply(t *testing.T) {
 	faults := map[string]fakekv.Faults{
 		"reply": {LoseReplies: 1}, "request": {LoseRequests: 1}, "both": {LoseRequests: 1, LoseReplies: 1},
--- a/io/claims/config.go
+++ b/io/claims/config.go
@@ -14,6 +14,10 @@
 // DefaultPrefix is the prefix of all claims' keys.
 const DefaultPrefix = "gentianwell/claims/"
 
+// MinRetention is the least retention, which has to be far above any pause of a
+// VM: a shorter one is raised to it.
+const MinRetention = time.Hour
+
 const (
 	defaultRetention = 24 * time.Hour
 	defaultMaxBatch  = 64
@@ -35,7 +39,8 @@
 	// Every subscribes to the timer service.
 	Every  func(name string, interval time.Duration, fn func(now time.Time)) func()
 	Prefix string
-	// Retention is for how long a claim surely exists; up to a quarter is added.
+	// Retention is for how long a claim surely exists where the request says
+	// nothing; up to a quarter is added.
 	Retention time.Duration
 	// MaxBody bounds a stored answer's body, in bytes.
 	MaxBody int
--- a/io/claims/debts.go
+++ b/io/claims/debts.go
@@ -66,7 +66,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
 	defer cancel()
 	for attempt.Pending() {
-		reply := c.writer.write(ctx, attempt.Request().Path(), attempt.Next())
+		reply := c.writer.write(ctx, attempt.Request(), attempt.Next())
 		attempt.Apply(reply)
 		if reply.Result == claim.ResultNoEffect || reply.Result == claim.ResultUnknown {
 			return false
--- a/io/claims/item.go
+++ b/io/claims/item.go
@@ -1,6 +1,8 @@
 package claims
 
 import (
+	"time"
+
 	"gentianwell/core/claim"
 	"gentianwell/io/kvs"
 )
@@ -15,10 +17,11 @@
 
 // item is one waiting write.
 type item struct {
-	key   string
-	write claim.Write
-	value []byte
-	reply chan claim.Reply
+	key       string
+	retention time.Duration
+	write     claim.Write
+	value     []byte
+	reply     chan claim.Reply
 	// shared counts the transactions that failed by others' conditions.
 	shared int
 }
--- a/io/claims/lease.go
+++ b/io/claims/lease.go
@@ -14,26 +14,35 @@
 // after the retention at least, whether this VM still exists or not.
 const leaseShare = 4
 
-// retention gives the lease for new records.
-type retention struct {
+// usedLease is a lease and until when new records get it.
+type usedLease struct {
+	id    kvs.LeaseID
+	until time.Time
+}
+
+// leases gives the leases for new records, one for each retention in use.
+type leases struct {
 	config Config
-	lease  kvs.LeaseID
-	until  time.Time
+	used   map[time.Duration]usedLease
+}
+
+func newLeases(c Config) *leases {
+	return &leases{config: c, used: map[time.Duration]usedLease{}}
 }
 
-func (r *retention) get(ctx context.Context) (kvs.LeaseID, error) {
-	now := r.config.Now()
-	if r.lease != 0 && now.Before(r.until) {
-		return r.lease, nil
+func (l *leases) get(ctx context.Context, retention time.Duration) (kvs.LeaseID, error) {
+	now := l.config.Now()
+	if lease, ok := l.used[retention]; ok && now.Before(lease.until) {
+		return lease.id, nil
 	}
-	use := r.config.Retention / leaseShare
-	lease, err := r.config.Service.Grant(ctx, r.config.Retention+use)
+	use := retention / leaseShare
+	lease, err := l.config.Service.Grant(ctx, retention+use)
 	if err != nil {
-		return 0, errors.Annotate(err, "retention.get")
+		return 0, errors.Annotate(err, "leases.get")
 	}
-	r.lease, r.until = lease.ID, now.Add(use)
-	return r.lease, nil
+	l.used[retention] = usedLease{id: lease.ID, until: now.Add(use)}
+	return lease.ID, nil
 }
 
-// forget drops a lease that the service doesn't know any more.
-func (r *retention) forget() { r.lease = 0 }
+// forget drops the leases, one of which the service doesn't know any more.
+func (l *leases) forget() { clear(l.used) }
--- a/io/claims/writer.go
+++ b/io/claims/writer.go
@@ -13,8 +13,8 @@
 
 // writer groups writes into transactions, one of which is under way at a time.
 type writer struct {
-	config    Config
-	retention *retention
+	config Config
+	leases *leases
 
 	mu    sync.Mutex
 	queue []*item
@@ -22,17 +22,20 @@
 }
 
 func newWriter(c Config) *writer {
-	return &writer{config: c, retention: &retention{config: c}, ready: make(chan struct{}, 1)}
+	return &writer{config: c, leases: newLeases(c), ready: make(chan struct{}, 1)}
 }
 
 // write carries out one write. A write given up before its transaction began
 // has no effect; one given up later may have one.
-func (w *writer) write(ctx context.Context, path string, cw claim.Write) claim.Reply {
+func (w *writer) write(ctx context.Context, req claim.Request, cw claim.Write) claim.Reply {
 	value, err := cw.Put.Encode()
 	if err != nil {
 		return claim.Reply{Result: claim.ResultNoEffect}
 	}
-	it := &item{key: w.config.Prefix + path, write: cw, value: value, reply: make(chan claim.Reply, 1)}
+	it := &item{
+		key: w.config.Prefix + req.Path(), retention: req.Retention,
+		write: cw, value: value, reply: make(chan claim.Reply, 1),
+	}
 	if !w.enqueue(it) {
 		return claim.Reply{Result: claim.ResultNoEffect}
 	}
@@ -138,15 +141,15 @@
 
 // commit does one transaction and tells the outcome to all of its items.
 func (w *writer) commit(ctx context.Context, batch []*item) {
-	lease, err := w.retention.get(ctx)
+	txn, err := w.transaction(ctx, batch)
 	if err != nil {
 		replyAll(batch, claim.Reply{Result: claim.ResultNoEffect})
 		return
 	}
-	result, err := w.config.Service.Transact(ctx, transaction(batch, lease))
+	result, err := w.config.Service.Transact(ctx, txn)
 	switch {
 	case errors.Is(err, kvs.ErrLeaseLapsed):
-		w.retention.forget()
+		w.leases.forget()
 		w.requeue(batch)
 	case errors.Is(err, kvs.ErrUnavailable):
 		replyAll(batch, claim.Reply{Result: claim.ResultNoEffect})
@@ -189,14 +192,18 @@
 	w.signal()
 }
 
-func transaction(batch []*item, lease kvs.LeaseID) kvs.Txn {
+func (w *writer) transaction(ctx context.Context, batch []*item) (kvs.Txn, error) {
 	var txn kvs.Txn
 	for _, it := range batch {
+		lease, err := w.leases.get(ctx, it.retention)
+		if err != nil {
+			return kvs.Txn{}, errors.Annotate(err, "writer.transaction")
+		}
 		txn.Compares = append(txn.Compares, it.compare())
 		txn.Then = append(txn.Then, kvs.Put(it.key, it.value, lease))
 		txn.Else = append(txn.Else, kvs.Get(it.key))
 	}
-	return txn
+	return txn, nil
 }
 
 func replyAll(batch []*item, reply claim.Reply) {
--- a/io/runner/claim.go
+++ b/io/runner/claim.go
@@ -49,6 +49,7 @@
 	c := &n.job.Call
 	attempt, err := n.r.c.Claims.Begin(ctx, claim.Request{
 		ID: c.ID, Team: c.Team, Service: c.Model, Key: c.Key, Fingerprint: c.Fingerprint,
+		Retention: n.job.Retention,
 	})
 	if err != nil {
 		a := n.refusal(ReasonBadRequest, http.StatusBadRequest, 0)
