Share the platform's writes between the VMs

Cause: 20 ms between transactions is 450/s for 9 VMs, and 16500/s for 330. Each VM now keeps to 300/s divided by the number of VMs; claims that wait share a transaction. TestRate fails without the share (200 transactions, 11 allowed).

--- a/io/claims/claims_test.go
+++ b/io/claims/claims_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -248,6 +249,29 @@
 	})
 }
 
+// One of 330 VMs keeps to its share of the platform's writes, however many
+// claims it makes; they share its transactions.
+func TestRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fake := fakekv.New(fakekv.Config{})
+		c := New(Config{
+			Service: fake.Service(), VM: "a", Nonce: nonce, Every: every(ctx), VMs: func() int { return 330 },
+		})
+		go func() { assert.Check(t, c.Run(ctx)) }()
+		var all sync.WaitGroup
+		for i := range 200 {
+			all.Go(func() { wantKind(t, begin(t, c, "r", strconv.Itoa(i)), claim.KindRun) })
+			time.Sleep(50 * time.Millisecond)
+		}
+		all.Wait()
+		// Ten seconds of claims, at most one transaction each 1.1 s.
+		assert.Assert(t, fake.Counts().Txns <= 11, "%d transactions", fake.Counts().Txns)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // A lease that the service has forgotten is replaced.
 func TestLeaseLapse(t *testing.T) {
 	inBubble(t, func(t *testing.T, fake *fakekv.Fake, a, _ *Claims) {
--- a/io/claims/config.go
+++ b/io/claims/config.go
@@ -24,6 +24,7 @@
 	defaultMaxQueue  = 1024
 	defaultMaxDebts  = 1024
 	defaultGap       = 20 * time.Millisecond
+	defaultMaxRate   = 300
 	defaultPause     = 500 * time.Millisecond
 	defaultTimeout   = 3 * time.Second
 	defaultRepeat    = time.Second
@@ -49,9 +50,12 @@
 	MaxBatch int
 	MaxQueue int
 	MaxDebts int
-	// Gap is the least time between the starts of two transactions: with n VMs
-	// the service gets at most n/Gap of them a second.
+	// Gap is the least time between the starts of two transactions.
 	Gap time.Duration
+	// MaxRate bounds the transactions of all VMs together, each second, and VMs
+	// returns how many VMs there are; each takes an equal share.
+	MaxRate float64
+	VMs     func() int
 	// Pause is for how long attempts are refused at once after a failure.
 	Pause time.Duration
 	// Timeout bounds Begin, and each try of Finish and Release.
@@ -71,6 +75,9 @@
 	if c.Log == nil {
 		c.Log = logrus.StandardLogger()
 	}
+	if c.VMs == nil {
+		c.VMs = func() int { return 1 }
+	}
 	if c.Prefix == "" {
 		c.Prefix = DefaultPrefix
 	}
@@ -80,6 +87,7 @@
 	setDefault(&c.MaxQueue, defaultMaxQueue)
 	setDefault(&c.MaxDebts, defaultMaxDebts)
 	setDefault(&c.Gap, defaultGap)
+	setDefault(&c.MaxRate, defaultMaxRate)
 	setDefault(&c.Pause, defaultPause)
 	setDefault(&c.Timeout, defaultTimeout)
 	setDefault(&c.Repeat, defaultRepeat)
@@ -93,6 +101,12 @@
 	}
 }
 
+// gap returns the time between transactions that keeps all VMs within MaxRate.
+func (c Config) gap() time.Duration {
+	share := time.Duration(float64(c.VMs()) / c.MaxRate * float64(time.Second))
+	return max(c.Gap, share)
+}
+
 // Validate checks the config.
 //
 // Errors: NotValid with the field's name.
--- a/io/claims/writer.go
+++ b/io/claims/writer.go
@@ -98,7 +98,7 @@
 
 // pace keeps the gap to the next transaction; writes gather meanwhile.
 func (w *writer) pace(ctx context.Context, started time.Time) {
-	rest := w.config.Gap - w.config.Now().Sub(started)
+	rest := w.config.gap() - w.config.Now().Sub(started)
 	if rest <= 0 {
 		return
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -169,7 +169,10 @@
 }
 
 func (n *Node) makeClaims(Options) error {
-	n.claims = claims.New(claims.Config{Service: n.kvs, VM: n.c.ID, Nonce: crand.Text, Now: n.now, Every: n.timers.Every, Log: n.log})
+	n.claims = claims.New(claims.Config{
+		Service: n.kvs, VM: n.c.ID, Nonce: crand.Text, Now: n.now, Every: n.timers.Every, Log: n.log,
+		VMs: func() int { return len(n.fleet.peers()) + 1 },
+	})
 	return nil
 }
 
