Let a VM at rest make a few claims at once

A token bucket takes the place of the even gap. go test -run FleetRate -v ./io/claims, 330 VMs and 2 of 100 calls claimed: mean wait for a claim 261 ms before, 42 ms after; p95 994 ms and 303 ms; 88 and 106 transactions/s. With 10 of 100 it stays at 478 ms and 334/s: there the share is used up.

TestRate and TestFleetRate fail without the bucket.

--- a/io/claims/config.go
+++ b/io/claims/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"gentianwell/core/call"
 	"gentianwell/core/claim"
@@ -101,11 +102,8 @@
 	}
 }
 
-// gap returns the time between transactions that keeps all VMs within MaxRate.
-func (c Config) gap() time.Duration {
-	share := time.Duration(float64(c.VMs()) / c.MaxRate * float64(time.Second))
-	return max(c.Gap, share)
-}
+// share returns this VM's transactions a second.
+func (c Config) share() rate.Limit { return rate.Limit(c.MaxRate / float64(c.VMs())) }
 
 // Validate checks the config.
 //
--- a/io/claims/writer.go
+++ b/io/claims/writer.go
@@ -6,15 +6,22 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/time/rate"
 
 	"gentianwell/core/claim"
 	"gentianwell/io/kvs"
 )
 
+// burst is how many transactions a VM may do at once after a rest: a few claims
+// with their finishes.
+const burst = 4
+
 // writer groups writes into transactions, one of which is under way at a time.
 type writer struct {
 	config Config
 	leases *leases
+	// budget is this VM's share of the platform's transactions.
+	budget *rate.Limiter
 
 	mu    sync.Mutex
 	queue []*item
@@ -22,7 +29,10 @@
 }
 
 func newWriter(c Config) *writer {
-	return &writer{config: c, leases: newLeases(c), ready: make(chan struct{}, 1)}
+	return &writer{
+		config: c, leases: newLeases(c), ready: make(chan struct{}, 1),
+		budget: rate.NewLimiter(c.share(), burst),
+	}
 }
 
 // write carries out one write. A write given up before its transaction began
@@ -96,9 +106,11 @@
 	}
 }
 
-// pace keeps the gap to the next transaction; writes gather meanwhile.
+// pace waits until the next transaction is due; writes gather meanwhile.
 func (w *writer) pace(ctx context.Context, started time.Time) {
-	rest := w.config.gap() - w.config.Now().Sub(started)
+	now := w.config.Now()
+	w.budget.SetLimitAt(now, w.config.share())
+	rest := max(w.config.Gap-now.Sub(started), w.budget.ReserveN(now, 1).DelayFrom(now))
 	if rest <= 0 {
 		return
 	}
