Serve the settings to operators; record an outcome before its answer

Cause: make demo failed at the payment's repeat on another VM: the answer was handed over before its record was written, and the repeat was told that the request was in progress. Ruled out: waiting for the record however long it takes (a platform that is down would hold the answer); the wait is 100 ms at most, the write goes on after it. Change: run.settle before the answer; io/oper wired into io/node, with the settings version of every VM.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -31,6 +31,7 @@
 	"gentianwell/io/front"
 	"gentianwell/io/kvs"
 	"gentianwell/io/metric"
+	"gentianwell/io/oper"
 	"gentianwell/io/peer"
 	"gentianwell/io/peerpb"
 	"gentianwell/io/runner"
@@ -68,6 +69,7 @@
 	kvs      kvs.Service
 	fleet    *fleet
 	follower *conf.Follower
+	oper     *oper.Settings
 	router   *route.Router
 	client   *back.Client
 	runner   *runner.Runner
--- a/io/node/operators.go
+++ b/io/node/operators.go
@@ -32,6 +32,7 @@
 	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.HandleFunc("GET /status", n.operator(n.status))
 	mux.HandleFunc("POST /drain", n.operator(n.startDrain))
+	n.oper.Register(mux, n.operator)
 	return &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
 }
 
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -8,6 +8,7 @@
 	"gentianwell/core/call"
 	"gentianwell/core/tree"
 	"gentianwell/io/conf"
+	"gentianwell/io/oper"
 	"gentianwell/io/peerpb"
 )
 
@@ -21,6 +22,10 @@
 		Self: n.c.ID, Store: store, Timer: n.timers, Rand: n.rand(randSettings), Log: n.log,
 		Fetch: n.fetchSettings, Apply: n.apply,
 	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	n.oper, err = oper.New(oper.Config{Follower: n.follower, Store: store, Versions: n.versions, Log: n.log})
 	return errors.Trace(err)
 }
 
--- a/io/runner/claim.go
+++ b/io/runner/claim.go
@@ -126,13 +126,19 @@
 	}
 }
 
-// settle ends the claim: finished where the job may have run, else given back.
-func (n *run) settle(ctx context.Context) {
-	if n.claim == nil {
+// settleTimeout bounds the wait for the record; the write goes on after it. It is
+// short, as the caller's answer waits for it.
+const settleTimeout = 100 * time.Millisecond
+
+// settle ends the claim: finished where the job may have run, else given back. A
+// second call changes nothing. A caller that is gone does not stop it.
+func (n *run) settle() {
+	if n.claim == nil || n.settled {
 		return
 	}
-	// The record outlives a caller that is gone.
-	ctx = context.WithoutCancel(ctx)
+	n.settled = true
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
 	if n.wrote {
 		n.logClaim(n.r.c.Claims.Finish(ctx, n.claim, n.outcomeKept))
 		return
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -154,6 +154,7 @@
 	// claim is held for a job that may run only once, outcomeKept is its record.
 	claim       *claim.Attempt
 	outcomeKept claim.Outcome
+	settled     bool
 }
 
 func (n *run) run(ctx context.Context) Answer {
@@ -171,7 +172,7 @@
 	if refusal := n.begin(ctx); refusal != nil {
 		return *refusal
 	}
-	defer n.settle(ctx)
+	defer n.settle()
 	return n.tryAll(ctx)
 }
 
@@ -228,6 +229,8 @@
 // finish hands over an answer that came whole.
 func (n *run) finish(e attemptEnd) Answer {
 	if !e.result.Streamed {
+		// A repeat that follows the answer at once has to find it.
+		n.settle()
 		if err := n.whole(e.replica, e.result); err != nil {
 			return n.failure(e, statusCallerGone, ReasonCallerGone)
 		}
