Keep each VM to its share of the places and the batch to the pace

By the count of late first tokens and late gaps: every VM took the same free places on a report that was 0.3 to 4 s old, so that engines queued what the VMs should have held back; and at a full batch, prefill took the pace beyond 45 ms.

--- /dev/null
+++ b/core/estim/window.go
@@ -0,0 +1,109 @@
+package estim
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// WindowConfig configures a Window.
+type WindowConfig struct {
+	// Least and Greatest bound the batch: the requests on one replica at a time.
+	Least, Greatest float64
+	// TokenGap is the target for the mean time between an answer's tokens.
+	TokenGap time.Duration
+	// Part is the part of the answers that is to meet it.
+	Part float64
+	// Interval is the time between two changes of the batch.
+	Interval time.Duration
+	// Up is added to the batch, Down multiplies it.
+	Up, Down float64
+	// Spare is the load of a replica, as a part of the batch, below which a VM may
+	// use more than its share, and Over how far beyond its share it goes anyway.
+	Spare, Over float64
+}
+
+// WindowDefaults returns a valid config.
+func WindowDefaults() WindowConfig {
+	return WindowConfig{
+		Least: 4, Greatest: 32, TokenGap: 45 * time.Millisecond, Part: 0.97,
+		Interval: time.Second, Up: 0.5, Down: 0.94, Spare: 0.75, Over: 0.05,
+	}
+}
+
+// Validate checks the config.
+//
+// Errors: NotValid.
+func (c *WindowConfig) Validate() error {
+	switch {
+	case c.Least < 1 || c.Greatest < c.Least:
+		return errors.NotValidf("WindowConfig.Validate: Least %g, Greatest %g", c.Least, c.Greatest)
+	case c.TokenGap <= 0 || c.Interval <= 0 || c.Part <= 0 || c.Part >= 1:
+		return errors.NotValidf("WindowConfig.Validate: TokenGap %s, Interval %s, Part %g", c.TokenGap, c.Interval, c.Part)
+	case c.Up <= 0 || c.Down <= 0 || c.Down >= 1 || c.Spare < 0 || c.Over < 0:
+		return errors.NotValidf("WindowConfig.Validate: Up %g, Down %g, Spare %g, Over %g", c.Up, c.Down, c.Spare, c.Over)
+	}
+	return nil
+}
+
+// Window decides whether a VM may send one more call to a model's replicas. It
+// keeps the VM to its share of all replicas' places, because load reports are
+// too old to say how many places the other VMs have taken since; and it learns
+// the batch at which answers keep the target between tokens.
+type Window struct {
+	config     WindowConfig
+	batch      float64
+	seen, late int
+	changed    time.Time
+}
+
+// NewWindow returns a window of the greatest batch.
+//
+// Errors: NotValid where the config is.
+func NewWindow(c WindowConfig) (*Window, error) {
+	if err := c.Validate(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &Window{config: c, batch: c.Greatest}, nil
+}
+
+// Finished learns from an answer's mean time between tokens.
+func (w *Window) Finished(now time.Time, perToken time.Duration) {
+	if perToken <= 0 {
+		return
+	}
+	w.seen++
+	if perToken > w.config.TokenGap {
+		w.late++
+	}
+	if now.Sub(w.changed) < w.config.Interval || w.seen < minWindowSamples {
+		return
+	}
+	w.change()
+	w.seen, w.late, w.changed = 0, 0, now
+}
+
+func (w *Window) change() {
+	if float64(w.late) > (1-w.config.Part)*float64(w.seen) {
+		w.batch = max(w.config.Least, w.batch*w.config.Down)
+		return
+	}
+	w.batch = min(w.config.Greatest, w.batch+w.config.Up)
+}
+
+// Batch returns the number of requests that a replica is to run at a time.
+func (w *Window) Batch() float64 { return w.batch }
+
+// Allows reports whether the VM, one of vms, may send one more call with inFlight
+// of its own on the replicas. Running is the number of requests on the least
+// loaded replica, by the last reports.
+func (w *Window) Allows(inFlight, replicas, vms int, running float64) bool {
+	share := w.batch * float64(replicas) / float64(max(1, vms))
+	if float64(inFlight) < share*(1+w.config.Over) {
+		return running < w.batch
+	}
+	return running < w.batch*w.config.Spare
+}
+
+// minWindowSamples is how many answers a change of the batch needs.
+const minWindowSamples = 8
--- a/io/model/figures.go
+++ b/io/model/figures.go
@@ -16,6 +16,10 @@
 	Refused int        `json:"refused"`
 	Left    int        `json:"left"`
 	Failed  int        `json:"failed"`
+	// LateFirst and LateGap are done requests whose first token or whose mean time
+	// between tokens missed its target.
+	LateFirst int `json:"lateFirst"`
+	LateGap   int `json:"lateGap"`
 	// MaxGap is the longest time without a completion while requests arrived.
 	MaxGap time.Duration `json:"maxGap"`
 	last   time.Time
@@ -83,6 +87,12 @@
 		c.Done++
 		c.MaxGap = max(c.MaxGap, now.Sub(c.last))
 		c.last = now
+		if r.first.Sub(r.arrived) > r.class.FirstToken {
+			c.LateFirst++
+		}
+		if r.gap() > r.class.TokenGap {
+			c.LateGap++
+		}
 	case stateRefused:
 		c.Refused++
 	case stateLeft:
