--- a/core/estim/window.go
+++ b/core/estim/window.go
@@ -26,8 +26,8 @@
 // WindowDefaults returns a valid config.
 func WindowDefaults() WindowConfig {
 	return WindowConfig{
-		Least: 4, Greatest: 32, TokenGap: 45 * time.Millisecond, Part: 0.97,
-		Interval: time.Second, Up: 0.5, Down: 0.94, Spare: 0.75, Over: 0.05,
+		Least: 4, Greatest: 32, TokenGap: 45 * time.Millisecond, Part: 0.99,
+		Interval: time.Second, Up: 0.5, Down: 0.9, Spare: 0.75, Over: 0.05,
 	}
 }
 
--- a/core/sched/entry.go
+++ b/core/sched/entry.go
@@ -17,11 +17,18 @@
 	seq uint64
 	// index is the place in the expiry heap.
 	index int
+	// late is true where the entry is among its class's late ones.
+	late  bool
 	class *flow
 	// The neighbours in the tier's and in the class's order of arrival.
 	inTier, inClass links
 }
 
+// stale reports whether fresh items of the class go first.
+func (e *entry) stale(now time.Time) bool {
+	return e.item.FreshFor > 0 && now.Sub(e.arrived) >= e.item.FreshFor
+}
+
 type links struct{ prev, next *entry }
 
 // entryHeap is a heap of entries by expiry.
--- a/core/sched/flow.go
+++ b/core/sched/flow.go
@@ -1,5 +1,7 @@
 package sched
 
+import "time"
+
 // flow is one team within a tier, or one class within a team.
 type flow struct {
 	key string
@@ -15,13 +17,36 @@
 	classes *fair
 	// team is a class's team; nil for a team.
 	team *flow
-	// waiting are a class's items.
-	waiting chain
+	// waiting are a class's items in order of arrival, late those of them that
+	// fresh ones go before.
+	waiting, late chain
 	// items and tokens are what waits.
 	items  int
 	tokens int
 }
 
+// head returns a class's entry that goes next: the oldest fresh one, or else the
+// oldest; there is one.
+func (f *flow) head(now time.Time) *entry {
+	for e := f.waiting.first; e != nil; e = f.waiting.first {
+		if !e.stale(now) {
+			return e
+		}
+		f.waiting.remove(e)
+		e.late = true
+		f.late.push(e)
+	}
+	return f.late.first
+}
+
+// chain returns the list that holds the entry.
+func (f *flow) chain(e *entry) *chain {
+	if e.late {
+		return &f.late
+	}
+	return &f.waiting
+}
+
 // flowHeap is a heap of flows by start (busy) or finish (idle).
 type flowHeap struct {
 	list []*flow
--- a/core/sched/item.go
+++ b/core/sched/item.go
@@ -16,6 +16,11 @@
 	// Service is the estimated time from dispatch to the end of the answer. It
 	// only matters where the call has a deadline.
 	Service time.Duration
+	// FreshFor is how long the item goes in order of arrival. After it, newer
+	// items of its class that are still fresh go first, since dispatching it in
+	// time for its target is not possible any more; it is given up on no sooner
+	// for that. Zero: always in order of arrival.
+	FreshFor time.Duration
 }
 
 // Validate checks that the item can be queued.
@@ -25,8 +30,8 @@
 	if err := i.Call.Validate(); err != nil {
 		return errors.Annotate(err, "Item.Validate")
 	}
-	if i.Cost < 1 || i.Service < 0 {
-		return errors.NotValidf("Item.Validate: cost %d, service %s", i.Cost, i.Service)
+	if i.Cost < 1 || i.Service < 0 || i.FreshFor < 0 {
+		return errors.NotValidf("Item.Validate: cost %d, service %s, fresh for %s", i.Cost, i.Service, i.FreshFor)
 	}
 	return nil
 }
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -113,7 +113,7 @@
 	if tier == nil {
 		return Item{}, reason, false
 	}
-	e := tier.head()
+	e := tier.head(now)
 	m.dispatched(now, e, reason)
 	q.forget(e)
 	q.drop(m)
--- a/core/sched/tier.go
+++ b/core/sched/tier.go
@@ -26,7 +26,7 @@
 		team.classes = newFair()
 	}
 	class := team.classes.flow(string(e.item.Call.Class))
-	class.team, class.waiting.of = team, classLinks
+	class.team, class.waiting.of, class.late.of = team, classLinks, classLinks
 	e.class = class
 	class.waiting.push(e)
 	t.arrived.push(e)
@@ -36,8 +36,8 @@
 }
 
 // head returns the entry that goes next; there is one.
-func (t *tierQueue) head() *entry {
-	return t.teams.first().classes.first().waiting.first
+func (t *tierQueue) head(now time.Time) *entry {
+	return t.teams.first().classes.first().head(now)
 }
 
 // dispatch takes out the head and charges its team and class.
@@ -52,7 +52,7 @@
 // remove takes out any entry without a charge.
 func (t *tierQueue) remove(e *entry) {
 	class := e.class
-	class.waiting.remove(e)
+	class.chain(e).remove(e)
 	t.arrived.remove(e)
 	t.count(e, -1)
 	class.team.classes.settle(class)
