Take slots from load reports; watch only the subset

Cause: engines say how many requests they batch, but the router took a default; a VM read the reports of the whole fleet. Conclusion: go test -count=1 ./core/route ./io/back passes.

--- a/core/route/config.go
+++ b/core/route/config.go
@@ -14,7 +14,7 @@
 const (
 	defaultChoices         = 2
 	defaultSlots           = 16
-	defaultSubsetMin       = 20
+	defaultSubsetMin       = 6
 	defaultSubsetCover     = 20
 	defaultReportMaxAge    = 10 * time.Second
 	defaultSlowStart       = 20 * time.Second
--- a/core/route/load_test.go
+++ b/core/route/load_test.go
@@ -66,3 +66,16 @@
 	assert.Equal(t, s.ownAt(at(0)), 9*historyLen)
 	assert.Equal(t, s.ownAt(at(time.Hour)), 10*historyLen-1)
 }
+
+// What a replica says of its slots holds, also after the list has changed.
+func TestSlotsByReport(t *testing.T) {
+	r := newRouter(t, Config{})
+	list := fleet(3, 1)
+	list[0].Slots = 0
+	r.SetReplicas(t0, list)
+	assert.Equal(t, r.byID["r0"].Slots, defaultSlots)
+	r.Report(t0, "r0", Load{Slots: 2, Taken: t0})
+	r.SetReplicas(t0, list[:2])
+	assert.Equal(t, r.byID["r0"].Slots, 2)
+	assert.DeepEqual(t, len(r.Watched()), 2)
+}
--- a/core/route/pool.go
+++ b/core/route/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -105,7 +106,7 @@
 }
 
 // Subset returns the replicas of the model that the VM talks to, those of its
-// own zone first. Their load reports are worth fetching.
+// own zone first.
 func (r *Router) Subset(model call.Model) []call.ReplicaID {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -119,3 +120,17 @@
 	}
 	return out
 }
+
+// Watched returns the replicas in the subsets of all models, in the order of
+// their ids: those whose load reports the VM needs.
+func (r *Router) Watched() Replicas {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seen := map[call.ReplicaID]Replica{}
+	for _, p := range r.pools {
+		for _, s := range slices.Concat(p.local, p.remote) {
+			seen[s.ID] = s.Replica
+		}
+	}
+	return slices.SortedFunc(maps.Values(seen), func(a, b Replica) int { return cmp.Compare(a.ID, b.ID) })
+}
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -74,15 +75,13 @@
 }
 
 func (r *Router) set(now time.Time, replica Replica) {
-	if replica.Slots <= 0 {
-		replica.Slots = r.c.Slots
-	}
 	s := r.byID[replica.ID]
 	if s == nil || s.Address != replica.Address {
 		s = r.fresh(now, s)
 		r.byID[replica.ID] = s
 	}
 	s.Replica = replica
+	s.Slots = cmp.Or(s.saidSlots, replica.Slots, r.c.Slots)
 	s.listed = true
 }
 
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -23,6 +23,8 @@
 	// foreign is the other VMs' load by the last report, taken at reported.
 	foreign  float64
 	reported time.Time
+	// saidSlots are the slots by its own report; zero: it has not said.
+	saidSlots int
 	// alone counts own calls in flight that have to be alone, keptUntil is how
 	// long the replica is kept free for one, reservedUntil what another VM told.
 	alone         int
@@ -79,6 +81,10 @@
 		return false
 	}
 	s.reported = taken
+	if l.Slots > 0 {
+		s.Slots = l.Slots
+		s.saidSlots = l.Slots
+	}
 	s.foreign = float64(max(0, l.Running+l.Waiting-s.ownAt(taken)))
 	return true
 }
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -33,6 +33,8 @@
 	// Running and Waiting are requests, those of all VMs.
 	Running int
 	Waiting int
+	// Slots is how many requests it runs at the same time; zero: it does not say.
+	Slots int
 	// Taken is when the replica measured it.
 	Taken time.Time
 }
--- a/io/back/load.go
+++ b/io/back/load.go
@@ -11,6 +11,9 @@
 	"github.com/prometheus/common/model"
 )
 
+// ErrNoReport means that the backend server answered, but not with a load report.
+const ErrNoReport = errors.ConstError("no load report")
+
 // MetricNames names the metrics of a load report; the first that a report has counts.
 type MetricNames struct {
 	Running []string
@@ -42,7 +45,8 @@
 
 // FetchLoad reads a backend server's load report.
 //
-// Errors: those of Do; NotFound where the report lacks the metrics.
+// Errors: those of Do, where there is no answer; ErrNoReport where there is one
+// that can't be used.
 func (c *Client) FetchLoad(ctx context.Context, t Target) (Load, error) {
 	req := Request{Method: http.MethodGet, Path: "/metrics", FirstTimeout: c.c.ProgressTimeout}
 	res, err := c.Do(ctx, t, req, nil)
@@ -50,12 +54,12 @@
 		return Load{}, errors.Annotate(err, "Client.FetchLoad")
 	}
 	if res.Status != http.StatusOK {
-		return Load{}, errors.Errorf("Client.FetchLoad: replica %q: status %d", t.ID, res.Status)
+		return Load{}, errors.Annotatef(ErrNoReport, "Client.FetchLoad: replica %q: status %d", t.ID, res.Status)
 	}
 	parser := expfmt.NewTextParser(model.UTF8Validation)
 	families, err := parser.TextToMetricFamilies(bytes.NewReader(res.Body))
 	if err != nil {
-		return Load{}, errors.Annotatef(err, "Client.FetchLoad: replica %q", t.ID)
+		return Load{}, errors.Annotatef(ErrNoReport, "Client.FetchLoad: replica %q: %v", t.ID, err)
 	}
 	return c.c.Metrics.load(families)
 }
@@ -63,7 +67,7 @@
 func (m MetricNames) load(families map[string]*dto.MetricFamily) (Load, error) {
 	running, found := sumOf(families, m.Running)
 	if !found {
-		return Load{}, errors.NotFoundf("metric %q", m.Running)
+		return Load{}, errors.Annotatef(ErrNoReport, "no metric of %q", m.Running)
 	}
 	waiting, _ := sumOf(families, m.Waiting)
 	slots, _ := sumOf(families, m.Slots)
