Judge VMs by statements, heartbeats and opinions in the daemon

Cause: the daemon took new work's targets from the platform's list alone, which lags and has outages. Change: io/node keeps a member.View.

--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -13,12 +14,17 @@
 	"gentianwell/io/peer"
 )
 
-// fleet is what the platform's list says of the VMs.
+// fleet is what this VM knows of the others.
 type fleet struct {
 	self call.VMID
+	view *member.View
+	now  func() time.Time
 	log  logrus.FieldLogger
-	mu   sync.Mutex
-	vms  member.VMs
+	// mu guards what refresh has found.
+	mu       sync.Mutex
+	known    []peer.Peer
+	backends route.Replicas
+	vms      int
 }
 
 // set takes a new copy of the platform's list. An entry that cannot be read is
@@ -33,37 +39,60 @@
 		}
 		vms = append(vms, vm)
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.vms = vms
+	reason := f.view.SetList(f.now(), vms)
+	f.log.WithFields(logrus.Fields{"event": "vmList", "vms": len(vms), "reason": reason}).Debug("list of VMs")
+	f.refresh(f.now())
 }
 
-// all returns the list.
-func (f *fleet) all() member.VMs {
+// refresh judges all VMs anew.
+func (f *fleet) refresh(now time.Time) {
+	entries := f.view.Judged(now, member.RoleEntry)
+	backends := append(toReplicas(f.view.Usable(now, member.RoleEngine)), toReplicas(f.view.Usable(now, member.RoleService))...)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.vms
+	f.known = f.toPeers(entries)
+	f.backends = backends
+	f.vms = len(entries.VMs())
 }
 
-// peers returns the other entry VMs.
-func (f *fleet) peers() []peer.Peer {
+// toPeers leaves out this VM, but not silent ones: they are asked until they
+// answer again.
+func (f *fleet) toPeers(entries member.Verdicts) []peer.Peer {
 	var out []peer.Peer
-	for _, vm := range f.all() {
-		if vm.Role == member.RoleEntry && vm.ID != f.self && vm.PeerAddress.IsValid() {
-			out = append(out, peer.Peer{ID: vm.ID, Address: vm.PeerAddress})
+	for _, v := range entries {
+		reachable := v.VM.PeerAddress.IsValid() && !v.VM.PeerAddress.Addr().IsUnspecified()
+		if v.VM.ID != f.self && v.Reason != member.ReasonGone && reachable {
+			out = append(out, peer.Peer{ID: v.VM.ID, Address: v.VM.PeerAddress})
 		}
 	}
 	return out
 }
 
-// replicas returns the backend servers that may get new work.
-func (f *fleet) replicas(usable func(member.VM) bool) route.Replicas {
-	var out route.Replicas
-	for _, vm := range f.all() {
-		if vm.Role == member.RoleEntry || !usable(vm) {
-			continue
-		}
+func toReplicas(vms member.VMs) route.Replicas {
+	out := make(route.Replicas, 0, len(vms))
+	for _, vm := range vms {
 		out = append(out, route.Replica{ID: call.ReplicaID(vm.ID), Zone: vm.Zone, Address: vm.Address, Models: vm.Models})
 	}
 	return out
 }
+
+// peers returns the other entry VMs.
+func (f *fleet) peers() []peer.Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known
+}
+
+// replicas returns the backend servers that may get new work.
+func (f *fleet) replicas() route.Replicas {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.backends
+}
+
+// entries returns the number of entry VMs that serve.
+func (f *fleet) entries() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.vms
+}
--- a/io/node/loads.go
+++ b/io/node/loads.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"gentianwell/core/call"
+	"gentianwell/core/member"
 	"gentianwell/core/route"
 	"gentianwell/io/back"
 )
@@ -14,14 +17,22 @@
 type loads struct {
 	fetch  func(context.Context, back.Target) (back.Load, error)
 	report func(now time.Time, id call.ReplicaID, l route.Load) bool
-	now    func() time.Time
-	mu     sync.Mutex
-	busy   map[call.ReplicaID]bool
+	// view gets each read as a health check.
+	view *member.View
+	now  func() time.Time
+	mu   sync.Mutex
+	busy map[call.ReplicaID]bool
+	turn int
 }
 
-// poll begins to read the report of each replica.
+// maxPolls bounds the reports read at a time; more replicas take turns.
+const maxPolls = 24
+
+// poll begins to read the reports of the replicas, of so many at a time.
 func (l *loads) poll(replicas route.Replicas) {
-	for _, r := range replicas {
+	for range min(len(replicas), maxPolls) {
+		l.turn++
+		r := replicas[l.turn%len(replicas)]
 		if l.begin(r.ID) {
 			go l.read(back.Target{ID: r.ID, Address: r.Address})
 		}
@@ -42,11 +53,16 @@
 	defer l.end(t.ID)
 	asked := l.now()
 	load, err := l.fetch(context.Background(), t)
+	if err != nil && !errors.Is(err, back.ErrNoReport) {
+		l.view.Missed(l.now(), call.VMID(t.ID))
+		return
+	}
+	l.view.Answered(l.now(), call.VMID(t.ID), member.StateLive)
 	if err != nil {
-		// The report grows old and counts for less; runs tell whether it fails.
+		// It lives, but has no report: what it has from others is not known.
 		return
 	}
-	l.report(l.now(), t.ID, route.Load{Running: load.Running, Waiting: load.Waiting, Taken: asked})
+	l.report(l.now(), t.ID, route.Load{Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Taken: asked})
 }
 
 func (l *loads) end(id call.ReplicaID) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -18,6 +18,8 @@
 
 	"gentianwell/core/call"
 	"gentianwell/core/drain"
+	"gentianwell/core/member"
+	"gentianwell/core/poison"
 	"gentianwell/core/route"
 	"gentianwell/core/sched"
 	"gentianwell/core/spread"
@@ -61,6 +63,8 @@
 	drain    *drain.Machine
 	kvs      kvs.Service
 	fleet    *fleet
+	members  *members
+	poison   *poison.Registry
 	follower *conf.Follower
 	router   *route.Router
 	client   *back.Client
@@ -85,8 +89,7 @@
 	n.timers = timer.New(timer.Config{Now: o.Now})
 	n.drain = drain.New(drain.Config{Notice: time.Duration(o.Config.Notice)})
 	n.kvs = kvs.NewGateway(kvs.GatewayConfig{Addresses: o.Config.Platform}).Service()
-	n.fleet = &fleet{self: o.Config.ID, log: o.Log}
-	for _, make := range []func(Options) error{n.makeSettings, n.makeRouting, n.makePeers, n.makeFront} {
+	for _, make := range []func(Options) error{n.makeFleet, n.makeSettings, n.makeRouting, n.makePeers, n.makeFront} {
 		if err := make(o); err != nil {
 			return nil, errors.Annotate(err, "node.New")
 		}
@@ -107,6 +110,16 @@
 	randID
 )
 
+func (n *Node) makeFleet(Options) error {
+	view, err := member.New(member.Config{Zone: n.c.Zone})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	n.fleet = &fleet{self: n.c.ID, view: view, now: n.now, log: n.log}
+	n.poison, err = poison.New(poison.Config{Self: n.c.ID})
+	return errors.Trace(err)
+}
+
 func (n *Node) makeRouting(Options) error {
 	var err error
 	n.router, err = route.New(route.Config{Self: n.c.ID, Zone: n.c.Zone, Rand: n.rand(randRoute)})
@@ -116,7 +129,7 @@
 	if n.client, err = back.New(back.Config{}); err != nil {
 		return errors.Trace(err)
 	}
-	n.loads = &loads{fetch: n.client.FetchLoad, report: n.router.Report, now: n.now, busy: map[call.ReplicaID]bool{}}
+	n.loads = &loads{fetch: n.client.FetchLoad, report: n.router.Report, view: n.fleet.view, now: n.now, busy: map[call.ReplicaID]bool{}}
 	qc := sched.Defaults()
 	qc.Rand = n.rand(randQueue)
 	queue, err := sched.New(qc)
@@ -146,11 +159,18 @@
 	}
 	n.pool = peer.NewPool(peer.PoolConfig{Dial: o.Dial, TLS: clientTLS})
 	n.store = spread.New(spread.Config{Self: n.c.ID, Rand: n.rand(randSpread)})
+	own, err := member.NewSelf(n.now(), member.VM{
+		ID: n.c.ID, Zone: n.c.Zone, Role: member.RoleEntry, Address: n.c.Callers, PeerAddress: n.c.Peers,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	n.members = &members{self: n.c.ID, view: n.fleet.view, own: own, store: n.store, log: n.log}
 	n.gossip = peer.NewGossip(peer.GossipConfig{
 		Self: n.c.ID, Zone: n.c.Zone, Pool: n.pool, Store: n.store, Peers: n.fleet.peers, Now: n.now,
 		SettingsVersion: n.settingsVersion,
-		Heard:           func(time.Time, spread.Items) {},
-		Contacted:       func(time.Time, peer.Contact) {},
+		Heard:           n.heard,
+		Contacted:       n.members.contacted,
 		Behind:          n.follower.Behind,
 		Settings:        n.follower.Answer,
 	})
--- a/io/node/operators.go
+++ b/io/node/operators.go
@@ -59,7 +59,7 @@
 func (n *Node) Status() Status {
 	return Status{
 		VM: n.c.ID, Zone: n.c.Zone, SettingsVersion: n.settingsVersion(), Ready: n.ready(), Stop: n.drain.Status(),
-		Peers: len(n.fleet.peers()), Replicas: len(n.fleet.replicas(n.usable)), Ejected: n.router.Ejected(n.now()),
+		Peers: len(n.fleet.peers()), Replicas: len(n.fleet.replicas()), Ejected: n.router.Ejected(n.now()),
 	}
 }
 
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -87,16 +87,19 @@
 	n.timers.Every("queue", queueInterval, n.runner.Tick)
 	n.timers.Every("gossip", gossipInterval, n.gossip.Round)
 	n.timers.Every("fleet", fleetInterval, n.updateReplicas)
-	n.timers.Every("loads", loadInterval, func(time.Time) { n.loads.poll(n.fleet.replicas(n.usable)) })
+	n.timers.Every("loads", loadInterval, func(time.Time) { n.loads.poll(n.router.Watched()) })
 }
 
+// updateReplicas hands the fleet as it is now to the router and tells the others
+// what this VM sees.
 func (n *Node) updateReplicas(now time.Time) {
-	n.router.SetReplicas(now, n.fleet.replicas(n.usable))
-	n.router.SetVMs(len(n.fleet.peers()) + 1)
+	n.fleet.refresh(now)
+	n.router.SetReplicas(now, n.fleet.replicas())
+	n.router.SetVMs(n.fleet.entries())
+	n.members.spread(now, n.fleet.entries())
+	n.spreadSuspects(now)
 }
 
-func (n *Node) usable(vm member.VM) bool { return vm.State == member.StateLive }
-
 func (n *Node) servePeers(listener net.Listener) func(context.Context) error {
 	return func(ctx context.Context) error {
 		serverTLS, err := n.c.PeersTLS.serverTLS()
@@ -161,6 +164,7 @@
 // StartDrain begins a planned stop.
 func (n *Node) StartDrain() {
 	n.drain.Start(n.now())
+	n.members.leave(n.now())
 	n.log.WithFields(logrus.Fields{"event": "draining", "vm": n.c.ID, "inFlight": n.drain.Status().InFlight}).Info("planned stop begun")
 }
 
