Bound retries and requests that crash backend servers in the runner

Cause: the runner tried again by count alone, and a request that crashes each server that runs it could take down one server after the other. Ruled out: taking a lost connection for a crash. With connections cut by a relay (TestStreamIsWholeDespiteLostConnections/cut) whole engines were counted as crashed and the stream was refused; the replica is asked whether it answers now. Polling only usable replicas: a silent one was never asked again and stayed out; silent ones are asked in turn, four a second. Change: core/retry decides about further attempts; core/poison lets suspects run alone on a replica that is kept free, refuses convicted requests with 422, and delays a failed answer after a crash until the other VMs have heard of it. /status lists the VMs that get no new work, with the reason. The benches of runner_test.go and stream_test.go got the new fields; no check in them was changed.

--- a/io/back/load.go
+++ b/io/back/load.go
@@ -64,6 +64,12 @@
 	return c.c.Metrics.load(families)
 }
 
+// Alive reports whether the backend server answers, with a report or without.
+func (c *Client) Alive(ctx context.Context, t Target) bool {
+	_, err := c.FetchLoad(ctx, t)
+	return err == nil || errors.Is(err, ErrNoReport)
+}
+
 func (m MetricNames) load(families map[string]*dto.MetricFamily) (Load, error) {
 	running, found := sumOf(families, m.Running)
 	if !found {
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -96,3 +96,29 @@
 	defer f.mu.Unlock()
 	return f.vms
 }
+
+// unusable returns the VMs that get no new work.
+func (f *fleet) unusable() Unusables {
+	out := Unusables{}
+	for _, role := range []member.Role{member.RoleEntry, member.RoleEngine, member.RoleService} {
+		for _, v := range f.view.Judged(f.now(), role) {
+			if !v.Usable {
+				out = append(out, Unusable{VM: v.VM.ID, Reason: v.Reason})
+			}
+		}
+	}
+	return out
+}
+
+// silent returns the backend servers that do not answer.
+func (f *fleet) silent() route.Replicas {
+	var silent member.VMs
+	for _, role := range []member.Role{member.RoleEngine, member.RoleService} {
+		for _, v := range f.view.Judged(f.now(), role) {
+			if v.Reason == member.ReasonSilent || v.Reason == member.ReasonSuspected {
+				silent = append(silent, v.VM)
+			}
+		}
+	}
+	return toReplicas(silent)
+}
--- a/io/node/loads.go
+++ b/io/node/loads.go
@@ -22,15 +22,21 @@
 	now  func() time.Time
 	mu   sync.Mutex
 	busy map[call.ReplicaID]bool
+	// most bounds the reports read at a time; more replicas take turns.
+	most int
 	turn int
 }
 
-// maxPolls bounds the reports read at a time; more replicas take turns.
-const maxPolls = 24
+// How many reports are read at a time: of the replicas in use, and of silent
+// ones, so that they are found when they answer again.
+const (
+	maxPolls       = 24
+	maxSilentPolls = 4
+)
 
 // poll begins to read the reports of the replicas, of so many at a time.
 func (l *loads) poll(replicas route.Replicas) {
-	for range min(len(replicas), maxPolls) {
+	for range min(len(replicas), l.most) {
 		l.turn++
 		r := replicas[l.turn%len(replicas)]
 		if l.begin(r.ID) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -20,6 +20,7 @@
 	"gentianwell/core/drain"
 	"gentianwell/core/member"
 	"gentianwell/core/poison"
+	"gentianwell/core/retry"
 	"gentianwell/core/route"
 	"gentianwell/core/sched"
 	"gentianwell/core/spread"
@@ -74,6 +75,7 @@
 	store    *spread.Store
 	gossip   *peer.Gossip
 	loads    *loads
+	silent   *loads
 	metrics  *metric.Set
 }
 
@@ -108,6 +110,7 @@
 	randMirror
 	randSettings
 	randID
+	randRetry
 )
 
 func (n *Node) makeFleet(Options) error {
@@ -129,7 +132,7 @@
 	if n.client, err = back.New(back.Config{}); err != nil {
 		return errors.Trace(err)
 	}
-	n.loads = &loads{fetch: n.client.FetchLoad, report: n.router.Report, view: n.fleet.view, now: n.now, busy: map[call.ReplicaID]bool{}}
+	n.loads, n.silent = n.newLoads(maxPolls), n.newLoads(maxSilentPolls)
 	qc := sched.Defaults()
 	qc.Rand = n.rand(randQueue)
 	queue, err := sched.New(qc)
@@ -140,13 +143,25 @@
 		Registry: prometheus.NewRegistry(), Waiting: func() int { return n.runner.Waiting() },
 		InFlight: func() int { return n.drain.Status().InFlight }, SettingsVersion: n.settingsVersion,
 	})
+	again, err := retry.New(retry.Config{Rand: n.rand(randRetry)})
+	if err != nil {
+		return errors.Trace(err)
+	}
 	n.runner, err = runner.New(runner.Config{
+		Retry: again, Poison: n.poison, Reserve: n.reserve, Alive: n.client.Alive,
 		Queue: queue, Router: n.router, Send: n.client.Do, Estimate: estimate, Observe: n.metrics.Observe,
 		Now: n.now, Log: n.log,
 	})
 	return errors.Trace(err)
 }
 
+func (n *Node) newLoads(most int) *loads {
+	return &loads{
+		fetch: n.client.FetchLoad, report: n.router.Report, view: n.fleet.view, now: n.now,
+		busy: map[call.ReplicaID]bool{}, most: most,
+	}
+}
+
 // estimate is the cost of a call of which nothing has been learned.
 func estimate(c *call.Call) (int, time.Duration) {
 	return c.PromptTokens + max(c.MaxTokens, 1), 0
--- a/io/node/operators.go
+++ b/io/node/operators.go
@@ -11,6 +11,7 @@
 
 	"gentianwell/core/call"
 	"gentianwell/core/drain"
+	"gentianwell/core/member"
 	"gentianwell/core/route"
 )
 
@@ -24,8 +25,19 @@
 	Peers           int             `json:"peers"`
 	Replicas        int             `json:"replicas"`
 	Ejected         route.Ejections `json:"ejected"`
+	// Unusable are the VMs that get no new work from this one.
+	Unusable Unusables `json:"unusable"`
 }
 
+// Unusable is a VM that gets no new work.
+type Unusable struct {
+	VM     call.VMID     `json:"vm"`
+	Reason member.Reason `json:"reason"`
+}
+
+// Unusables is a list of such VMs.
+type Unusables []Unusable
+
 // operatorsHTTP returns the server for operators and for the metrics.
 func (n *Node) operatorsHTTP() *http.Server {
 	mux := http.NewServeMux()
@@ -60,6 +72,7 @@
 	return Status{
 		VM: n.c.ID, Zone: n.c.Zone, SettingsVersion: n.settingsVersion(), Ready: n.ready(), Stop: n.drain.Status(),
 		Peers: len(n.fleet.peers()), Replicas: len(n.fleet.replicas()), Ejected: n.router.Ejected(n.now()),
+		Unusable: n.fleet.unusable(),
 	}
 }
 
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -87,7 +87,10 @@
 	n.timers.Every("queue", queueInterval, n.runner.Tick)
 	n.timers.Every("gossip", gossipInterval, n.gossip.Round)
 	n.timers.Every("fleet", fleetInterval, n.updateReplicas)
-	n.timers.Every("loads", loadInterval, func(time.Time) { n.loads.poll(n.router.Watched()) })
+	n.timers.Every("loads", loadInterval, func(time.Time) {
+		n.loads.poll(n.router.Watched())
+		n.silent.poll(n.fleet.silent())
+	})
 }
 
 // updateReplicas hands the fleet as it is now to the router and tells the others
--- a/io/runner/attempt.go
+++ b/io/runner/attempt.go
@@ -67,9 +67,8 @@
 	n.fresh = n.fresh || result.SilentReused()
 	n.wrote = n.wrote || !result.NotRun()
 	now := n.r.c.Now()
-	n.r.c.Router.Finished(now, replica.ID, float64(n.cost), route.Result{
-		Status: routeStatus(end), FirstToken: result.First,
-	})
+	n.finished(now, end)
+	n.observe(ctx, target, end)
 	n.r.mu.Lock()
 	n.r.pump(now, n.job.Call.Model)
 	n.r.mu.Unlock()
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -22,6 +22,8 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianwell/core/call"
+	"gentianwell/core/poison"
+	"gentianwell/core/retry"
 	"gentianwell/core/route"
 	"gentianwell/core/sched"
 	"gentianwell/core/stream"
@@ -32,6 +34,13 @@
 type Config struct {
 	Queue  *sched.Queue
 	Router *route.Router
+	// Retry decides about further attempts, Poison about requests that crash
+	// backend servers. Reserve tells other VMs to keep off a replica.
+	Retry   *retry.Policy
+	Poison  *poison.Registry
+	Reserve func(now time.Time, r poison.Reservation)
+	// Alive looks whether a backend server answers at all.
+	Alive func(context.Context, back.Target) bool
 	// Send does one attempt on one backend server.
 	Send func(context.Context, back.Target, back.Request, func(back.Event) error) (back.Result, error)
 	// Estimate returns the cost in tokens and the time that a call will take.
@@ -64,6 +73,8 @@
 // Validate checks that all needed fields are there.
 func (c *Config) Validate() error {
 	switch {
+	case c.Retry == nil, c.Poison == nil, c.Reserve == nil, c.Alive == nil:
+		return errors.NotValidf("Config.Validate: Retry, Poison, Reserve or Alive is nil")
 	case c.Queue == nil, c.Router == nil, c.Send == nil, c.Estimate == nil, c.Observe == nil, c.Now == nil, c.Log == nil:
 		return errors.NotValidf("Config.Validate: a needed field is nil")
 	case c.Attempts < 1:
@@ -96,6 +107,7 @@
 func (r *Runner) Run(ctx context.Context, job *Job, sink Sink) Answer {
 	run := &run{r: r, job: job, sink: sink}
 	answer := run.run(ctx)
+	run.hold(ctx, answer)
 	run.logEnd(answer)
 	r.c.Observe(run.measure(r.c.Now(), answer))
 	return answer
@@ -117,6 +129,13 @@
 	cost    int
 	service time.Duration
 	watch   stopwatch
+	// pause and again are the last decision about another attempt.
+	pause time.Duration
+	again retry.Reason
+	// alone is true where the attempt has to be alone on its replica, crashed
+	// where a replica crashed under the job.
+	alone   bool
+	crashed bool
 	// guard watches over a streamed answer of an engine; fault is what it found
 	// in the present attempt.
 	guard *stream.Answer
@@ -130,8 +149,9 @@
 		a.Message = err.Error()
 		return *a
 	}
+	n.r.c.Retry.First(n.r.c.Now(), n.job.Call.Class)
 	for {
-		g, refusal := n.r.wait(ctx, n)
+		g, refusal := n.next(ctx)
 		if refusal != nil {
 			return *refusal
 		}
@@ -142,6 +162,7 @@
 			return answer
 		}
 		n.exclude = append(n.exclude, end.replica)
+		sleep(ctx, n.pause)
 	}
 }
 
@@ -165,19 +186,6 @@
 	return n.failure(e, http.StatusBadGateway, ReasonBackend), true
 }
 
-func (n *run) mayTryAgain(e attemptEnd) bool {
-	if n.attempts >= n.r.c.Attempts || e.callerGone() {
-		return false
-	}
-	if n.started {
-		return e.next.Action.Again()
-	}
-	if !e.failed() {
-		return false
-	}
-	return n.job.Call.Idempotent || !n.wrote
-}
-
 // finish hands over an answer that came whole.
 func (n *run) finish(e attemptEnd) Answer {
 	if !e.result.Streamed {
@@ -224,6 +232,9 @@
 	if a.Replica != "" {
 		fields["replica"] = a.Replica
 	}
+	if n.again != "" {
+		fields["again"] = n.again
+	}
 	if a.Message != "" {
 		fields["message"] = a.Message
 	}
--- a/io/runner/runner_test.go
+++ b/io/runner/runner_test.go
@@ -16,6 +16,8 @@
 
 	"gentianwell/core/call"
 	"gentianwell/core/gwtest"
+	"gentianwell/core/poison"
+	"gentianwell/core/retry"
 	"gentianwell/core/route"
 	"gentianwell/core/sched"
 	"gentianwell/io/back"
@@ -47,7 +49,13 @@
 	queue, err := sched.New(qc)
 	assert.NilError(t, err)
 	log, _ := logtest.NewNullLogger()
+	decide, err := retry.New(retry.Config{Rand: rand.New(rand.NewPCG(gwtest.Seed(), 3))})
+	assert.NilError(t, err)
+	suspects, err := poison.New(poison.Config{Self: "e1", SpreadTime: time.Millisecond})
+	assert.NilError(t, err)
 	b.Runner, err = New(Config{
+		Retry: decide, Poison: suspects, Reserve: func(time.Time, poison.Reservation) {},
+		Alive: func(context.Context, back.Target) bool { return false },
 		Queue: queue, Router: router, Now: time.Now, Log: log,
 		Estimate: func(*call.Call) (int, time.Duration) { return 1, 0 },
 		Observe:  func(Measure) {},
--- a/io/runner/stream_test.go
+++ b/io/runner/stream_test.go
@@ -17,6 +17,8 @@
 
 	"gentianwell/core/call"
 	"gentianwell/core/gwtest"
+	"gentianwell/core/poison"
+	"gentianwell/core/retry"
 	"gentianwell/core/route"
 	"gentianwell/core/sched"
 	"gentianwell/core/stream"
@@ -67,7 +69,12 @@
 	queue, err := sched.New(qc)
 	assert.NilError(t, err)
 	log, _ := logtest.NewNullLogger()
+	decide, err := retry.New(retry.Config{Rand: rand.New(rand.NewPCG(gwtest.Seed(), 3))})
+	assert.NilError(t, err)
+	suspects, err := poison.New(poison.Config{Self: "e1", SpreadTime: time.Millisecond})
+	assert.NilError(t, err)
 	e.Runner, err = New(Config{
+		Retry: decide, Poison: suspects, Reserve: func(time.Time, poison.Reservation) {}, Alive: client.Alive,
 		Queue: queue, Router: router, Now: time.Now, Log: log,
 		Send: func(ctx context.Context, to back.Target, req back.Request, sink func(back.Event) error) (back.Result, error) {
 			e.strike(to)
--- /dev/null
+++ b/io/runner/suspect.go
@@ -0,0 +1,146 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"gentianwell/core/call"
+	"gentianwell/core/poison"
+	"gentianwell/core/route"
+	"gentianwell/core/sched"
+	"gentianwell/io/back"
+)
+
+// A suspect looks for an idle replica every aloneInterval, and for aloneWait at
+// most where its job has no bound of its own. Other VMs keep their calls off the
+// replica for reservationTime from when they hear of it.
+const (
+	aloneInterval   = 100 * time.Millisecond
+	aloneWait       = 30 * time.Second
+	reservationTime = 30 * time.Second
+)
+
+// aliveTimeout bounds the look whether a replica that lost a connection still answers.
+const aliveTimeout = time.Second
+
+// orderAlone is the order's reason of a suspect, which is not queued.
+const orderAlone sched.Reason = "alone"
+
+func (n *run) fingerprint() poison.Fingerprint { return poison.Fingerprint(n.job.Call.Fingerprint) }
+
+// next waits for the replica of the next attempt. A request that has crashed
+// backend servers runs alone or not at all.
+func (n *run) next(ctx context.Context) (grant, *Answer) {
+	v := n.r.c.Poison.Judge(n.r.c.Now(), n.fingerprint())
+	n.alone = v.Action == poison.ActionAlone
+	switch v.Action {
+	case poison.ActionRefuse:
+		a := n.refusal(ReasonSuspect, http.StatusUnprocessableEntity, 0)
+		a.Message = "refused: this request has crashed the backend servers that ran it"
+		return grant{}, a
+	case poison.ActionAlone:
+		return n.waitAlone(ctx)
+	}
+	return n.r.wait(ctx, n)
+}
+
+// waitAlone waits for a replica on which nothing else is in flight.
+func (n *run) waitAlone(ctx context.Context) (grant, *Answer) {
+	longest := aloneWait
+	if n.job.MaxWait > 0 {
+		longest = min(longest, n.job.MaxWait)
+	}
+	ctx, cancel := context.WithTimeout(ctx, longest)
+	defer cancel()
+	var told call.ReplicaID
+	for {
+		now := n.r.c.Now()
+		d, err := n.pickAlone(now)
+		if d.Replica.ID != "" && d.Replica.ID != told {
+			told = d.Replica.ID
+			n.r.c.Reserve(now, poison.Reservation{Replica: told, For: reservationTime})
+		}
+		switch {
+		case err == nil:
+			n.r.c.Router.StartedAlone(now, d.Replica.ID, float64(n.cost))
+			n.r.logDecision(now, n, d, orderAlone)
+			return grant{decision: d, reason: orderAlone}, nil
+		case errors.Is(err, route.ErrNoReplica):
+			return grant{}, n.refusal(ReasonNoReplica, http.StatusServiceUnavailable, n.r.c.RetryAfter)
+		}
+		if !sleep(ctx, aloneInterval) {
+			return grant{}, n.refusal(ReasonSuspect, http.StatusServiceUnavailable, n.r.c.RetryAfter)
+		}
+	}
+}
+
+// pickAlone takes a replica that has failed this job where there is no other.
+func (n *run) pickAlone(now time.Time) (route.Decision, error) {
+	d, err := n.r.c.Router.PickAlone(now, n.job.Call, n.exclude)
+	if !errors.Is(err, route.ErrNoReplica) || len(n.exclude) == 0 {
+		return d, err
+	}
+	return n.r.c.Router.PickAlone(now, n.job.Call, nil)
+}
+
+// finished gives the replica back.
+func (n *run) finished(now time.Time, e attemptEnd) {
+	result := route.Result{Status: routeStatus(e), FirstToken: e.result.First}
+	if n.alone {
+		n.r.c.Router.FinishedAlone(now, e.replica, float64(n.cost), result)
+		return
+	}
+	n.r.c.Router.Finished(now, e.replica, float64(n.cost), result)
+}
+
+// observe records what the attempt showed about the request: a crash or a whole
+// answer. A lost connection is a crash only where the replica then does not
+// answer at all.
+func (n *run) observe(ctx context.Context, t back.Target, e attemptEnd) {
+	switch {
+	case !e.failed():
+		n.r.c.Poison.Finished(n.r.c.Now(), n.fingerprint())
+		return
+	case e.result.Ending != back.EndingCrashed || !e.result.Wrote:
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), aliveTimeout)
+	defer cancel()
+	if n.r.c.Alive(ctx, t) {
+		return
+	}
+	n.crashed = true
+	v := n.r.c.Poison.Crashed(n.r.c.Now(), n.fingerprint(), e.replica, n.alone)
+	n.r.c.Log.WithFields(logrus.Fields{
+		"event": "crash", "request": n.job.Call.ID, "replica": e.replica, "alone": n.alone,
+		"next": v.Action, "reason": v.Reason, "crashes": v.Crashes, "finishes": v.Finishes,
+	}).Warn("replica crashed under a request")
+}
+
+// hold delays the failed answer to a request that saw a crash until the other
+// VMs know of it: its caller may send it again through any of them.
+func (n *run) hold(ctx context.Context, a Answer) {
+	if !n.crashed || a.Reason == ReasonDone {
+		return
+	}
+	sleep(ctx, n.r.c.Poison.Answering(n.r.c.Now(), n.fingerprint()))
+}
+
+// sleep waits and reports whether ctx lasted so long.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/io/site/poison_test.go
@@ -0,0 +1,46 @@
+package site
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"gentianwell/core/poison"
+	"gentianwell/io/fakes"
+)
+
+// A request crashes every engine that runs it, and its caller sends it again
+// through one entry VM after the other. It takes down no more engines than the
+// cap, gets a final answer on every VM, and the streams that it cut off are
+// finished elsewhere.
+func TestRequestThatCrashesEngines(t *testing.T) {
+	var crashes atomic.Int32
+	s := New(t, Config{Entries: 3, Engines: 6, Engine: func(c *fakes.EngineConfig) {
+		c.Crash = func() { crashes.Add(1) }
+	}})
+	var others sync.WaitGroup
+	for i := range 12 {
+		others.Go(func() {
+			prompt := fmt.Sprintf("bystander %d", i)
+			resp := s.Post(t, i%3, "/v1/chat/completions", body(prompt, true), nil)
+			assert.Check(t, resp.StatusCode == http.StatusOK, read(t, resp))
+		})
+	}
+	for i := range 9 {
+		resp := s.Post(t, i%3, "/v1/chat/completions", body(fakes.CrashMarker, false), nil)
+		text := read(t, resp)
+		assert.Assert(t, resp.StatusCode >= http.StatusBadRequest, text)
+		if i > 0 {
+			assert.Equal(t, resp.StatusCode, http.StatusUnprocessableEntity, text)
+			assert.Equal(t, resp.Header.Get("Gentianwell-Outcome"), "notRun")
+		}
+	}
+	others.Wait()
+	limit := poison.Config{}.Defaults().Cap(1)
+	assert.Assert(t, int(crashes.Load()) <= limit, "%d engines crashed, cap %d", crashes.Load(), limit)
+	assert.Assert(t, crashes.Load() > 0)
+}
