--- a/core/poison/doc.go
+++ b/core/poison/doc.go
@@ -9,10 +9,10 @@
 // count against the crashes, so that those which merely happened to be in flight
 // are exonerated. Records spread by gossip as items with one writer each.
 //
-// A request that crashes every server, sent again each time when its answer has
-// come, takes down at most SuspectAfter+1 of them: wherever it runs next, the VM
-// knows of all its crashes before, because the failed answer waits until
-// SpreadTime after the last. With p copies at the same time the bound is p times that.
+// A request that crashes every server, sent again when its answer's Retry-After
+// says so, takes down at most SuspectAfter+1 of them: wherever it runs next, the
+// VM knows of all its crashes before. With p copies at the same time the bound is
+// p times that, and a copy sent before the Retry-After counts as one more.
 // Both hold while gossip reaches all VMs within SpreadTime and no VM is lost
 // with crashes that it has not yet published.
 //
@@ -26,7 +26,7 @@
 //	}
 //	r.Finished(now, fp)                          // the run ended with a whole answer
 //	v := r.Crashed(now, fp, replicaID, alone)    // the replica crashed under it
-//	// retry by v.Action, or answer after waiting r.Answering(now, fp)
+//	// retry by v.Action, or answer with Retry-After r.Publish(now, fp)
 //
 // Gossip: put r.Pending(now) into the store of items, and hand each item heard
 // to r.Merge. A Registry is safe for concurrent use.
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -25,6 +25,8 @@
 	"gentianwell/core/claim"
 	"gentianwell/core/estim"
 	"gentianwell/core/limit"
+	"gentianwell/core/poison"
+	"gentianwell/core/retry"
 	"gentianwell/core/route"
 	"gentianwell/core/sched"
 	"gentianwell/core/stream"
@@ -35,6 +37,15 @@
 type Config struct {
 	Queue  *sched.Queue
 	Router *route.Router
+	// Retry decides about further attempts, Poison about requests that crash
+	// backend servers. Reserve tells other VMs to keep off a replica.
+	Retry   *retry.Policy
+	Poison  *poison.Registry
+	Reserve func(now time.Time, r poison.Reservation)
+	// Push spreads what Poison has to spread at once; may be nil.
+	Push func()
+	// Alive looks whether a backend server answers at all.
+	Alive func(context.Context, back.Target) bool
 	// Send does one attempt on one backend server.
 	Send func(context.Context, back.Target, back.Request, func(back.Event) error) (back.Result, error)
 	// Estimate returns the cost in tokens and the time that a call will take.
@@ -83,6 +94,9 @@
 	if c.Dispatched == nil {
 		c.Dispatched = func(time.Time, call.Model, int, bool) {}
 	}
+	if c.Push == nil {
+		c.Push = func() {}
+	}
 	if c.Claims.Begin == nil {
 		c.Claims = noClaims(c.RetryAfter)
 	}
@@ -91,6 +105,8 @@
 // Validate checks that all needed fields are there.
 func (c *Config) Validate() error {
 	switch {
+	case c.Retry == nil, c.Poison == nil, c.Reserve == nil, c.Alive == nil:
+		return errors.NotValidf("Config.Validate: Retry, Poison, Reserve or Alive is nil")
 	case c.Queue == nil, c.Router == nil, c.Send == nil, c.Estimate == nil, c.Observe == nil, c.Now == nil, c.Log == nil:
 		return errors.NotValidf("Config.Validate: a needed field is nil")
 	case c.Attempts < 1:
@@ -123,6 +139,7 @@
 func (r *Runner) Run(ctx context.Context, job *Job, sink Sink) Answer {
 	run := &run{r: r, job: job, sink: sink}
 	answer := run.run(ctx)
+	run.publish(&answer)
 	run.logEnd(answer)
 	run.learn(answer)
 	r.c.Observe(run.measure(r.c.Now(), answer))
@@ -147,6 +164,13 @@
 	watch   stopwatch
 	// tokens is the answer's length, zero where it is not known.
 	tokens int
+	// pause and again are the last decision about another attempt.
+	pause time.Duration
+	again retry.Reason
+	// alone is true where the attempt has to be alone on its replica, crashed
+	// where a replica crashed under the job.
+	alone   bool
+	crashed bool
 	// guard watches over a streamed answer of an engine; fault is what it found
 	// in the present attempt.
 	guard *stream.Answer
@@ -178,8 +202,9 @@
 
 // tryAll makes attempts until one is the last.
 func (n *run) tryAll(ctx context.Context) Answer {
+	n.r.c.Retry.First(n.r.c.Now(), n.job.Call.Class)
 	for {
-		g, refusal := n.r.wait(ctx, n)
+		g, refusal := n.next(ctx)
 		if refusal != nil {
 			return *refusal
 		}
@@ -190,6 +215,7 @@
 			return answer
 		}
 		n.exclude = append(n.exclude, end.replica)
+		sleep(ctx, n.pause)
 	}
 }
 
@@ -213,19 +239,6 @@
 	return n.failure(e, http.StatusBadGateway, ReasonBackend), true
 }
 
-func (n *run) mayTryAgain(e attemptEnd) bool {
-	if n.attempts >= n.r.c.Attempts || e.callerGone() {
-		return false
-	}
-	if n.started {
-		return e.next.Action.Again()
-	}
-	if !e.failed() {
-		return false
-	}
-	return n.job.Call.Idempotent || !n.wrote
-}
-
 // finish hands over an answer that came whole.
 func (n *run) finish(e attemptEnd) Answer {
 	if !e.result.Streamed {
@@ -274,6 +287,9 @@
 	if a.Replica != "" {
 		fields["replica"] = a.Replica
 	}
+	if n.again != "" {
+		fields["again"] = n.again
+	}
 	if a.Message != "" {
 		fields["message"] = a.Message
 	}
