--- /dev/null
+++ b/io/node/engines.go
@@ -0,0 +1,32 @@
+package node
+
+import (
+	"gentianwell/core/call"
+	"gentianwell/core/member"
+	"gentianwell/io/back"
+)
+
+// engines returns the listed engines, with the state that counts for them.
+func (f *fleet) engines() member.VMs {
+	var out member.VMs
+	for _, v := range f.view.Judged(f.now(), member.RoleEngine) {
+		switch v.Reason {
+		case member.ReasonGone:
+			continue
+		case member.ReasonListLeaving, member.ReasonSaysLeaving:
+			v.VM.State = member.StateLeaving
+		}
+		out = append(out, v.VM)
+	}
+	return out
+}
+
+// target returns where a listed engine takes orders.
+func (f *fleet) target(id call.ReplicaID) (back.Target, bool) {
+	for _, vm := range f.engines() {
+		if call.ReplicaID(vm.ID) == id {
+			return back.Target{ID: id, Address: vm.Address}, true
+		}
+	}
+	return back.Target{}, false
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -22,6 +22,7 @@
 	"gentianwell/core/drain"
 	"gentianwell/core/estim"
 	"gentianwell/core/member"
+	"gentianwell/core/place"
 	"gentianwell/core/poison"
 	"gentianwell/core/retry"
 	"gentianwell/core/route"
@@ -37,6 +38,7 @@
 	"gentianwell/io/oper"
 	"gentianwell/io/peer"
 	"gentianwell/io/peerpb"
+	"gentianwell/io/placer"
 	"gentianwell/io/runner"
 )
 
@@ -59,6 +61,9 @@
 	Seed uint64
 	// Dial opens connections to peers; nil dials TCP.
 	Dial peer.DialFunc
+	// Placement configures the planning of orders to engines; zero fields get
+	// their defaults.
+	Placement place.Config
 }
 
 // Node is the process of one entry VM.
@@ -87,6 +92,7 @@
 	metrics  *metric.Set
 	limits   *limits
 	claims   *claims.Claims
+	placer   *placer.Placer
 	learned  *estimates
 }
 
@@ -103,7 +109,7 @@
 	n.drain = drain.New(drain.Config{Notice: time.Duration(o.Config.Notice)})
 	n.kvs = kvs.NewGateway(kvs.GatewayConfig{Addresses: o.Config.Platform}).Service()
 	for _, make := range []func(Options) error{
-		n.makeFleet, n.makeSettings, n.makePeers, n.makeLimits, n.makeClaims, n.makeRouting, n.makeFront,
+		n.makeFleet, n.makeSettings, n.makePeers, n.makeLimits, n.makeClaims, n.makeRouting, n.makePlacer, n.makeFront,
 	} {
 		if err := make(o); err != nil {
 			return nil, errors.Annotate(err, "node.New")
@@ -188,7 +194,7 @@
 }
 
 func (n *Node) makeClaims(Options) error {
-	n.claims = claims.New(claims.Config{Service: n.kvs, VM: n.c.ID, Nonce: crand.Text, Now: n.now})
+	n.claims = claims.New(claims.Config{Service: n.kvs, VM: n.c.ID, Nonce: crand.Text, Now: n.now, Every: n.timers.Every, Log: n.log})
 	return nil
 }
 
