Make two settings tests catch a wrong lookup order and a blind undo

Cause: a mutation of each passed: the sample had no value set by both the team and the site's class, and no change after the one that was undone. Change: the sample and the history test have them now; both mutations fail. Checked: go test ./core/tree ./io/conf (ok).

--- a/core/tree/tree_test.go
+++ b/core/tree/tree_test.go
@@ -12,7 +12,7 @@
 
 const sample = `{
   "site": {"deadline": "90s", "defaultClass": "question", "maxWait": "20s"},
-  "classes": {"plot": {"tier": 0, "firstTokenTarget": "370ms"}, "question": {"tier": 5}},
+  "classes": {"plot": {"tier": 0, "firstTokenTarget": "370ms"}, "question": {"tier": 5, "maxWait": "10s"}},
   "teams": {
     "judges": {"weight": 3, "maxWait": "15s", "deadline": "80s", "classes": {"plot": {"deadline": "30s"}}},
     "farmers": {}
@@ -39,7 +39,7 @@
 		maxWaitBy  string
 	}{
 		{"judges", "plot", 30 * time.Second, 15 * time.Second, "teams.judges.classes.plot", "teams.judges"},
-		{"judges", "question", 80 * time.Second, 15 * time.Second, "teams.judges", "teams.judges"},
+		{"judges", "question", 80 * time.Second, 10 * time.Second, "teams.judges", "classes.question"},
 		{"farmers", "plot", 90 * time.Second, 20 * time.Second, "site", "site"},
 	}
 	for _, test := range tests {
--- a/io/conf/change_test.go
+++ b/io/conf/change_test.go
@@ -173,6 +173,12 @@
 	accepted, err := store.Change(t.Context(), Change{Author: "anna", Edits: edits}, tree.Head{})
 	assert.NilError(t, err)
 	assert.Equal(t, value(accepted.Document.Tree, "classes.b"), "")
+	_, err = store.Change(t.Context(), set("classes.a.weight", "9"), tree.Head{})
+	assert.NilError(t, err)
+	var conflict *Conflict
+	_, err = store.UndoEdits(t.Context(), 5)
+	assert.Assert(t, errors.As(err, &conflict), "got %v", err)
+	assert.Equal(t, conflict.Theirs[0].Version, int64(7))
 	_, err = store.UndoEdits(t.Context(), 1)
 	assert.Assert(t, errors.Is(err, errors.NotFound), "got %v", err)
 }
