--- a/cmd/gwload/experiment.go
+++ b/cmd/gwload/experiment.go
@@ -25,6 +25,7 @@
 			&cli.Uint64Flag{Name: "first-seed", Value: 1, Usage: "first seed"},
 			&cli.Float64Flag{Name: "extra", Value: model.DefaultExtra, Usage: "requests of tier 0, as a part of the slots, beyond a full batch"},
 			&cli.BoolFlag{Name: "preempt", Value: true, Usage: "engines pause lower tiers for tier 0"},
+			&cli.DurationFlag{Name: "token-gap", Usage: "time between tokens that the batch is learnt for (default: the target)"},
 			&cli.BoolFlag{Name: "json", Usage: "print every run as one line of JSON"},
 		},
 		Action: runExperiment,
@@ -62,7 +63,7 @@
 		for i := range cmd.Int("seeds") {
 			seed := cmd.Uint64("first-seed") + uint64(i)
 			f, err := model.Run(model.RunConfig{
-				Workload: w, Site: site, Policy: p, Seed: seed, Extra: cmd.Float64("extra"), Preempts: cmd.Bool("preempt"),
+				Workload: w, Site: site, Policy: p, Seed: seed, Extra: cmd.Float64("extra"), Preempts: cmd.Bool("preempt"), TokenGap: cmd.Duration("token-gap"),
 			})
 			if err != nil {
 				return errors.Trace(err)
--- /dev/null
+++ b/core/estim/window_test.go
@@ -0,0 +1,55 @@
+package estim
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func newTestWindow(t testing.TB) *Window {
+	t.Helper()
+	w, err := NewWindow(WindowDefaults())
+	assert.NilError(t, err)
+	return w
+}
+
+func TestWindowLearnsBatch(t *testing.T) {
+	w := newTestWindow(t)
+	now := start
+	// The pace is 12 ms and 1.5 ms for each request of the batch: 22 keep 45 ms.
+	for range 2000 {
+		w.Finished(now, 12*time.Millisecond+time.Duration(w.Batch()*1.5*float64(time.Millisecond)))
+		now = now.Add(100 * time.Millisecond)
+	}
+	assert.Assert(t, w.Batch() > 18 && w.Batch() < 23, "%g", w.Batch())
+}
+
+// TestWindowsShareReplicas: VMs that all see the same free replicas do not send
+// more than the batch and the stated surplus in all.
+func TestWindowsShareReplicas(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		vms := rapid.IntRange(1, 20).Draw(rt, "vms")
+		replicas := rapid.IntRange(1, 40).Draw(rt, "replicas")
+		running := rapid.Float64Range(24, 31).Draw(rt, "running")
+		w := newTestWindow(t)
+		total := 0
+		for range vms {
+			own := 0
+			for w.Allows(own, replicas, vms, running) {
+				own++
+			}
+			total += own
+		}
+		assert.Assert(rt, float64(total) <= 32*float64(replicas)*1.05+float64(vms), "%d sent", total)
+	})
+}
+
+func TestWindowLendsSpareShares(t *testing.T) {
+	w := newTestWindow(t)
+	assert.Assert(t, w.Allows(500, 10, 9, 5))
+	assert.Assert(t, !w.Allows(500, 10, 9, 25))
+	assert.Assert(t, w.Allows(20, 10, 9, 25))
+	assert.Assert(t, !w.Allows(20, 10, 9, 32))
+}
--- /dev/null
+++ b/io/model/model_test.go
@@ -0,0 +1,93 @@
+package model
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianwell/core/call"
+	"gentianwell/core/gwtest"
+)
+
+func newTestEngine(byTier bool) (*engine, *clock) {
+	c := &clock{now: origin}
+	return &engine{clock: c, slow: 1, byTier: byTier, preempts: byTier, figures: &Figures{}}, c
+}
+
+func testRequest(tier call.Tier, answer int, ended *int) *request {
+	r := &request{answer: answer, class: &classes()[0], state: stateWaiting, onEnd: func(_ *request, ok bool) {
+		if ok {
+			*ended++
+		}
+	}}
+	r.call.Tier = tier
+	return r
+}
+
+func TestEngineBatches(t *testing.T) {
+	e, c := newTestEngine(false)
+	ended := 0
+	for range 10 {
+		assert.Assert(t, e.send(testRequest(0, 5, &ended)))
+	}
+	c.run()
+	assert.Equal(t, ended, 10)
+	assert.Equal(t, e.figures.Tokens, 50)
+	// The first runs alone for a step, the others join it.
+	one, ten := stepBase+stepEach, stepBase+10*stepEach
+	nine := stepBase + 9*stepEach
+	assert.Equal(t, c.now.Sub(origin), one+4*ten+nine)
+}
+
+func TestEnginePausesLowerTier(t *testing.T) {
+	e, c := newTestEngine(true)
+	ended, urgent := 0, 0
+	for range slots {
+		e.send(testRequest(7, 100, &ended))
+	}
+	c.after(time.Second, func() { e.send(testRequest(0, 1, &urgent)) })
+	c.after(1200*time.Millisecond, func() { assert.Equal(t, urgent, 1) })
+	c.run()
+	assert.Equal(t, ended, slots)
+	assert.Equal(t, e.figures.Wasted, 0)
+	assert.Equal(t, e.figures.Tokens, slots*100+1)
+}
+
+func TestEngineCrashWastes(t *testing.T) {
+	e, c := newTestEngine(false)
+	ended := 0
+	e.send(testRequest(0, 100, &ended))
+	c.after(100*time.Millisecond, func() { e.crash(time.Second) })
+	c.run()
+	assert.Equal(t, ended, 0)
+	assert.Assert(t, e.figures.Wasted > 0 && e.figures.Wasted == e.figures.Tokens)
+}
+
+// TestRunIsReproducible: the same config gives the same figures, and every
+// request is counted once.
+func TestRunIsReproducible(t *testing.T) {
+	w, err := WorkloadByName("burst")
+	assert.NilError(t, err)
+	w.Length = 12 * time.Second
+	for _, p := range AllPolicies() {
+		c := RunConfig{Workload: w, Site: Association, Policy: p, Seed: gwtest.Seed(), Extra: DefaultExtra, Preempts: true}
+		a, err := Run(c)
+		assert.NilError(t, err)
+		b, err := Run(c)
+		assert.NilError(t, err)
+		assert.Equal(t, a.Goodput(), b.Goodput())
+		assert.Equal(t, a.Tokens, b.Tokens)
+		for _, class := range a.Classes {
+			assert.Assert(t, class.Offered > 0)
+			assert.Equal(t, class.Offered, class.Done+class.Refused+class.Left+class.Failed)
+		}
+	}
+}
+
+func TestUnknownNames(t *testing.T) {
+	_, err := WorkloadByName("none")
+	assert.ErrorContains(t, err, `workload "none"`)
+	_, err = Run(RunConfig{Policy: "none", Site: Association, Workload: AllWorkloads()[0]})
+	assert.ErrorContains(t, err, `policy "none"`)
+}
--- a/io/model/run.go
+++ b/io/model/run.go
@@ -40,6 +40,9 @@
 	// requests of lower tiers for them.
 	Extra    float64
 	Preempts bool
+	// TokenGap is the time between tokens that the batch is learnt for; zero takes
+	// the letter's target.
+	TokenGap time.Duration
 }
 
 // loadReport is a load report on its way.
--- a/io/model/tiers.go
+++ b/io/model/tiers.go
@@ -32,7 +32,11 @@
 	if v.guess, err = estim.New(estim.Defaults()); err != nil {
 		return nil, errors.Trace(err)
 	}
-	if v.window, err = estim.NewWindow(estim.WindowDefaults()); err != nil {
+	window := estim.WindowDefaults()
+	if gap := b.config.TokenGap; gap > 0 {
+		window.TokenGap = gap
+	}
+	if v.window, err = estim.NewWindow(window); err != nil {
 		return nil, errors.Trace(err)
 	}
 	config := sched.Defaults()
