--- a/io/model/figures.go
+++ b/io/model/figures.go
@@ -66,13 +66,13 @@
 }
 
 // count takes in how a request ended.
-func (f *Figures) count(r *request, now time.Time, calm bool) {
+func (f *Figures) count(r *request, now, end time.Time) {
 	for i := range f.Classes {
 		if f.Classes[i].Class == r.class.Name {
-			f.Classes[i].count(r, now)
+			f.Classes[i].count(r, now, end)
 		}
 	}
-	if calm {
+	if r.call.Team != crowdTeam {
 		f.CalmOffered++
 		if r.good() {
 			f.CalmGood++
@@ -80,13 +80,12 @@
 	}
 }
 
-func (c *ClassFigures) count(r *request, now time.Time) {
+func (c *ClassFigures) count(r *request, now, end time.Time) {
 	c.Offered++
 	switch r.state {
 	case stateDone:
 		c.Done++
-		c.MaxGap = max(c.MaxGap, now.Sub(c.last))
-		c.last = now
+		c.gap(now, end)
 		if r.first.Sub(r.arrived) > r.class.FirstToken {
 			c.LateFirst++
 		}
@@ -104,3 +103,11 @@
 		c.Good++
 	}
 }
+
+// gap takes in a completion while requests arrive.
+func (c *ClassFigures) gap(now, end time.Time) {
+	if now.Before(end) {
+		c.MaxGap = max(c.MaxGap, now.Sub(c.last))
+		c.last = now
+	}
+}
--- a/io/model/run.go
+++ b/io/model/run.go
@@ -218,6 +218,6 @@
 func (b *bench) end(r *request, s requestState) {
 	r.state = s
 	if r.arrived.Sub(origin) >= warmUp {
-		b.figures.count(r, b.clock.now, r.call.Team != crowdTeam)
+		b.figures.count(r, b.clock.now, origin.Add(b.config.Workload.Length))
 	}
 }
