--- a/io/model/run.go
+++ b/io/model/run.go
@@ -40,6 +40,9 @@
 	// requests of lower tiers for them.
 	Extra    float64
 	Preempts bool
+	// TokenGap is the time between tokens that the batch is learnt for; zero takes
+	// the letter's target.
+	TokenGap time.Duration
 }
 
 // loadReport is a load report on its way.
@@ -215,6 +218,6 @@
 func (b *bench) end(r *request, s requestState) {
 	r.state = s
 	if r.arrived.Sub(origin) >= warmUp {
-		b.figures.count(r, b.clock.now, r.call.Team != crowdTeam)
+		b.figures.count(r, b.clock.now, origin.Add(b.config.Workload.Length))
 	}
 }
