--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -23,6 +23,7 @@
 	// mu guards what refresh has found.
 	mu       sync.Mutex
 	known    []peer.Peer
+	byZone   map[call.Zone][]peer.Peer
 	backends route.Replicas
 	vms      int
 }
@@ -51,6 +52,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.known = f.toPeers(entries)
+	f.byZone = f.toZones(entries)
 	f.backends = backends
 	f.vms = len(entries.VMs())
 }
@@ -122,3 +124,22 @@
 	}
 	return toReplicas(silent)
 }
+
+// zones returns the entry VMs of each zone, this one included. Silent ones are
+// among them: VMs differ in what they find silent, but have to agree on a zone's VMs.
+func (f *fleet) zones() map[call.Zone][]peer.Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.byZone
+}
+
+func (f *fleet) toZones(entries member.Verdicts) map[call.Zone][]peer.Peer {
+	out := map[call.Zone][]peer.Peer{}
+	for _, v := range entries {
+		stays := v.Usable || v.Reason == member.ReasonSilent || v.Reason == member.ReasonSuspected
+		if stays || v.VM.ID == f.self {
+			out[v.VM.Zone] = append(out[v.VM.Zone], peer.Peer{ID: v.VM.ID, Address: v.VM.PeerAddress})
+		}
+	}
+	return out
+}
