--- a/io/node/node.go
+++ b/io/node/node.go
@@ -102,7 +102,9 @@
 	n.timers = timer.New(timer.Config{Now: o.Now})
 	n.drain = drain.New(drain.Config{Notice: time.Duration(o.Config.Notice)})
 	n.kvs = kvs.NewGateway(kvs.GatewayConfig{Addresses: o.Config.Platform}).Service()
-	for _, make := range []func(Options) error{n.makeFleet, n.makeSettings, n.makePeers, n.makeLimits, n.makeClaims, n.makeRouting, n.makeFront} {
+	for _, make := range []func(Options) error{
+		n.makeFleet, n.makeSettings, n.makePeers, n.makeLimits, n.makeClaims, n.makeRouting, n.makeFront,
+	} {
 		if err := make(o); err != nil {
 			return nil, errors.Annotate(err, "node.New")
 		}
@@ -144,12 +146,12 @@
 	if n.client, err = back.New(back.Config{}); err != nil {
 		return errors.Trace(err)
 	}
-	n.loads, n.silent = n.newLoads(maxPolls), n.newLoads(maxSilentPolls)
 	estimator, err := estim.New(estim.Defaults())
 	if err != nil {
 		return errors.Trace(err)
 	}
 	n.learned = &estimates{e: estimator, now: n.now}
+	n.loads, n.silent = n.newLoads(maxPolls), n.newLoads(maxSilentPolls)
 	qc := sched.Defaults()
 	qc.Rand = n.rand(randQueue)
 	qc.Rate = n.learned.rate
@@ -166,24 +168,17 @@
 		return errors.Trace(err)
 	}
 	n.runner, err = runner.New(runner.Config{
-		Retry: again, Poison: n.poison, Reserve: n.reserve, Alive: n.client.Alive,
 		Queue: queue, Router: n.router, Send: n.client.Do, Estimate: n.learned.guess, Observe: n.metrics.Observe,
 		Allow: n.limits.allow, Settle: n.limits.settle, Learn: n.learned.learn, Dispatched: n.learned.dispatched,
 		Claims: runner.Claims{
 			Begin: n.claims.Begin, Finish: n.claims.Finish, Release: n.claims.Release, RetryAfter: n.claims.RetryAfter,
 		},
+		Retry: again, Poison: n.poison, Reserve: n.reserve, Push: n.pushSuspects, Alive: n.client.Alive,
 		Now: n.now, Log: n.log,
 	})
 	return errors.Trace(err)
 }
 
-func (n *Node) newLoads(most int) *loads {
-	return &loads{
-		fetch: n.client.FetchLoad, report: n.router.Report, view: n.fleet.view, now: n.now,
-		busy: map[call.ReplicaID]bool{}, most: most,
-	}
-}
-
 func (n *Node) makeLimits(Options) error {
 	var err error
 	n.limits, err = newLimits(&limits{
@@ -197,6 +192,13 @@
 	return nil
 }
 
+func (n *Node) newLoads(most int) *loads {
+	return &loads{
+		fetch: n.client.FetchLoad, report: n.router.Report, view: n.fleet.view, now: n.now,
+		busy: map[call.ReplicaID]bool{}, most: most,
+	}
+}
+
 func (n *Node) makePeers(o Options) error {
 	clientTLS, err := n.c.PeersTLS.clientTLS()
 	if err != nil {
--- a/io/node/suspects.go
+++ b/io/node/suspects.go
@@ -40,13 +40,25 @@
 }
 
 // spreadSuspects puts this VM's records of requests that crashed backend servers
-// into the gossip.
-func (n *Node) spreadSuspects(now time.Time) {
+// into the gossip, and returns them.
+func (n *Node) spreadSuspects(now time.Time) spread.Items {
+	var items spread.Items
 	for _, item := range n.poison.Pending(now) {
-		n.store.Put(now, spread.Item{
+		items = append(items, spread.Item{
 			ID: spread.ID{Kind: poison.Kind, Key: item.Key}, Version: item.Version, Value: item.Value, Expires: item.Expires,
 		})
 	}
+	n.store.Merge(now, items)
+	return items
+}
+
+// pushSuspects tells all VMs at once, as a caller whose request has just failed
+// may send it again through any of them. Crashes are rare enough for that.
+func (n *Node) pushSuspects() {
+	now := n.now()
+	if items := n.spreadSuspects(now); len(items) > 0 {
+		n.gossip.Push(now, items)
+	}
 }
 
 // reserve tells the others to keep their calls off a replica.
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -42,6 +42,8 @@
 	Retry   *retry.Policy
 	Poison  *poison.Registry
 	Reserve func(now time.Time, r poison.Reservation)
+	// Push spreads what Poison has to spread at once; may be nil.
+	Push func()
 	// Alive looks whether a backend server answers at all.
 	Alive func(context.Context, back.Target) bool
 	// Send does one attempt on one backend server.
@@ -92,6 +94,9 @@
 	if c.Dispatched == nil {
 		c.Dispatched = func(time.Time, call.Model, int, bool) {}
 	}
+	if c.Push == nil {
+		c.Push = func() {}
+	}
 	if c.Claims.Begin == nil {
 		c.Claims = noClaims(c.RetryAfter)
 	}
@@ -134,7 +139,7 @@
 func (r *Runner) Run(ctx context.Context, job *Job, sink Sink) Answer {
 	run := &run{r: r, job: job, sink: sink}
 	answer := run.run(ctx)
-	run.hold(ctx, answer)
+	run.publish(&answer)
 	run.logEnd(answer)
 	run.learn(answer)
 	r.c.Observe(run.measure(r.c.Now(), answer))
@@ -157,6 +162,8 @@
 	cost    int
 	service time.Duration
 	watch   stopwatch
+	// tokens is the answer's length, zero where it is not known.
+	tokens int
 	// pause and again are the last decision about another attempt.
 	pause time.Duration
 	again retry.Reason
@@ -164,8 +171,6 @@
 	// where a replica crashed under the job.
 	alone   bool
 	crashed bool
-	// tokens is the answer's length, zero where it is not known.
-	tokens int
 	// guard watches over a streamed answer of an engine; fault is what it found
 	// in the present attempt.
 	guard *stream.Answer
@@ -192,12 +197,12 @@
 		return *refusal
 	}
 	defer n.settle()
-	n.r.c.Retry.First(n.r.c.Now(), n.job.Call.Class)
 	return n.tryAll(ctx)
 }
 
 // tryAll makes attempts until one is the last.
 func (n *run) tryAll(ctx context.Context) Answer {
+	n.r.c.Retry.First(n.r.c.Now(), n.job.Call.Class)
 	for {
 		g, refusal := n.next(ctx)
 		if refusal != nil {
--- a/io/runner/suspect.go
+++ b/io/runner/suspect.go
@@ -121,13 +121,17 @@
 	}).Warn("replica crashed under a request")
 }
 
-// hold delays the failed answer to a request that saw a crash until the other
-// VMs know of it: its caller may send it again through any of them.
-func (n *run) hold(ctx context.Context, a Answer) {
+// publish tells the other VMs of a crash when its request has failed for good,
+// and the caller when they know: it may send the request again through any of them.
+func (n *run) publish(a *Answer) {
 	if !n.crashed || a.Reason == ReasonDone {
 		return
 	}
-	sleep(ctx, n.r.c.Poison.Answering(n.r.c.Now(), n.fingerprint()))
+	wait := n.r.c.Poison.Publish(n.r.c.Now(), n.fingerprint())
+	n.r.c.Push()
+	if a.RetryAfter > 0 {
+		a.RetryAfter = max(a.RetryAfter, wait)
+	}
 }
 
 // sleep waits and reports whether ctx lasted so long.
--- a/io/site/poison_test.go
+++ b/io/site/poison_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -34,6 +36,10 @@
 		resp := s.Post(t, i%3, "/v1/chat/completions", body(fakes.CrashMarker, false), nil)
 		text := read(t, resp)
 		assert.Assert(t, resp.StatusCode >= http.StatusBadRequest, text)
+		if wait, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+			// The caller is told to come back when all VMs know of the crash.
+			time.Sleep(time.Duration(wait) * time.Second)
+		}
 		if i > 0 {
 			assert.Equal(t, resp.StatusCode, http.StatusUnprocessableEntity, text)
 			assert.Equal(t, resp.Header.Get("Gentianwell-Outcome"), "notRun")
