--- a/core/poison/registry.go
+++ b/core/poison/registry.go
@@ -128,10 +128,10 @@
 	return !e.published && own && len(e.records) == 1
 }
 
-// Answering is to be called before a call that saw a crash gets its failed
-// answer. It returns how long the answer has to wait: until the other VMs know
-// of the crash, since the caller may send the request again through any of them.
-func (r *Registry) Answering(now time.Time, fp Fingerprint) time.Duration {
+// Publish is to be called when a call that saw a crash gets its failed answer: its
+// caller may send it again through any VM. It returns the Retry-After for the
+// answer, after which all VMs know of the crash.
+func (r *Registry) Publish(now time.Time, fp Fingerprint) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entries[fp]
--- a/io/model/run.go
+++ b/io/model/run.go
@@ -17,6 +17,8 @@
 	reportEvery = 250 * time.Millisecond
 	tickEvery   = 20 * time.Millisecond
 	crashBack   = 8 * time.Second
+	// drainTime is how long the run goes on after the last arrival.
+	drainTime = 4 * time.Minute
 	// warmUp is not counted.
 	warmUp = 5 * time.Second
 	// capacityPart is the part of the engines' greatest pace that counts as their
@@ -24,8 +26,8 @@
 	capacityPart = 0.85
 )
 
-// DefaultHeadroom is the part of the engines' slots that is for tier 0.
-const DefaultHeadroom = 0.1
+// DefaultExtra is the default of RunConfig.Extra.
+const DefaultExtra = 0.25
 
 // RunConfig configures a run.
 type RunConfig struct {
@@ -33,8 +35,14 @@
 	Site     Site
 	Policy   Policy
 	Seed     uint64
-	// Headroom is the part of the engines' slots that is for tier 0.
-	Headroom float64
+	// Extra is how many requests of tier 0, as a part of the slots, an engine may
+	// get on top of a full batch. Preempts is true for engines that pause running
+	// requests of lower tiers for them.
+	Extra    float64
+	Preempts bool
+	// TokenGap is the time between tokens that the batch is learnt for; zero takes
+	// the letter's target.
+	TokenGap time.Duration
 }
 
 // loadReport is a load report on its way.
@@ -79,6 +87,7 @@
 		e := &engine{
 			id: call.ReplicaID(fmt.Sprint("r", i)), zone: b.zone(i), clock: b.clock, slow: 1,
 			byTier: b.config.Policy == PolicyTiers, figures: b.figures,
+			preempts: b.config.Policy == PolicyTiers && b.config.Preempts,
 		}
 		b.engines = append(b.engines, e)
 		b.byID[e.id] = e
@@ -89,8 +98,9 @@
 
 func (b *bench) replicas() route.Replicas {
 	var list route.Replicas
+	places := int(slots * (1 + b.config.Extra))
 	for _, e := range b.engines {
-		list = append(list, route.Replica{ID: e.id, Zone: e.zone, Models: []call.Model{modelName}, Slots: slots})
+		list = append(list, route.Replica{ID: e.id, Zone: e.zone, Models: []call.Model{modelName}, Slots: places})
 	}
 	return list
 }
@@ -118,14 +128,14 @@
 func (b *bench) plan() {
 	w := b.config.Workload
 	end := origin.Add(w.Length)
-	b.clock.every(tickEvery, end.Add(time.Minute*4), func() {
+	b.clock.every(tickEvery, end.Add(drainTime), func() {
 		for _, v := range b.entries {
 			v.tick()
 		}
 	})
 	for _, e := range b.engines {
 		b.clock.at(origin.Add(time.Duration(b.rng.Int64N(int64(reportEvery)))), func() {
-			b.clock.every(reportEvery, end, func() { b.report(e) })
+			b.clock.every(reportEvery, end.Add(drainTime), func() { b.report(e) })
 		})
 	}
 	b.faults()
@@ -208,6 +218,6 @@
 func (b *bench) end(r *request, s requestState) {
 	r.state = s
 	if r.arrived.Sub(origin) >= warmUp {
-		b.figures.count(r, b.clock.now, r.call.Team != crowdTeam)
+		b.figures.count(r, b.clock.now, origin.Add(b.config.Workload.Length))
 	}
 }
--- a/io/node/engines.go
+++ b/io/node/engines.go
@@ -6,13 +6,17 @@
 	"gentianwell/io/back"
 )
 
-// engines returns the listed engines.
+// engines returns the listed engines, with the state that counts for them.
 func (f *fleet) engines() member.VMs {
 	var out member.VMs
-	for _, vm := range f.all() {
-		if vm.Role == member.RoleEngine {
-			out = append(out, vm)
+	for _, v := range f.view.Judged(f.now(), member.RoleEngine) {
+		switch v.Reason {
+		case member.ReasonGone:
+			continue
+		case member.ReasonListLeaving, member.ReasonSaysLeaving:
+			v.VM.State = member.StateLeaving
 		}
+		out = append(out, v.VM)
 	}
 	return out
 }
