--- a/io/runner/claim_test.go
+++ b/io/runner/claim_test.go
@@ -17,7 +17,8 @@
 func grantAll(settled *[]string) Claims {
 	return Claims{
 		Begin: func(_ context.Context, r claim.Request) (*claim.Attempt, error) {
-			a := claim.NewAttempt(claim.AttemptConfig{Request: r, Nonce: func() string { return "n" }, Now: time.Now(), Retention: time.Hour})
+			r.Retention = time.Hour
+			a := claim.NewAttempt(claim.AttemptConfig{Request: r, Nonce: func() string { return "n" }, Now: time.Now()})
 			a.Apply(claim.Reply{Result: claim.ResultCommitted, Revision: 1})
 			return a, nil
 		},
