Bring about what two mutations slipped past

Run again on the present code, two mutations of the batches and one of the take-over passed: concurrent requests no longer shared a batch, and the history test meets the overlap only on some runs. The tests now make the writes wait for one transaction; TestFinishBesideConflict and TestTakeOverWaitsForOrder are new.

go test -count=3 ./io/claims ./io/placer: ok.

--- a/io/claims/claims_test.go
+++ b/io/claims/claims_test.go
@@ -229,11 +229,35 @@
 	}
 }
 
+// occupy makes a transaction, so that the writes that follow at once wait for the
+// next one together.
+func occupy(t *testing.T, c *Claims) {
+	t.Helper()
+	wantKind(t, begin(t, c, "r", "first"), claim.KindRun)
+	synctest.Wait()
+}
+
+// A finish that shares a transaction with a claim that is lost is recorded.
+func TestFinishBesideConflict(t *testing.T) {
+	inBubble(t, func(t *testing.T, _ *fakekv.Fake, a, b *Claims) {
+		wantKind(t, begin(t, b, "r", "taken"), claim.KindRun)
+		held := begin(t, a, "r1", "k")
+		assert.NilError(t, held.Send(time.Now()))
+		synctest.Wait()
+		lost := make(chan claim.Kind, 1)
+		go func() { lost <- begin(t, a, "r2", "taken").Verdict().Kind }()
+		assert.NilError(t, a.Finish(t.Context(), held, claim.Outcome{Status: 200}))
+		assert.Equal(t, <-lost, claim.KindInProgress)
+		wantKind(t, begin(t, b, "r3", "k"), claim.KindReplay)
+	})
+}
+
 // Concurrent claims share transactions; one that is lost to another VM doesn't
 // spoil the others.
 func TestGroups(t *testing.T) {
 	inBubble(t, func(t *testing.T, fake *fakekv.Fake, a, b *Claims) {
 		wantKind(t, begin(t, b, "r", "7"), claim.KindRun)
+		occupy(t, a)
 		before := fake.Counts().Txns
 		kinds := make(chan claim.Kind, 50)
 		for i := range 50 {
@@ -284,6 +308,7 @@
 // Two requests with one key on one VM at the same moment go one after the other.
 func TestSameKeyTogether(t *testing.T) {
 	inBubble(t, func(t *testing.T, _ *fakekv.Fake, a, _ *Claims) {
+		occupy(t, a)
 		kinds := make(chan claim.Kind, 3)
 		for i := range 3 {
 			go func() { kinds <- begin(t, a, "r"+strconv.Itoa(i), "k").Verdict().Kind }()
--- a/io/placer/placer_test.go
+++ b/io/placer/placer_test.go
@@ -301,6 +301,31 @@
 	}
 }
 
+// The platform ends a lease while its holder's order is under way. The next
+// holder's first order comes after that one's end.
+func TestTakeOverWaitsForOrder(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, fake *fakekv.Fake) {
+		s := newSite(false)
+		for i := range s.replicas {
+			s.replicas[i].Slots = 2
+		}
+		at := free(fake.Service())
+		var once sync.Once
+		at.order = func() {
+			once.Do(func() {
+				fake.LapseLeases()
+				s.start(ctx, "b", free(fake.Service()))
+				time.Sleep(9900 * time.Millisecond)
+			})
+		}
+		s.start(ctx, "a", at)
+		time.Sleep(5 * time.Minute)
+		all := s.all()
+		assert.Equal(t, all[0].vm, call.VMID("a"))
+		assert.Equal(t, s.copies("plots"), 1)
+	})
+}
+
 // A renewal's answer that comes late doesn't lengthen the holder's belief: no
 // order carries a number whose lease has lapsed.
 func TestLateRenewal(t *testing.T) {
