Test followers under random faults; wait for the start in every case

Cause: a document that came twice before the start was put into force at once, so that a fresh VM did not wait for its peers' newer settings. The new schedule test found it (heads 1/e1-1 twice in a row). Change: consider holds everything back until the start; an operator's change is compared with the held document too. Tests of a restore that races with a change, dies half way, or covers several changes. Ruled out: identical ids after a restart were a fault of the test.

--- a/io/conf/follower.go
+++ b/io/conf/follower.go
@@ -173,7 +173,7 @@
 	if c.ID == "" {
 		c.ID = f.c.Store.c.NewID()
 	}
-	accepted, err := f.c.Store.Change(ctx, c, f.Current().Head)
+	accepted, err := f.c.Store.Change(ctx, c, f.known())
 	log := f.c.Log.WithFields(logrus.Fields{"author": c.Author, "change": c.ID, "edits": len(c.Edits)})
 	if err != nil {
 		log.WithError(err).Info("settings change refused")
@@ -200,16 +200,12 @@
 func (f *Follower) consider(d tree.Document, source string) tree.Verdict {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	present := f.Current().Head
-	if f.held != nil {
-		present = f.held.Head
+	if !f.started {
+		return f.hold(d)
 	}
-	judgement := present.Judge(d.Head)
-	adopt := judgement.Verdict == tree.VerdictAdopt
+	judgement := f.Current().Judge(d.Head)
 	switch {
-	case !f.started && (adopt || f.held == nil):
-		f.held = &d
-	case adopt, judgement.Verdict == tree.VerdictSame && !f.Ready():
+	case judgement.Verdict == tree.VerdictAdopt, judgement.Verdict == tree.VerdictSame && !f.Ready():
 		f.adopt(d, source)
 	case judgement.Verdict != tree.VerdictSame:
 		f.c.Log.WithFields(logrus.Fields{"source": source, "reason": judgement.Reason}).Info("settings not adopted")
@@ -217,6 +213,19 @@
 	return judgement.Verdict
 }
 
+// hold keeps the newest document until the start; the caller holds the lock.
+func (f *Follower) hold(d tree.Document) tree.Verdict {
+	if f.held == nil {
+		f.held = &d
+		return tree.VerdictAdopt
+	}
+	verdict := f.held.Judge(d.Head).Verdict
+	if verdict == tree.VerdictAdopt {
+		f.held = &d
+	}
+	return verdict
+}
+
 // adopt swaps the snapshot; the caller holds the lock.
 func (f *Follower) adopt(d tree.Document, source string) {
 	snapshot := tree.NewSnapshot(d)
--- /dev/null
+++ b/io/conf/restore_test.go
@@ -0,0 +1,107 @@
+package conf
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"gentianwell/core/tree"
+	"gentianwell/io/fakekv"
+	"gentianwell/io/kvs"
+)
+
+// older returns a platform that came back without the last change, and the
+// document that is in force.
+func older(t *testing.T, classes int) (*fakekv.Fake, tree.Document) {
+	t.Helper()
+	fake := fakekv.New(fakekv.Config{})
+	store := newStore(fake.Service(), "old")
+	_, err := store.Change(t.Context(), set("site.weight", "1"), tree.Head{})
+	assert.NilError(t, err)
+	fake.Save()
+	var last Accepted
+	for i := range classes {
+		last, err = store.Change(t.Context(), set(fmt.Sprintf("classes.c%d", i), "{}"), tree.Head{})
+		assert.NilError(t, err)
+	}
+	fake.Restore()
+	return fake, last.Document
+}
+
+// A change that is accepted while a restore is under way must not be written over.
+func TestRestoreLosesAgainstAChange(t *testing.T) {
+	fake, inForce := older(t, 1)
+	svc := fake.Service()
+	transact := svc.Transact
+	calls := 0
+	svc.Transact = func(ctx context.Context, txn kvs.Txn) (kvs.TxnResult, error) {
+		if calls++; calls == 2 { // The branches are written, the head is not.
+			_, err := newStore(fake.Service(), "new").Change(ctx, set("site.tier", "1"), tree.Head{})
+			assert.NilError(t, err)
+		}
+		return transact(ctx, txn)
+	}
+	store := newStore(svc, "restore")
+	_, err := store.Restore(t.Context(), inForce, "e1")
+	assert.Assert(t, errors.Is(err, errors.AlreadyExists), "got %v", err)
+	loaded, err := store.Load(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, value(loaded.Tree, "site.tier"), "1")
+	assert.Equal(t, len(loaded.stale), 0)
+
+	restored, err := store.Restore(t.Context(), inForce, "e1")
+	assert.NilError(t, err)
+	assert.Equal(t, restored.Judgement.Verdict, tree.VerdictDiverged)
+	assert.Equal(t, value(restored.Document.Tree, "site.tier"), "1")
+	assert.Equal(t, value(restored.Document.Tree, "classes.c0"), "{}")
+}
+
+// A restore that dies half way leaves the platform's tree as it was; the next
+// one clears up.
+func TestHalfARestoreIsNotSeen(t *testing.T) {
+	const classes = 2 * maxWrites
+	fake, inForce := older(t, classes)
+	svc := fake.Service()
+	transact := svc.Transact
+	calls := 0
+	svc.Transact = func(ctx context.Context, txn kvs.Txn) (kvs.TxnResult, error) {
+		if calls++; calls > 1 {
+			return kvs.TxnResult{}, kvs.ErrUnavailable
+		}
+		return transact(ctx, txn)
+	}
+	_, err := newStore(svc, "dying").Restore(t.Context(), inForce, "e1")
+	assert.Assert(t, errors.Is(err, kvs.ErrUnavailable), "got %v", err)
+	store := newStore(fake.Service(), "next")
+	loaded, err := store.Load(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, loaded.Version, int64(1))
+	assert.Equal(t, len(loaded.stale), maxWrites)
+
+	_, err = store.Restore(t.Context(), inForce, "e2")
+	assert.NilError(t, err)
+	loaded, err = store.Load(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, loaded.Mark, inForce.Mark)
+	assert.Equal(t, len(loaded.Tree.Classes), classes)
+	assert.Equal(t, len(loaded.stale), 0)
+}
+
+// The record of a restore brings in all the changes that the platform had lost,
+// so that a later merge finds them.
+func TestRecordOfARestoreCoversWhatWasLost(t *testing.T) {
+	fake, inForce := older(t, 3)
+	store := newStore(fake.Service(), "next")
+	_, err := store.Restore(t.Context(), inForce, "e1")
+	assert.NilError(t, err)
+	records, err := store.History(t.Context())
+	assert.NilError(t, err)
+	last := records[len(records)-1]
+	assert.Equal(t, len(last.Covers), 3)
+	assert.Equal(t, len(last.Edits), 3)
+	_, err = store.UndoEdits(t.Context(), last.Version)
+	assert.Assert(t, errors.Is(err, errors.NotSupported), "got %v", err)
+}
--- a/io/conf/world_test.go
+++ b/io/conf/world_test.go
@@ -33,6 +33,8 @@
 	t    *testing.T
 	fake *fakekv.Fake
 	ctx  context.Context
+	// starts counts the VMs started, so that a restarted one has fresh ids.
+	starts int
 
 	mu  sync.Mutex
 	vms map[call.VMID]*vm
@@ -162,7 +164,8 @@
 func (w *world) start(id call.VMID) *vm {
 	ctx, cancel := context.WithCancel(w.ctx)
 	v := &vm{cancel: cancel}
-	v.store = newStore(w.service(id), string(id))
+	w.starts++
+	v.store = newStore(w.service(id), fmt.Sprintf("%s-%d", id, w.starts))
 	timers := timer.New(timer.Config{Now: time.Now})
 	log := logrus.New()
 	log.SetOutput(io.Discard)
