--- a/core/poison/config.go
+++ b/core/poison/config.go
@@ -26,8 +26,8 @@
 	// CrashWindow is the time within which crashes of one replica are the same
 	// crash, seen by several calls or VMs.
 	CrashWindow time.Duration
-	// SpreadTime is how long gossip takes to reach all VMs. The failed answer to a
-	// call that saw a crash waits so long.
+	// SpreadTime is how long gossip takes to reach all VMs. The caller of a failed
+	// call that saw a crash is told to come back after it.
 	SpreadTime time.Duration
 	// MemoryTime is how long a crash counts.
 	MemoryTime time.Duration
@@ -68,7 +68,7 @@
 
 // Cap returns how many backend servers a request that crashes each of them can
 // take down in all when at most copies of it are in the system at the same time,
-// those that wait for their failed answer included.
+// from arrival until the Retry-After of the failed answer.
 func (c Config) Cap(copies int) int { return (c.SuspectAfter + 1) * copies }
 
 func setTime(field *time.Duration, value time.Duration) {
