Wait for a platform that is merely slow

Cause: with calls of 3 s each, a fresh VM never became ready: every read ended after 2 s. Ruled out: 10 s for every read (a silent connection would then cost the poll 10 s and break the bound of 11 s). Change: a read's timeout begins at 2 s and doubles while reads fail; a change has 10 s for each call. Checked: TestSlowPlatformIsWaitedFor fails without the doubling; go test -race ./io/conf (ok).

--- a/io/conf/bench_test.go
+++ b/io/conf/bench_test.go
@@ -3,9 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"gentianwell/core/call"
+	"gentianwell/core/spread"
 	"gentianwell/core/tree"
 	"gentianwell/io/fakekv"
 )
@@ -60,3 +63,49 @@
 		})
 	}
 }
+
+// BenchmarkRounds reports the gossip rounds until all VMs have the version that
+// one of them has, the longest of several seeds, with nothing but peers to tell.
+func BenchmarkRounds(b *testing.B) {
+	const seeds = 20
+	for _, vms := range []int{9, 47, 150, 330} {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			longest, sum, runs := 0, 0, 0
+			for b.Loop() {
+				for seed := range seeds {
+					n := rounds(vms, uint64(seed))
+					longest, sum, runs = max(longest, n), sum+n, runs+1
+				}
+			}
+			b.ReportMetric(float64(longest), "rounds/longest")
+			b.ReportMetric(float64(sum)/float64(runs), "rounds/mean")
+		})
+	}
+}
+
+func rounds(vms int, seed uint64) int {
+	var all []call.VMID
+	for i := range vms {
+		all = append(all, call.VMID(fmt.Sprintf("e%d", i)))
+	}
+	stores := map[call.VMID]*spread.Store{}
+	for i, id := range all {
+		stores[id] = spread.New(spread.Config{Self: id, Rand: rand.New(rand.NewPCG(seed, uint64(i)))})
+	}
+	has := map[call.VMID]bool{all[0]: true}
+	n := 0
+	for ; len(has) < vms; n++ {
+		var told []call.VMID
+		for _, id := range all {
+			for _, other := range stores[id].Targets(all) {
+				if has[id] || has[other] {
+					told = append(told, id, other)
+				}
+			}
+		}
+		for _, id := range told {
+			has[id] = true
+		}
+	}
+	return n
+}
--- a/io/conf/follower.go
+++ b/io/conf/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,75 +10,10 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianwell/core/call"
-	"gentianwell/core/timer"
 	"gentianwell/core/tree"
 	"gentianwell/io/kvs"
 )
 
-// The defaults of a follower.
-const (
-	defaultPollInterval  = 4 * time.Second
-	defaultStartWait     = 2 * time.Second
-	defaultRestoreJitter = 3 * time.Second
-	defaultRewatchPause  = 500 * time.Millisecond
-	// hintCapacity bounds the peers' hints that wait for a fetch.
-	hintCapacity = 16
-)
-
-// FollowerConfig configures a Follower.
-type FollowerConfig struct {
-	// Self is this VM.
-	Self  call.VMID
-	Store *Store
-	Timer *timer.Service
-	Rand  *rand.Rand
-	Log   logrus.FieldLogger
-	// Fetch asks another entry VM for its document, in JSON, if its version is
-	// above have; empty if not.
-	Fetch func(ctx context.Context, vm call.VMID, have int64) ([]byte, error)
-	// Apply is called with each snapshot that comes into force, one at a time.
-	Apply func(*tree.Snapshot)
-	// PollInterval is the time between reads of the platform's head.
-	PollInterval time.Duration
-	// StartWait is how long a fresh VM waits for newer settings of its peers
-	// before it puts the platform's into force.
-	StartWait time.Duration
-	// RestoreJitter bounds the random time after which a platform found older
-	// is restored.
-	RestoreJitter time.Duration
-	// RewatchPause is the pause before a failed watch is begun again.
-	RewatchPause time.Duration
-}
-
-// Defaults fills in the fields left zero.
-func (c *FollowerConfig) Defaults() {
-	if c.PollInterval == 0 {
-		c.PollInterval = defaultPollInterval
-	}
-	if c.StartWait == 0 {
-		c.StartWait = defaultStartWait
-	}
-	if c.RestoreJitter == 0 {
-		c.RestoreJitter = defaultRestoreJitter
-	}
-	if c.RewatchPause == 0 {
-		c.RewatchPause = defaultRewatchPause
-	}
-}
-
-// Validate checks that the needed fields are there.
-//
-// Errors: NotValid with the field's name.
-func (c *FollowerConfig) Validate() error {
-	switch {
-	case c.Self == "":
-		return errors.NotValidf("FollowerConfig.Validate: empty Self")
-	case c.Store == nil, c.Timer == nil, c.Rand == nil, c.Log == nil, c.Fetch == nil, c.Apply == nil:
-		return errors.NotValidf("FollowerConfig.Validate: nil Store, Timer, Rand, Log, Fetch or Apply")
-	}
-	return nil
-}
-
 // Follower keeps the newest settings in force on one VM.
 type Follower struct {
 	c       FollowerConfig
@@ -91,6 +25,9 @@
 	// restores asks for a restore of the platform.
 	restores chan struct{}
 
+	// patience is the present timeout of reads, in nanoseconds.
+	patience atomic.Int64
+
 	randMu sync.Mutex
 	mu     sync.Mutex
 	// started is true once documents are put into force at once; held is the
@@ -124,6 +61,7 @@
 		restores: make(chan struct{}, 1),
 	}
 	f.current.Store(tree.NewSnapshot(tree.Document{}))
+	f.patience.Store(int64(c.ReadTimeout))
 	return f, nil
 }
 
--- a/io/conf/follower_test.go
+++ b/io/conf/follower_test.go
@@ -179,3 +179,18 @@
 		assert.Equal(w.t, first, int64(2))
 	})
 }
+
+// A platform that answers after longer than a read's first timeout is waited for.
+func TestSlowPlatformIsWaitedFor(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.fake.SetFaults(fakekv.Faults{Delay: 3 * time.Second})
+		w.isolate(true, "e3")
+		w.stop("e3")
+		fresh := w.start("e3")
+		time.Sleep(20 * time.Second)
+		assert.Assert(w.t, fresh.Ready())
+		w.mustSet("e1", "site.weight", "2")
+		time.Sleep(bound)
+		w.inForce("site.weight", "2")
+	})
+}
--- a/io/conf/peers.go
+++ b/io/conf/peers.go
@@ -55,7 +55,7 @@
 }
 
 func (f *Follower) fetch(ctx context.Context, vm call.VMID) error {
-	ctx, cancel := context.WithTimeout(ctx, f.c.Store.c.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, f.c.ReadTimeout)
 	defer cancel()
 	raw, err := f.c.Fetch(ctx, vm, f.known().Version)
 	if err != nil {
--- a/io/conf/poll.go
+++ b/io/conf/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -25,7 +26,10 @@
 // poll compares the platform's head with what is in force. A newer head that
 // the watch has not brought means that the watch cannot be trusted.
 func (f *Follower) poll(ctx context.Context) {
-	h, _, err := f.c.Store.loadHead(ctx)
+	reading, cancel := f.reading(ctx)
+	defer cancel()
+	h, _, err := f.c.Store.loadHead(reading)
+	f.learn(err)
 	if err != nil {
 		f.c.Log.WithError(err).Warn("settings poll failed")
 		return
@@ -42,6 +46,20 @@
 	f.compare(judgement.Verdict)
 }
 
+// reading bounds a read of the platform.
+func (f *Follower) reading(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, time.Duration(f.patience.Load()))
+}
+
+// learn sets the timeout of the next read by the result of the last one.
+func (f *Follower) learn(err error) {
+	next := f.c.ReadTimeout
+	if err != nil {
+		next = min(2*time.Duration(f.patience.Load()), f.c.Store.c.CallTimeout)
+	}
+	f.patience.Store(int64(next))
+}
+
 // compare has a platform restored that lacks what is in force.
 func (f *Follower) compare(v tree.Verdict) {
 	if v != tree.VerdictBehind && v != tree.VerdictDiverged {
--- a/io/conf/store.go
+++ b/io/conf/store.go
@@ -15,7 +15,7 @@
 // The defaults and bounds of a store.
 const (
 	defaultHistory     = 64
-	defaultCallTimeout = 2 * time.Second
+	defaultCallTimeout = 10 * time.Second
 	defaultRetry       = 200 * time.Millisecond
 	defaultTries       = 5
 	// maxWrites bounds the branches of one change: the service takes 128
--- a/io/conf/watch.go
+++ b/io/conf/watch.go
@@ -46,7 +46,10 @@
 
 // resync reads the whole tree and returns the revision to watch from.
 func (f *Follower) resync(ctx context.Context) (kvs.Revision, error) {
-	loaded, err := f.c.Store.Load(ctx)
+	reading, cancel := f.reading(ctx)
+	defer cancel()
+	loaded, err := f.c.Store.Load(reading)
+	f.learn(err)
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
