Ask engines for a stream also where the caller wants one piece

Cause: an answer in one piece shows no progress while it is generated, so that a first timeout long enough for it (2,000 tokens at 45 ms are 90 s) leaves a silent connection undetected as long, and the progress timeout on a reused connection would have cut and run again each answer of more than a few seconds. Ruled out: a total timeout from the token limit (the length is not known); fresh connections for all such requests (silence would still cost the whole timeout). Change: the engine streams, core/stream assembles the body by the merging rule of the API's clients, and a broken answer is resumed as a streamed one is. A prompt list's choices count. What cannot be streamed (best_of, beam search, audio) goes out on a fresh connection with ten minutes.

--- a/core/stream/answer.go
+++ b/core/stream/answer.go
@@ -48,7 +48,8 @@
 	ended    bool
 	complete bool
 	out      []byte // for what Feed returns
-	broken   bool   // the caller was given a wrong text
+	assembly assembly
+	broken   bool // the caller was given a wrong text
 }
 
 // New returns an answer of which nothing has come yet.
@@ -63,7 +64,9 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "New")
 	}
-	return &Answer{c: c, request: r, choices: make([]choice, r.choices()), ended: true}, nil
+	a := &Answer{c: c, request: r, choices: make([]choice, r.choices()), ended: true}
+	a.assembly.choices = make([]assembledChoice, len(a.choices))
+	return a, nil
 }
 
 // Stats returns the counts so far.
@@ -103,7 +106,7 @@
 	case a.ended:
 		return nil, FaultOver
 	case len(e.Data) == 0:
-		return e.Raw, nil
+		return a.comment(e), nil
 	case string(e.Data) == doneData:
 		return a.feedDone(e)
 	}
@@ -120,6 +123,14 @@
 	return a.feedChoices(e, c)
 }
 
+// comment passes on an event without data, such as a sign of life.
+func (a *Answer) comment(e Event) []byte {
+	if a.c.Assemble {
+		return nil
+	}
+	return e.Raw
+}
+
 func (a *Answer) fault(err error) error {
 	a.ended = true
 	a.broken = a.broken || errors.Is(err, FaultOrder) || errors.Is(err, FaultExcess)
@@ -159,6 +170,9 @@
 		}
 	}
 	a.ended, a.complete = true, true
+	if a.c.Assemble {
+		return nil, nil
+	}
 	return e.Raw, nil
 }
 
@@ -183,6 +197,12 @@
 		return nil, nil
 	}
 	a.passed = true
+	if a.c.Assemble {
+		if err := a.collect(e, edit); err != nil {
+			return nil, a.fault(err)
+		}
+		return nil, nil
+	}
 	return a.output(e, c, edit)
 }
 
@@ -234,6 +254,12 @@
 	if c.Usage != nil && a.chunks() > c.Usage.CompletionTokens {
 		return nil, a.fault(FaultExcess)
 	}
+	if a.c.Assemble {
+		if err := a.collectUsage(c.Usage); err != nil {
+			return nil, a.fault(err)
+		}
+		return nil, nil
+	}
 	if !a.request.wantsUsage {
 		return nil, nil
 	}
--- a/core/stream/config.go
+++ b/core/stream/config.go
@@ -43,6 +43,10 @@
 	Model string
 	// Engine says what the engines that serve this model can do.
 	Engine Profile
+	// Assemble is true for a caller that did not ask for a stream: the engine is
+	// asked for one all the same, so that its progress shows and the answer can be
+	// resumed, and Body returns the answer in one piece.
+	Assemble bool
 	// RequestID is the request's id, of which each attempt's is made.
 	RequestID string
 	// Idempotent is false where the request must not run a second time.
--- a/core/stream/decide.go
+++ b/core/stream/decide.go
@@ -65,6 +65,7 @@
 	a.stats.Tokens = 0
 	for i := range a.choices {
 		a.choices[i].restart()
+		a.assembly.choices[i] = assembledChoice{}
 	}
 }
 
--- a/core/stream/edit.go
+++ b/core/stream/edit.go
@@ -122,9 +122,14 @@
 	if !a.resumed {
 		return nil
 	}
+	return a.rewriteUsageOf(o, c.Usage)
+}
+
+// rewriteUsageOf sets the usage of all attempts together.
+func (a *Answer) rewriteUsageOf(o object, last *rawUsage) error {
 	u := Usage{PromptTokens: a.prompt, CompletionTokens: a.stats.Tokens}
 	if a.prompt == 0 {
-		u.PromptTokens = max(c.Usage.PromptTokens+c.Usage.CompletionTokens-a.stats.Tokens, 0)
+		u.PromptTokens = max(last.PromptTokens+last.CompletionTokens-a.stats.Tokens, 0)
 	}
 	u.TotalTokens = u.PromptTokens + u.CompletionTokens
 	return set(o, "usage", u)
--- a/core/stream/request.go
+++ b/core/stream/request.go
@@ -35,6 +35,7 @@
 	body        []byte
 	members     object
 	counts      bool // ask the engine to count tokens in each chunk
+	assemble    bool // ask the engine for a stream that the caller does not get
 	wantsUsage  bool // the caller asked for usage at the end
 	wantsCounts bool // the caller asked for usage in each chunk
 	fields      requestFields
@@ -65,26 +66,54 @@
 	if n := r.choices(); n < 1 || n > maxChoices {
 		return request{}, errors.NotValidf("request body: n %d, allowed 1 to %d", n, maxChoices)
 	}
-	r.counts = c.Engine.CountsTokens && r.fields.Stream
+	r.assemble = c.Assemble
+	r.counts = c.Engine.CountsTokens && (r.fields.Stream || c.Assemble)
 	r.wantsUsage = r.fields.StreamOptions.IncludeUsage
 	r.wantsCounts = r.fields.StreamOptions.ContinuousUsageStats
 	return r, nil
 }
 
 func (r *request) choices() int {
-	if r.fields.N == nil {
+	n := 1
+	if r.fields.N != nil {
+		n = *r.fields.N
+	}
+	return n * r.prompts()
+}
+
+// prompts returns how many prompts the request holds: each has its own choices.
+func (r *request) prompts() int {
+	var list []json.RawMessage
+	if r.kind != KindCompletion || json.Unmarshal(r.members[memberPrompt], &list) != nil || len(list) == 0 {
 		return 1
 	}
-	return *r.fields.N
+	if first := list[0][0]; first == '"' || first == '[' {
+		return len(list)
+	}
+	return 1 // one prompt of token numbers
+}
+
+// Streamable reports whether an engine can stream the answer to a request at all.
+func Streamable(body []byte) bool {
+	var o object
+	if err := json.Unmarshal(body, &o); err != nil {
+		return false
+	}
+	for _, name := range []string{"best_of", "use_beam_search", "modalities", "audio"} {
+		if value, ok := o[name]; ok && !isEmpty(value) && string(value) != "false" && string(value) != "1" {
+			return false
+		}
+	}
+	return true
 }
 
 // first returns the body of an attempt from the start.
 func (r *request) first() ([]byte, error) {
-	if !r.counts {
+	if !r.counts && !r.assemble {
 		return r.body, nil
 	}
 	o := r.copy()
-	if err := r.askCounts(o); err != nil {
+	if err := r.askStream(o); err != nil {
 		return nil, errors.Annotate(err, "request.first")
 	}
 	return encode(o)
@@ -99,10 +128,8 @@
 	if err := r.lowerLimits(o, tokens); err != nil {
 		return nil, errors.Annotate(err, "request.resume")
 	}
-	if r.counts {
-		if err := r.askCounts(o); err != nil {
-			return nil, errors.Annotate(err, "request.resume")
-		}
+	if err := r.askStream(o); err != nil {
+		return nil, errors.Annotate(err, "request.resume")
 	}
 	return encode(o)
 }
@@ -115,7 +142,12 @@
 	return o
 }
 
-func (r *request) askCounts(o object) error {
+// askStream asks for a stream with what the guard needs in it.
+func (r *request) askStream(o object) error {
+	if !r.counts && !r.assemble {
+		return nil
+	}
+	o["stream"] = json.RawMessage("true")
 	options := object{}
 	if raw, ok := o[memberStreamOptions]; ok && !isEmpty(raw) {
 		if err := json.Unmarshal(raw, &options); err != nil {
@@ -123,7 +155,9 @@
 		}
 	}
 	options["include_usage"] = json.RawMessage("true")
-	options["continuous_usage_stats"] = json.RawMessage("true")
+	if r.counts {
+		options["continuous_usage_stats"] = json.RawMessage("true")
+	}
 	return set(o, memberStreamOptions, options)
 }
 
--- a/io/runner/guard.go
+++ b/io/runner/guard.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -15,6 +16,9 @@
 // after it.
 const headerRequestID = "X-Request-Id"
 
+// onePieceTimeout bounds the time of an answer that shows no progress.
+const onePieceTimeout = 10 * time.Minute
+
 // EngineProfile is what engines can do where nothing else is said: they continue
 // a partial answer and count tokens in each chunk.
 func EngineProfile(call.Model) stream.Profile {
@@ -34,13 +38,16 @@
 	}
 }
 
-// beginGuard prepares for a streamed answer of an engine.
+// beginGuard prepares for the answer of an engine, which is asked for a stream
+// wherever it can give one: in a stream its progress shows.
 func (n *run) beginGuard() error {
-	if n.job.Kind != KindEngine || !n.job.Stream {
+	if n.job.Kind != KindEngine || !stream.Streamable(n.job.Body) {
 		return nil
 	}
+	c := n.guardConfig()
+	c.Assemble = !n.job.Stream
 	var err error
-	n.guard, err = stream.New(n.guardConfig())
+	n.guard, err = stream.New(c)
 	return errors.Annotate(err, "run.beginGuard")
 }
 
@@ -51,8 +58,14 @@
 	}
 	if n.guard == nil {
 		req.Header.Set(headerRequestID, n.job.Call.ID)
+		req.Fresh, req.FirstTimeout = true, onePieceTimeout
 		return nil
 	}
+	req.FirstTimeout = n.r.c.EngineFirst
+	if n.guard.Stats().Tokens > 0 {
+		// The caller is in the middle of its answer.
+		req.FirstTimeout = req.ProgressTimeout
+	}
 	body, err := n.guard.Begin()
 	if err != nil {
 		return errors.Annotate(err, "run.guarded")
@@ -78,7 +91,6 @@
 func (n *run) inspect(e *attemptEnd) {
 	if n.guard != nil {
 		n.inspectStream(e)
-		return
 	}
 	if n.job.Kind == KindEngine && e.result.Complete() && e.result.Status == http.StatusOK && !e.result.Streamed {
 		_, e.fault = stream.CheckBody(n.guardConfig(), e.result.Body)
@@ -99,3 +111,17 @@
 	}
 	n.watch.wasted = n.guard.Stats().Wasted
 }
+
+// assembles reports whether the caller gets in one piece what the engine streams.
+func (n *run) assembles() bool { return n.guard != nil && !n.job.Stream }
+
+// assembled returns the answer that came as a stream in one piece.
+func (n *run) assembled(result back.Result) (back.Result, error) {
+	body, err := n.guard.Body()
+	if err != nil {
+		return back.Result{}, errors.Annotate(err, "run.assembled")
+	}
+	result.Body = body
+	result.Header = http.Header{"Content-Type": {"application/json"}}
+	return result, nil
+}
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -44,6 +44,8 @@
 	Log     logrus.FieldLogger
 	// Attempts bounds the attempts at one job.
 	Attempts int
+	// EngineFirst bounds an engine's time to its first token.
+	EngineFirst time.Duration
 	// RetryAfter is what a caller is told where nothing better is known.
 	RetryAfter time.Duration
 }
@@ -56,6 +58,9 @@
 	if c.Profile == nil {
 		c.Profile = EngineProfile
 	}
+	if c.EngineFirst == 0 {
+		c.EngineFirst = 20 * time.Second
+	}
 	if c.RetryAfter == 0 {
 		c.RetryAfter = time.Second
 	}
@@ -169,7 +174,7 @@
 	if n.attempts >= n.r.c.Attempts || e.callerGone() {
 		return false
 	}
-	if n.started {
+	if n.started || e.next.Action == stream.ActionResume {
 		return e.next.Action.Again()
 	}
 	if !e.failed() {
@@ -180,7 +185,13 @@
 
 // finish hands over an answer that came whole.
 func (n *run) finish(e attemptEnd) Answer {
-	if !e.result.Streamed {
+	if e.result.Streamed && n.assembles() {
+		var err error
+		if e.result, err = n.assembled(e.result); err != nil {
+			return n.failure(e, http.StatusBadGateway, ReasonTruncated)
+		}
+	}
+	if !e.result.Streamed || n.assembles() {
 		if err := n.whole(e.replica, e.result); err != nil {
 			return n.failure(e, statusCallerGone, ReasonCallerGone)
 		}
--- a/io/runner/stream_test.go
+++ b/io/runner/stream_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,6 +32,7 @@
 // engines are stand-in engines behind relays, and a runner before them.
 type engines struct {
 	*Runner
+	mu     sync.Mutex
 	list   []*fakes.Engine
 	relays []*relay.Relay
 	last   Measure
@@ -79,14 +81,20 @@
 			e.strike(to)
 			return client.Do(ctx, to, req, sink)
 		},
-		Estimate: func(*call.Call) (int, time.Duration) { return 1, 0 },
-		Observe:  func(m Measure) { e.last = m },
-		Profile:  func(call.Model) stream.Profile { return profile },
+		Estimate:    func(*call.Call) (int, time.Duration) { return 1, 0 },
+		EngineFirst: bc.FirstTimeout, Observe: e.observe,
+		Profile: func(call.Model) stream.Profile { return profile },
 	})
 	assert.NilError(t, err)
 	return e
 }
 
+func (e *engines) observe(m Measure) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.last = m
+}
+
 func (e *engines) strike(to back.Target) {
 	if e.faulty == 0 {
 		return
@@ -296,7 +304,8 @@
 	}
 }
 
-// An answer in one piece is run again, if it may be, where it is not whole.
+// A caller that wants its answer in one piece is served as well as one that wants
+// a stream: the answer is resumed, not run again from its start.
 func TestPlainAnswerIsWhole(t *testing.T) {
 	e := newEngines(t, 3, standIn)
 	e.fault, e.faulty = fakes.Fault{Kind: fakes.FaultTruncate, AfterTokens: 2, Times: 1}, 2
--- /dev/null
+++ b/io/site/process_test.go
@@ -0,0 +1,110 @@
+package site
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3/option"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"gentianwell/core/call"
+	"gentianwell/core/member"
+	"gentianwell/io/fakes"
+	"gentianwell/io/front"
+)
+
+// engineAddress in the environment makes the test binary an engine's process.
+const engineAddress = "GENTIANWELL_TEST_ENGINE"
+
+func TestMain(m *testing.M) {
+	if address := os.Getenv(engineAddress); address != "" {
+		if err := serveEngine(address); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func serveEngine(address string) error {
+	e, err := fakes.NewEngine(fakes.EngineConfig{ID: address, Models: []string{"drafts"}, TokenGap: time.Millisecond})
+	if err != nil {
+		return err
+	}
+	return http.ListenAndServe(address, e.Handler())
+}
+
+// engineProcess is an engine as a process of its own.
+type engineProcess struct {
+	address netip.AddrPort
+	process *os.Process
+}
+
+func (s *Site) startProcess(t *testing.T, id call.VMID) engineProcess {
+	t.Helper()
+	p := engineProcess{address: freeAddress(t)}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), engineAddress+"="+p.address.String())
+	cmd.Stderr = os.Stderr
+	assert.NilError(t, cmd.Start())
+	p.process = cmd.Process
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return p.answers() }, poll.WithTimeout(startTimeout), poll.WithDelay(10*time.Millisecond))
+	s.List(t, member.VM{
+		ID: id, Zone: zone(0), Role: member.RoleEngine, Address: p.address, Models: []call.Model{"drafts"}, State: member.StateLive,
+	})
+	return p
+}
+
+func (p engineProcess) answers() poll.Result {
+	resp, err := http.Get("http://" + p.address.String() + "/runs")
+	if err != nil {
+		return poll.Continue("%v", err)
+	}
+	_ = resp.Body.Close()
+	return poll.Success()
+}
+
+// An engine's process is killed, or stopped by a signal so that its kernel still
+// acknowledges what is sent to it, in mid-stream: the caller gets the whole answer.
+func TestEngineProcessFails(t *testing.T) {
+	const prompt = "hello [[length=300]]"
+	s := newRelayed(t, Config{Entries: 1})
+	processes := map[string]engineProcess{}
+	for i := range 3 {
+		id := fmt.Sprintf("p%d", i)
+		processes[id] = s.startProcess(t, call.VMID(id))
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := s.Entries[0].Node.Status().Replicas; n < 3 {
+			return poll.Continue("%d replicas", n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(startTimeout), poll.WithDelay(10*time.Millisecond))
+	client := s.client()
+	for _, signal := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGKILL} {
+		t.Run(signal.String(), func(t *testing.T) {
+			var resp *http.Response
+			stream := client.Chat.Completions.NewStreaming(t.Context(), chatParams(prompt), option.WithResponseInto(&resp))
+			got := readAll(stream, func(n int) {
+				if n == 20 {
+					p := processes[resp.Header.Get(front.HeaderReplica)]
+					assert.NilError(t, p.process.Signal(signal))
+				}
+			})
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.text, fakes.Text(prompt, 0, -1))
+		})
+	}
+}
