--- a/io/runner/again.go
+++ b/io/runner/again.go
@@ -2,6 +2,7 @@
 
 import (
 	"gentianwell/core/retry"
+	"gentianwell/core/stream"
 	"gentianwell/io/back"
 )
 
@@ -18,7 +19,7 @@
 
 // wantsAgain reports whether another attempt could do better.
 func (n *run) wantsAgain(e attemptEnd) bool {
-	if n.started {
+	if n.started || e.next.Action == stream.ActionResume {
 		return e.next.Action.Again()
 	}
 	return e.failed()
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -67,6 +67,8 @@
 	Log        logrus.FieldLogger
 	// Attempts bounds the attempts at one job.
 	Attempts int
+	// EngineFirst bounds an engine's time to its first token.
+	EngineFirst time.Duration
 	// RetryAfter is what a caller is told where nothing better is known.
 	RetryAfter time.Duration
 }
@@ -79,6 +81,9 @@
 	if c.Profile == nil {
 		c.Profile = EngineProfile
 	}
+	if c.EngineFirst == 0 {
+		c.EngineFirst = 20 * time.Second
+	}
 	if c.RetryAfter == 0 {
 		c.RetryAfter = time.Second
 	}
@@ -244,6 +249,13 @@
 
 // finish hands over an answer that came whole.
 func (n *run) finish(e attemptEnd) Answer {
+	if e.result.Streamed && n.assembles() {
+		var err error
+		if e.result, err = n.assembled(e.result); err != nil {
+			return n.failure(e, http.StatusBadGateway, ReasonTruncated)
+		}
+		n.record(e.result)
+	}
 	if !e.result.Streamed {
 		// A repeat that follows the answer at once has to find it.
 		n.settle()
