Keep places of a batch for urgent calls

Change: WindowConfig.Kept, the part of the batch that calls below the urgent ones leave free; 0.1 by default.

--- a/core/estim/window.go
+++ b/core/estim/window.go
@@ -21,13 +21,16 @@
 	// Spare is the load of a replica, as a part of the batch, below which a VM may
 	// use more than its share, and Over how far beyond its share it goes anyway.
 	Spare, Over float64
+	// Kept is the part of the batch that is kept free for urgent calls, which do not
+	// ask Allows; for engines that do not pause other requests for them.
+	Kept float64
 }
 
 // WindowDefaults returns a valid config.
 func WindowDefaults() WindowConfig {
 	return WindowConfig{
 		Least: 4, Greatest: 32, TokenGap: 45 * time.Millisecond, Part: 0.99,
-		Interval: time.Second, Up: 0.5, Down: 0.9, Spare: 0.75, Over: 0.05,
+		Interval: time.Second, Up: 0.5, Down: 0.9, Spare: 0.75, Over: 0.05, Kept: 0.1,
 	}
 }
 
@@ -40,6 +43,8 @@
 		return errors.NotValidf("WindowConfig.Validate: Least %g, Greatest %g", c.Least, c.Greatest)
 	case c.TokenGap <= 0 || c.Interval <= 0 || c.Part <= 0 || c.Part >= 1:
 		return errors.NotValidf("WindowConfig.Validate: TokenGap %s, Interval %s, Part %g", c.TokenGap, c.Interval, c.Part)
+	case c.Kept < 0 || c.Kept >= 1:
+		return errors.NotValidf("WindowConfig.Validate: Kept %g", c.Kept)
 	case c.Up <= 0 || c.Down <= 0 || c.Down >= 1 || c.Spare < 0 || c.Over < 0:
 		return errors.NotValidf("WindowConfig.Validate: Up %g, Down %g, Spare %g, Over %g", c.Up, c.Down, c.Spare, c.Over)
 	}
@@ -98,11 +103,12 @@
 // of its own on the replicas. Running is the number of requests on the least
 // loaded replica, by the last reports.
 func (w *Window) Allows(inFlight, replicas, vms int, running float64) bool {
-	share := w.batch * float64(replicas) / float64(max(1, vms))
+	batch := w.batch * (1 - w.config.Kept)
+	share := batch * float64(replicas) / float64(max(1, vms))
 	if float64(inFlight) < share*(1+w.config.Over) {
-		return running < w.batch
+		return running < batch
 	}
-	return running < w.batch*w.config.Spare
+	return running < batch*w.config.Spare
 }
 
 // minWindowSamples is how many answers a change of the batch needs.
