Make statements rarer; judge the zones' VMs once a round

Cause: at 330 VMs ten statements a second of about 170 bytes each would fill the gossip's messages; zones were judged anew for each limit. Change: a statement for each VM every 300 ms times the VMs, from 5 s on (99 s at 330 VMs); one that says that the VM leaves is still made at once. Unlisted VMs count for 5 minutes after their last statement. TestNoHerdOnStaleReport logs the share for other numbers of choices; its check is the same. Conclusion: go test -count=1 ./core/route ./core/member ./io/site passes.

--- a/core/member/config.go
+++ b/core/member/config.go
@@ -15,7 +15,7 @@
 	defaultOpinionsToSuspect = 3
 	defaultOpinionMaxAge     = 30 * time.Second
 	defaultListLag           = 30 * time.Second
-	defaultStatementMaxAge   = 2 * time.Minute
+	defaultStatementMaxAge   = 5 * time.Minute
 	defaultAnswerMaxAge      = 10 * time.Second
 )
 
--- a/core/member/view_test.go
+++ b/core/member/view_test.go
@@ -90,7 +90,7 @@
 		{"gone, spoke long ago", func(v *View) {
 			v.SetList(t0, list(StateLive)[1:])
 			v.Hear(at(time.Second), says("x", 5, 2, StateLive))
-		}, 122 * time.Second, ReasonGone},
+		}, defaultStatementMaxAge + 2*time.Second, ReasonGone},
 		{"missed twice", func(v *View) { v.Missed(t0, "x"); v.Missed(t0, "x") }, 0, ReasonListed},
 		{"missed three times", func(v *View) { v.Missed(t0, "x"); v.Missed(t0, "x"); v.Missed(t0, "x") }, 0, ReasonSilent},
 		{"missed once, long ago", func(v *View) { v.Missed(t0, "x") }, 5 * time.Second, ReasonSilent},
--- a/core/route/pick_test.go
+++ b/core/route/pick_test.go
@@ -15,25 +15,29 @@
 // Every VM has the same stale reports, by which r0 alone is idle. Were all to
 // take the least loaded one, r0 would get most of the calls.
 func TestNoHerdOnStaleReport(t *testing.T) {
+	for _, choices := range []int{1, defaultChoices, 3, 5, 20} {
+		got, fair := herd(t, choices)
+		t.Logf("choices %d: r0 got %d calls, a fair share is %d", choices, got, fair)
+		if choices == defaultChoices {
+			assert.Assert(t, got <= 3*fair, "r0 got %d, a fair share is %d", got, fair)
+		}
+	}
+}
+
+// herd returns the calls that r0 gets from 30 VMs that send five each.
+func herd(t *testing.T, choices int) (got, fair int) {
 	const vms, callsEach = 30, 5
 	replicas := fleet(20, 1)
-	got := map[call.ReplicaID]int{}
 	for vm := range vms {
-		r := newRouter(t, Config{Self: call.VMID(fmt.Sprint(vm))})
+		r := newRouter(t, Config{Self: call.VMID(fmt.Sprint(vm)), Choices: choices})
 		r.c.Rand = rand.New(rand.NewPCG(gwtest.Seed(), uint64(vm)))
 		r.SetReplicas(t0, replicas)
 		for _, replica := range replicas[1:] {
 			r.Report(t0, replica.ID, Load{Running: 3, Taken: t0})
 		}
-		for range callsEach {
-			d, err := r.Pick(t0, request, nil)
-			assert.NilError(t, err)
-			r.Started(t0, d.Replica.ID, 1)
-			got[d.Replica.ID]++
-		}
+		got += send(t, r, t0, request, callsEach)["r0"]
 	}
-	fair := vms * callsEach / len(replicas)
-	assert.Assert(t, got["r0"] <= 3*fair, "r0 got %d, a fair share is %d", got["r0"], fair)
+	return got, vms * callsEach / len(replicas)
 }
 
 // send picks and starts n calls and counts them by replica.
--- a/io/node/fleet.go
+++ b/io/node/fleet.go
@@ -23,6 +23,7 @@
 	// mu guards what refresh has found.
 	mu       sync.Mutex
 	known    []peer.Peer
+	byZone   map[call.Zone][]peer.Peer
 	backends route.Replicas
 	vms      int
 }
@@ -51,6 +52,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.known = f.toPeers(entries)
+	f.byZone = f.toZones(entries)
 	f.backends = backends
 	f.vms = len(entries.VMs())
 }
@@ -123,10 +125,16 @@
 	return toReplicas(silent)
 }
 
-// zones returns the live entry VMs of each zone, this one included.
+// zones returns the usable entry VMs of each zone, this one included.
 func (f *fleet) zones() map[call.Zone][]peer.Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.byZone
+}
+
+func (f *fleet) toZones(entries member.Verdicts) map[call.Zone][]peer.Peer {
 	out := map[call.Zone][]peer.Peer{}
-	for _, v := range f.view.Judged(f.now(), member.RoleEntry) {
+	for _, v := range entries {
 		if v.Usable || v.VM.ID == f.self {
 			out[v.VM.Zone] = append(out[v.VM.Zone], peer.Peer{ID: v.VM.ID, Address: v.VM.PeerAddress})
 		}
--- a/io/node/members.go
+++ b/io/node/members.go
@@ -20,12 +20,12 @@
 )
 
 // A statement is made anew after statementInterval, or after statementShare for
-// each entry VM where that is longer, so that all VMs together make at most ten
-// a second.
+// each entry VM where that is longer, so that all VMs together make few a second.
+// One that says that the VM leaves is made at once.
 const (
 	statementInterval = 5 * time.Second
-	statementShare    = 100 * time.Millisecond
-	statementTTL      = 2 * time.Minute
+	statementShare    = 300 * time.Millisecond
+	statementTTL      = 5 * time.Minute
 )
 
 // An opinion is made anew after opinionInterval while it holds.
