--- a/io/claims/config.go
+++ b/io/claims/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"gentianwell/core/call"
 	"gentianwell/core/claim"
@@ -29,8 +30,10 @@
 	Service kvs.Service
 	VM      call.VMID
 	// Nonce returns a string that no other call on any VM ever returned.
-	Nonce  func() string
-	Now    func() time.Time
+	Nonce func() string
+	Now   func() time.Time
+	// Every subscribes to the timer service.
+	Every  func(name string, interval time.Duration, fn func(now time.Time)) func()
 	Prefix string
 	// Retention is for how long a claim surely exists; up to a quarter is added.
 	Retention time.Duration
@@ -50,6 +53,9 @@
 	Timeout time.Duration
 	// Repeat is how often debts are tried again.
 	Repeat time.Duration
+	// Log gets a line for each write that is given up; logrus's standard logger by
+	// default.
+	Log logrus.FieldLogger
 }
 
 // Defaults returns the config with all unset fields filled in.
@@ -57,6 +63,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Log == nil {
+		c.Log = logrus.StandardLogger()
+	}
 	if c.Prefix == "" {
 		c.Prefix = DefaultPrefix
 	}
@@ -86,8 +95,8 @@
 	switch {
 	case c.VM == "":
 		return errors.NotValidf("Config.Validate: empty VM")
-	case c.Nonce == nil:
-		return errors.NotValidf("Config.Validate: no Nonce")
+	case c.Nonce == nil || c.Every == nil:
+		return errors.NotValidf("Config.Validate: no Nonce or Every")
 	case c.Service.Transact == nil || c.Service.Grant == nil:
 		return errors.NotValidf("Config.Validate: no Service")
 	}
