--- a/io/node/members.go
+++ b/io/node/members.go
@@ -21,7 +21,7 @@
 
 // A statement is made anew after statementInterval, or after statementShare for
 // each entry VM where that is longer, so that all VMs together make at most one
-// a second.
+// a second. One that says that the VM leaves is made at once.
 const (
 	statementInterval = 5 * time.Second
 	statementShare    = time.Second
