--- a/core/poison/registry_test.go
+++ b/core/poison/registry_test.go
@@ -124,7 +124,7 @@
 func TestOwnRecordComesBack(t *testing.T) {
 	before := newRegistry(t, Config{})
 	before.Crashed(t0, 1, "a", false)
-	before.Answering(t0, 1)
+	before.Publish(t0, 1)
 	old := before.Pending(t0)[0]
 	after := newRegistry(t, Config{})
 	assert.NilError(t, after.Merge(t0, old))
@@ -139,7 +139,7 @@
 func TestMemoryIsBounded(t *testing.T) {
 	r := newRegistry(t, Config{MaxFingerprints: 100})
 	r.Crashed(t0, 9999, "a", true)
-	r.Answering(t0, 9999)
+	r.Publish(t0, 9999)
 	for i := range Fingerprint(1000) {
 		r.Crashed(at(time.Duration(i)*time.Second), i, "a", false)
 		assert.Assert(t, r.Len() <= 100)
--- a/io/runner/attempt.go
+++ b/io/runner/attempt.go
@@ -64,12 +64,13 @@
 	end.result, end.err = n.send(ctx, target)
 	n.inspect(&end)
 	result := end.result
+	n.unmark(result)
+	n.record(result)
 	n.fresh = n.fresh || result.SilentReused()
 	n.wrote = n.wrote || !result.NotRun()
 	now := n.r.c.Now()
-	n.r.c.Router.Finished(now, replica.ID, float64(n.cost), route.Result{
-		Status: routeStatus(end), FirstToken: result.First,
-	})
+	n.finished(now, end)
+	n.observe(ctx, target, end)
 	n.r.mu.Lock()
 	n.r.pump(now, n.job.Call.Model)
 	n.r.mu.Unlock()
@@ -81,6 +82,9 @@
 	if err != nil {
 		return back.Result{Ending: back.EndingMalformed}, errors.Trace(err)
 	}
+	if err := n.mark(); err != nil {
+		return back.Result{Ending: back.EndingMalformed}, errors.Trace(err)
+	}
 	return n.r.c.Send(ctx, t, req, func(e back.Event) error { return n.pass(t.ID, e) })
 }
 
--- a/io/runner/guard.go
+++ b/io/runner/guard.go
@@ -93,7 +93,9 @@
 		n.inspectStream(e)
 	}
 	if n.job.Kind == KindEngine && e.result.Complete() && e.result.Status == http.StatusOK && !e.result.Streamed {
-		_, e.fault = stream.CheckBody(n.guardConfig(), e.result.Body)
+		var usage stream.Usage
+		usage, e.fault = stream.CheckBody(n.guardConfig(), e.result.Body)
+		n.tokens = usage.CompletionTokens
 	}
 }
 
@@ -110,6 +112,7 @@
 		e.next = n.guard.End("replica " + string(e.replica) + ": " + string(e.result.Ending))
 	}
 	n.watch.wasted = n.guard.Stats().Wasted
+	n.tokens = n.guard.Stats().Tokens
 }
 
 // assembles reports whether the caller gets in one piece what the engine streams.
@@ -121,7 +124,7 @@
 	if err != nil {
 		return back.Result{}, errors.Annotate(err, "run.assembled")
 	}
-	result.Body = body
+	result.Body, result.Streamed = body, false
 	result.Header = http.Header{"Content-Type": {"application/json"}}
 	return result, nil
 }
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -22,16 +22,30 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianwell/core/call"
+	"gentianwell/core/claim"
+	"gentianwell/core/estim"
+	"gentianwell/core/limit"
+	"gentianwell/core/poison"
+	"gentianwell/core/retry"
 	"gentianwell/core/route"
 	"gentianwell/core/sched"
 	"gentianwell/core/stream"
 	"gentianwell/io/back"
 )
 
-// Config configures a Runner. All fields are needed.
+// Config configures a Runner.
 type Config struct {
 	Queue  *sched.Queue
 	Router *route.Router
+	// Retry decides about further attempts, Poison about requests that crash
+	// backend servers. Reserve tells other VMs to keep off a replica.
+	Retry   *retry.Policy
+	Poison  *poison.Registry
+	Reserve func(now time.Time, r poison.Reservation)
+	// Push spreads what Poison has to spread at once; may be nil.
+	Push func()
+	// Alive looks whether a backend server answers at all.
+	Alive func(context.Context, back.Target) bool
 	// Send does one attempt on one backend server.
 	Send func(context.Context, back.Target, back.Request, func(back.Event) error) (back.Result, error)
 	// Estimate returns the cost in tokens and the time that a call will take.
@@ -40,8 +54,17 @@
 	Profile func(call.Model) stream.Profile
 	// Observe gets the measure of each job that has ended.
 	Observe func(Measure)
-	Now     func() time.Time
-	Log     logrus.FieldLogger
+	// Allow charges the limits of a call's team and class; nil allows all.
+	Allow func(now time.Time, c *call.Call, cost int) limit.Decision
+	// Settle charges tokens that an answer took beyond its estimated cost; may be nil.
+	Settle func(now time.Time, c *call.Call, tokens int)
+	// Learn gets what was seen of a whole answer, Dispatched each dispatch; both
+	// may be nil. Without Claims, jobs that need one are refused.
+	Learn      func(estim.Sample)
+	Dispatched func(now time.Time, model call.Model, cost int, backlogged bool)
+	Claims     Claims
+	Now        func() time.Time
+	Log        logrus.FieldLogger
 	// Attempts bounds the attempts at one job.
 	Attempts int
 	// EngineFirst bounds an engine's time to its first token.
@@ -64,11 +87,31 @@
 	if c.RetryAfter == 0 {
 		c.RetryAfter = time.Second
 	}
+	if c.Allow == nil {
+		c.Allow = func(time.Time, *call.Call, int) limit.Decision { return limit.Decision{Allowed: true} }
+	}
+	if c.Settle == nil {
+		c.Settle = func(time.Time, *call.Call, int) {}
+	}
+	if c.Learn == nil {
+		c.Learn = func(estim.Sample) {}
+	}
+	if c.Dispatched == nil {
+		c.Dispatched = func(time.Time, call.Model, int, bool) {}
+	}
+	if c.Push == nil {
+		c.Push = func() {}
+	}
+	if c.Claims.Begin == nil {
+		c.Claims = noClaims(c.RetryAfter)
+	}
 }
 
 // Validate checks that all needed fields are there.
 func (c *Config) Validate() error {
 	switch {
+	case c.Retry == nil, c.Poison == nil, c.Reserve == nil, c.Alive == nil:
+		return errors.NotValidf("Config.Validate: Retry, Poison, Reserve or Alive is nil")
 	case c.Queue == nil, c.Router == nil, c.Send == nil, c.Estimate == nil, c.Observe == nil, c.Now == nil, c.Log == nil:
 		return errors.NotValidf("Config.Validate: a needed field is nil")
 	case c.Attempts < 1:
@@ -101,7 +144,9 @@
 func (r *Runner) Run(ctx context.Context, job *Job, sink Sink) Answer {
 	run := &run{r: r, job: job, sink: sink}
 	answer := run.run(ctx)
+	run.publish(&answer)
 	run.logEnd(answer)
+	run.learn(answer)
 	r.c.Observe(run.measure(r.c.Now(), answer))
 	return answer
 }
@@ -122,10 +167,23 @@
 	cost    int
 	service time.Duration
 	watch   stopwatch
+	// tokens is the answer's length, zero where it is not known.
+	tokens int
+	// pause and again are the last decision about another attempt.
+	pause time.Duration
+	again retry.Reason
+	// alone is true where the attempt has to be alone on its replica, crashed
+	// where a replica crashed under the job.
+	alone   bool
+	crashed bool
 	// guard watches over a streamed answer of an engine; fault is what it found
 	// in the present attempt.
 	guard *stream.Answer
 	fault error
+	// claim is held for a job that may run only once, outcomeKept is its record.
+	claim       *claim.Attempt
+	outcomeKept claim.Outcome
+	settled     bool
 }
 
 func (n *run) run(ctx context.Context) Answer {
@@ -135,8 +193,23 @@
 		a.Message = err.Error()
 		return *a
 	}
+	if d := n.r.c.Allow(n.job.Call.Arrived, &n.job.Call, n.cost); !d.Allowed {
+		a := n.refusal(ReasonLimit, http.StatusTooManyRequests, d.RetryAfter)
+		a.Message = "over the limit " + string(d.Key)
+		return *a
+	}
+	if refusal := n.begin(ctx); refusal != nil {
+		return *refusal
+	}
+	defer n.settle()
+	return n.tryAll(ctx)
+}
+
+// tryAll makes attempts until one is the last.
+func (n *run) tryAll(ctx context.Context) Answer {
+	n.r.c.Retry.First(n.r.c.Now(), n.job.Call.Class)
 	for {
-		g, refusal := n.r.wait(ctx, n)
+		g, refusal := n.next(ctx)
 		if refusal != nil {
 			return *refusal
 		}
@@ -147,6 +220,7 @@
 			return answer
 		}
 		n.exclude = append(n.exclude, end.replica)
+		sleep(ctx, n.pause)
 	}
 }
 
@@ -170,19 +244,6 @@
 	return n.failure(e, http.StatusBadGateway, ReasonBackend), true
 }
 
-func (n *run) mayTryAgain(e attemptEnd) bool {
-	if n.attempts >= n.r.c.Attempts || e.callerGone() {
-		return false
-	}
-	if n.started || e.next.Action == stream.ActionResume {
-		return e.next.Action.Again()
-	}
-	if !e.failed() {
-		return false
-	}
-	return n.job.Call.Idempotent || !n.wrote
-}
-
 // finish hands over an answer that came whole.
 func (n *run) finish(e attemptEnd) Answer {
 	if e.result.Streamed && n.assembles() {
@@ -190,8 +251,11 @@
 		if e.result, err = n.assembled(e.result); err != nil {
 			return n.failure(e, http.StatusBadGateway, ReasonTruncated)
 		}
+		n.record(e.result)
 	}
-	if !e.result.Streamed || n.assembles() {
+	if !e.result.Streamed {
+		// A repeat that follows the answer at once has to find it.
+		n.settle()
 		if err := n.whole(e.replica, e.result); err != nil {
 			return n.failure(e, statusCallerGone, ReasonCallerGone)
 		}
@@ -235,6 +299,9 @@
 	if a.Replica != "" {
 		fields["replica"] = a.Replica
 	}
+	if n.again != "" {
+		fields["again"] = n.again
+	}
 	if a.Message != "" {
 		fields["message"] = a.Message
 	}
