Test engines as processes, answers in one piece and prompt lists

Cause: a process stopped by a signal keeps its connections acknowledged by its kernel: only progress shows that it is gone. Change: the test binary runs engines as processes of its own, stopped or killed in mid-stream; bodies put together from several attempts; long answers in one piece.

--- a/io/runner/stream_test.go
+++ b/io/runner/stream_test.go
@@ -279,6 +279,22 @@
 	assert.Equal(t, r.text, fakes.Text(prompt, 0, -1))
 }
 
+// An answer in one piece that takes longer than the longest silence is generated
+// once, also on a connection that was used before.
+func TestLongPlainAnswerIsRunOnce(t *testing.T) {
+	e := newEngines(t, 1, standIn, func(ec *fakes.EngineConfig, _ *back.Config) { ec.TokenGap = 10 * time.Millisecond })
+	const prompt = "hello [[length=60]]"
+	for i := range 2 {
+		j := streamJob(stream.KindCompletion, prompt, true)
+		j.Stream, j.Body = false, []byte(strings.Replace(string(j.Body), `"stream":true`, `"stream":false`, 1))
+		c := &collect{}
+		answer := e.Run(t.Context(), j, c.sink())
+		assert.Equal(t, answer.Outcome, call.OutcomeRan, answer.Message)
+		assert.Assert(t, strings.Contains(c.text, fakes.Text(prompt, 0, -1)), c.text)
+		assert.Equal(t, e.runs(), i+1)
+	}
+}
+
 // Where the answer cannot be made whole, the caller is told: the answer has
 // failed, without a finish and without an end mark.
 func TestStreamFailsOpenly(t *testing.T) {
@@ -323,4 +339,9 @@
 	assert.Equal(t, answer.Failed, false, answer.Message)
 	assert.Assert(t, strings.Contains(c.text, fakes.Text("hello", 0, -1)), c.text)
 	assert.Equal(t, e.runs(), 3)
+	generated := 0
+	for _, engine := range e.list {
+		generated += int(engine.Tokens())
+	}
+	assert.Equal(t, generated, fakes.Length("hello"))
 }
--- a/io/site/process_test.go
+++ b/io/site/process_test.go
@@ -86,13 +86,17 @@
 		id := fmt.Sprintf("p%d", i)
 		processes[id] = s.startProcess(t, call.VMID(id))
 	}
+	client := s.client()
+	// The router learns all three at once.
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if n := s.Entries[0].Node.Status().Replicas; n < 3 {
 			return poll.Continue("%d replicas", n)
 		}
+		if _, err := client.Chat.Completions.New(t.Context(), chatParams("hello")); err != nil {
+			return poll.Continue("%v", err)
+		}
 		return poll.Success()
 	}, poll.WithTimeout(startTimeout), poll.WithDelay(10*time.Millisecond))
-	client := s.client()
 	for _, signal := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGKILL} {
 		t.Run(signal.String(), func(t *testing.T) {
 			var resp *http.Response
