--- a/io/back/config.go
+++ b/io/back/config.go
@@ -1,6 +1,9 @@
 package back
 
 import (
+	"context"
+	"net"
+	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
@@ -8,6 +11,8 @@
 
 // Config configures a Client. Zero fields get their defaults.
 type Config struct {
+	// Dial opens a connection; the default dials TCP.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// DialTimeout bounds setting up a connection.
 	DialTimeout time.Duration
 	// FirstTimeout bounds the wait for the first part of an answer on a new
@@ -56,10 +61,18 @@
 	setDefault(&c.MaxEvent, defaultMaxEvent)
 	setDefault(&c.MaxBody, defaultMaxBody)
 	setDefault(&c.NotRunHeader, defaultNotRunHeader)
+	if c.Dial == nil {
+		c.Dial = dialTCP
+	}
 	c.Metrics = c.Metrics.Defaults()
 	return c
 }
 
+func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address.String())
+}
+
 func setDefault[T comparable](field *T, value T) {
 	var zero T
 	if *field == zero {
--- a/io/back/conns.go
+++ b/io/back/conns.go
@@ -13,24 +13,27 @@
 
 // conns knows the open connections to each backend server.
 type conns struct {
-	dialer net.Dialer
-	mu     sync.Mutex
-	open   map[netip.AddrPort]map[*conn]bool
+	dialTo  func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	timeout time.Duration
+	mu      sync.Mutex
+	open    map[netip.AddrPort]map[*conn]bool
 }
 
-func newConns(dialTimeout time.Duration) *conns {
+func newConns(timeout time.Duration, dial func(context.Context, netip.AddrPort) (net.Conn, error)) *conns {
 	return &conns{
-		dialer: net.Dialer{Timeout: dialTimeout},
-		open:   map[netip.AddrPort]map[*conn]bool{},
+		dialTo: dial, timeout: timeout,
+		open: map[netip.AddrPort]map[*conn]bool{},
 	}
 }
 
-func (s *conns) dial(ctx context.Context, network, address string) (net.Conn, error) {
+func (s *conns) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, errors.Annotate(err, "conns.dial")
 	}
-	raw, err := s.dialer.DialContext(ctx, network, address)
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	raw, err := s.dialTo(ctx, to)
 	if err != nil {
 		return nil, errors.Annotate(err, "conns.dial")
 	}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -59,7 +59,8 @@
 	Now    func() time.Time
 	// Seed seeds all random choices.
 	Seed uint64
-	// Dial opens connections to peers; nil dials TCP.
+	// Dial opens the connections to peers, backend servers and the platform; nil
+	// dials TCP.
 	Dial peer.DialFunc
 	// Placement configures the planning of orders to engines; zero fields get
 	// their defaults.
@@ -111,7 +112,7 @@
 	n.jobs, n.cutJobs = context.WithCancelCause(context.Background())
 	n.timers = timer.New(timer.Config{Now: o.Now})
 	n.drain = drain.New(drain.Config{Notice: time.Duration(o.Config.Notice)})
-	n.kvs = kvs.NewGateway(kvs.GatewayConfig{Addresses: o.Config.Platform}).Service()
+	n.kvs = kvs.NewGateway(kvs.GatewayConfig{Addresses: o.Config.Platform, Dial: o.Dial}).Service()
 	for _, make := range []func(Options) error{
 		n.makeFleet, n.makeSettings, n.makePeers, n.makeLimits, n.makeClaims, n.makeRouting, n.makePlacer, n.makeFront,
 	} {
@@ -147,13 +148,13 @@
 	return errors.Trace(err)
 }
 
-func (n *Node) makeRouting(Options) error {
+func (n *Node) makeRouting(o Options) error {
 	var err error
 	n.router, err = route.New(route.Config{Self: n.c.ID, Zone: n.c.Zone, Rand: n.rand(randRoute)})
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if n.client, err = back.New(back.Config{}); err != nil {
+	if n.client, err = back.New(back.Config{Dial: o.Dial}); err != nil {
 		return errors.Trace(err)
 	}
 	estimator, err := estim.New(estim.Defaults())
