--- a/io/kvs/config.go
+++ b/io/kvs/config.go
@@ -1,6 +1,8 @@
 package kvs
 
 import (
+	"context"
+	"net"
 	"net/netip"
 	"time"
 
@@ -22,6 +24,8 @@
 	Addresses []netip.AddrPort
 	// Timeout bounds each call but a watch.
 	Timeout time.Duration
+	// Dial opens a connection; the default dials TCP.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// DialTimeout bounds the making of a connection.
 	DialTimeout time.Duration
 	// WatchSilent is how long a watch may bring neither events nor a progress
@@ -41,6 +45,9 @@
 	if c.DialTimeout == 0 {
 		c.DialTimeout = defaultDialTimeout
 	}
+	if c.Dial == nil {
+		c.Dial = dialTCP
+	}
 	if c.WatchSilent == 0 {
 		c.WatchSilent = defaultWatchSilent
 	}
@@ -50,6 +57,11 @@
 	return c
 }
 
+func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address.String())
+}
+
 // Validate checks the config.
 //
 // Errors: NotValid with the field's name.
--- a/io/kvs/gateway.go
+++ b/io/kvs/gateway.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"sync/atomic"
 
 	"github.com/juju/errors"
@@ -29,10 +30,15 @@
 // isn't valid makes every call fail.
 func NewGateway(c GatewayConfig) *Gateway {
 	c = c.Defaults()
-	dialer := &net.Dialer{Timeout: c.DialTimeout}
 	transport := &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			to, err := netip.ParseAddrPort(address)
+			if err != nil {
+				return nil, errors.Trace(err)
+			}
+			ctx, cancel := context.WithTimeout(ctx, c.DialTimeout)
+			defer cancel()
+			conn, err := c.Dial(ctx, to)
 			if err != nil {
 				return nil, errors.Trace(err)
 			}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -59,7 +59,8 @@
 	Now    func() time.Time
 	// Seed seeds all random choices.
 	Seed uint64
-	// Dial opens connections to peers; nil dials TCP.
+	// Dial opens the connections to peers, backend servers and the platform; nil
+	// dials TCP.
 	Dial peer.DialFunc
 	// Placement configures the planning of orders to engines; zero fields get
 	// their defaults.
@@ -68,12 +69,15 @@
 
 // Node is the process of one entry VM.
 type Node struct {
-	c        Config
-	log      logrus.FieldLogger
-	now      func() time.Time
-	seed     uint64
-	timers   *timer.Service
-	drain    *drain.Machine
+	c      Config
+	log    logrus.FieldLogger
+	now    func() time.Time
+	seed   uint64
+	timers *timer.Service
+	drain  *drain.Machine
+	// jobs is the context of all callers' requests; cutJobs ends it.
+	jobs     context.Context
+	cutJobs  context.CancelCauseFunc
 	kvs      kvs.Service
 	fleet    *fleet
 	members  *members
@@ -105,9 +109,10 @@
 		return nil, errors.Trace(err)
 	}
 	n := &Node{c: o.Config, log: o.Log, now: o.Now, seed: o.Seed}
+	n.jobs, n.cutJobs = context.WithCancelCause(context.Background())
 	n.timers = timer.New(timer.Config{Now: o.Now})
 	n.drain = drain.New(drain.Config{Notice: time.Duration(o.Config.Notice)})
-	n.kvs = kvs.NewGateway(kvs.GatewayConfig{Addresses: o.Config.Platform}).Service()
+	n.kvs = kvs.NewGateway(kvs.GatewayConfig{Addresses: o.Config.Platform, Dial: o.Dial}).Service()
 	for _, make := range []func(Options) error{
 		n.makeFleet, n.makeSettings, n.makePeers, n.makeLimits, n.makeClaims, n.makeRouting, n.makePlacer, n.makeFront,
 	} {
@@ -134,7 +139,7 @@
 )
 
 func (n *Node) makeFleet(Options) error {
-	view, err := member.New(member.Config{Zone: n.c.Zone})
+	view, err := member.New(member.Config{Zone: n.c.Zone, StatementMaxAge: statementTTL})
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -143,13 +148,13 @@
 	return errors.Trace(err)
 }
 
-func (n *Node) makeRouting(Options) error {
+func (n *Node) makeRouting(o Options) error {
 	var err error
 	n.router, err = route.New(route.Config{Self: n.c.ID, Zone: n.c.Zone, Rand: n.rand(randRoute)})
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if n.client, err = back.New(back.Config{}); err != nil {
+	if n.client, err = back.New(back.Config{Dial: o.Dial}); err != nil {
 		return errors.Trace(err)
 	}
 	estimator, err := estim.New(estim.Defaults())
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -67,6 +67,8 @@
 	Log        logrus.FieldLogger
 	// Attempts bounds the attempts at one job.
 	Attempts int
+	// EngineFirst bounds an engine's time to its first token.
+	EngineFirst time.Duration
 	// RetryAfter is what a caller is told where nothing better is known.
 	RetryAfter time.Duration
 }
@@ -79,6 +81,9 @@
 	if c.Profile == nil {
 		c.Profile = EngineProfile
 	}
+	if c.EngineFirst == 0 {
+		c.EngineFirst = 20 * time.Second
+	}
 	if c.RetryAfter == 0 {
 		c.RetryAfter = time.Second
 	}
@@ -148,9 +153,11 @@
 
 // run is one job on its way.
 type run struct {
-	r        *Runner
-	job      *Job
-	sink     Sink
+	r    *Runner
+	job  *Job
+	sink Sink
+	// ctx is the caller's; its cause tells whether the caller or the VM went.
+	ctx      context.Context
 	started  bool
 	attempts int
 	// wrote is true where a backend server may have run the job.
@@ -182,6 +189,7 @@
 }
 
 func (n *run) run(ctx context.Context) Answer {
+	n.ctx = ctx
 	n.cost, n.service = n.r.c.Estimate(&n.job.Call)
 	if err := n.beginGuard(); err != nil {
 		a := n.refusal(ReasonBadRequest, http.StatusBadRequest, 0)
@@ -229,7 +237,7 @@
 	case e.whole(n.started):
 		return n.finish(e), true
 	case e.callerGone():
-		return n.failure(e, statusCallerGone, ReasonCallerGone), true
+		return n.failure(e, n.goneStatus(), n.goneReason()), true
 	case e.result.Ending == back.EndingRefused && !n.started:
 		return n.failure(e, e.result.Status, ReasonRefusedThere), true
 	}
@@ -241,6 +249,13 @@
 
 // finish hands over an answer that came whole.
 func (n *run) finish(e attemptEnd) Answer {
+	if e.result.Streamed && n.assembles() {
+		var err error
+		if e.result, err = n.assembled(e.result); err != nil {
+			return n.failure(e, http.StatusBadGateway, ReasonTruncated)
+		}
+		n.record(e.result)
+	}
 	if !e.result.Streamed {
 		// A repeat that follows the answer at once has to find it.
 		n.settle()
@@ -275,6 +290,23 @@
 	return call.OutcomeNotRun
 }
 
+// stopping reports whether the job ends because the VM is forced to stop.
+func (n *run) stopping() bool { return errors.Is(context.Cause(n.ctx), ErrStopping) }
+
+func (n *run) goneReason() Reason {
+	if n.stopping() {
+		return ReasonStopping
+	}
+	return ReasonCallerGone
+}
+
+func (n *run) goneStatus() int {
+	if n.stopping() {
+		return http.StatusServiceUnavailable
+	}
+	return statusCallerGone
+}
+
 // statusCallerGone is for the log only: nobody reads the answer.
 const statusCallerGone = 499
 
--- a/io/site/site.go
+++ b/io/site/site.go
@@ -62,7 +62,7 @@
 	// Address returns what the platform's list says in place of a backend
 	// server's true address, for a relay between.
 	Address func(id call.VMID, address netip.AddrPort) netip.AddrPort
-	// Dial opens connections between entry VMs.
+	// Dial opens the connections of an entry VM; see Partition.
 	Dial func(from call.VMID) peer.DialFunc
 	// Notice is how long a planned stop leaves the balancer.
 	Notice time.Duration
