Stop a real holder by SIGSTOP and let it go on

A process of the test binary holds the lease; the engine stops it within a plan; a second process takes over; the first goes on, cut off from the platform.

Ruled out: stopping it at any moment.

--- /dev/null
+++ b/io/placer/process_test.go
@@ -0,0 +1,207 @@
+package placer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"gentianwell/core/call"
+	"gentianwell/core/place"
+	"gentianwell/core/timer"
+	"gentianwell/io/fakekv"
+	"gentianwell/io/kvs"
+)
+
+// The environment of a process that is a VM with a placer.
+const (
+	envVM       = "PLACER_VM"
+	envPlatform = "PLACER_PLATFORM"
+	envEngines  = "PLACER_ENGINES"
+)
+
+// sent is an order on its way to the engines of the test's process.
+type sent struct {
+	VM    call.VMID
+	Order Order
+}
+
+// runVM is the process. Its needs change all the time, so that it always has
+// something to order.
+func runVM() error {
+	address := netip.MustParseAddrPort(os.Getenv(envPlatform))
+	timers := timer.New(timer.Config{Now: time.Now})
+	vm := call.VMID(os.Getenv(envVM))
+	p := New(Config{
+		Service: kvs.NewGateway(kvs.GatewayConfig{Addresses: []netip.AddrPort{address}}).Service(),
+		VM:      vm, Nonce: func() string { return time.Now().String() }, Every: timers.Every,
+		TTL: 2 * time.Second, Margin: 300 * time.Millisecond, Interval: 20 * time.Millisecond,
+		Planner: place.Config{OrderTimeout: 200 * time.Millisecond, Rate: 1e6, Burst: 1e6},
+		Needs: func() place.Needs {
+			first := int(time.Now().UnixMilli()/500) % 2
+			return place.Needs{
+				{Artifact: place.Artifact{Model: "a"}, Copies: 3 * first, Megabytes: 1},
+				{Artifact: place.Artifact{Model: "b"}, Copies: 3 * (1 - first), Megabytes: 1},
+			}
+		},
+		Replicas: func() place.Replicas { return fetchReplicas(os.Getenv(envEngines)) },
+		Order:    func(ctx context.Context, o Order) error { return postOrder(ctx, sent{vm, o}) },
+	})
+	go p.Run(context.Background())
+	return timers.Run(context.Background())
+}
+
+func fetchReplicas(base string) place.Replicas {
+	asked := time.Now()
+	resp, err := http.Get(base)
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	var out place.Replicas
+	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+		return nil
+	}
+	for i := range out {
+		out[i].Reported = asked
+	}
+	return out
+}
+
+func postOrder(ctx context.Context, s sent) error {
+	body, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, os.Getenv(envEngines), bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Trace(ErrRefused)
+	}
+	return nil
+}
+
+// ServeHTTP lets processes ask the engines and order them.
+func (s *site) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		_ = json.NewEncoder(w).Encode(s.reports())
+		return
+	}
+	var order sent
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.stopOnce(order)
+	if err := s.take(order.VM, order.Order); err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+	}
+}
+
+// stopOnce stops the armed process when it gives its first order to unload after
+// one to load: that one begins a plan of three.
+func (s *site) stopOnce(o sent) {
+	if o.VM != "a" || o.Order.Action != place.ActionUnload {
+		return
+	}
+	given := s.orders("a")
+	if len(given) == 0 || given[len(given)-1].order.Action != place.ActionLoad {
+		return
+	}
+	if process := s.armed.Swap(nil); process != nil {
+		_ = process.Signal(syscall.SIGSTOP)
+		close(s.stopped)
+	}
+}
+
+func startProcess(t *testing.T, vm string, platform, engines *httptest.Server) *os.Process {
+	t.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), envVM+"="+vm, envPlatform+"="+platform.Listener.Addr().String(), envEngines+"="+engines.URL)
+	assert.NilError(t, cmd.Start())
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	return cmd.Process
+}
+
+// waitOrders waits until the VM has given more orders, and returns the number of
+// its last one.
+func (s *site) waitOrders(t *testing.T, vm call.VMID, more int) int64 {
+	t.Helper()
+	want := len(s.orders(vm)) + more
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := len(s.orders(vm)); n < want {
+			return poll.Continue("%d of %d orders of %s", n, want, vm)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(10*time.Millisecond))
+	given := s.orders(vm)
+	return given[len(given)-1].order.Fencing
+}
+
+// lateOrders counts the orders of "a" with the old number that engines obeyed
+// after the first one of "b".
+func (s *site) lateOrders(old int64) int {
+	late, over := 0, false
+	for _, o := range s.all() {
+		over = over || o.vm == "b"
+		if over && o.vm == "a" && o.order.Fencing == old && !o.refused {
+			late++
+		}
+	}
+	return late
+}
+
+// A process that holds the lease is stopped by SIGSTOP in the midst of a plan;
+// another takes over; the first is let go on, cut off from the platform. At most
+// the one order that it was about to write still comes with its old number.
+func TestStoppedProcess(t *testing.T) {
+	for name, checks := range map[string]bool{"checking engines": true, "ignoring engines": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fake := fakekv.New(fakekv.Config{})
+			own, platform := httptest.NewServer(fake.Handler()), httptest.NewServer(fake.Handler())
+			defer platform.CloseClientConnections()
+			s := newSite(checks)
+			s.stopped = make(chan struct{})
+			engines := httptest.NewServer(s)
+			defer engines.CloseClientConnections()
+			holder := startProcess(t, "a", own, engines)
+			old := s.waitOrders(t, "a", 3)
+			startProcess(t, "b", platform, engines)
+			s.armed.Store(holder)
+			<-s.stopped
+			newer := s.waitOrders(t, "b", 3)
+			assert.Assert(t, newer > old)
+			own.Listener.Close()
+			own.CloseClientConnections()
+			assert.NilError(t, holder.Signal(syscall.SIGCONT))
+			s.waitOrders(t, "b", 6)
+			late := s.lateOrders(old)
+			assert.Assert(t, late <= 1, "%d late orders", late)
+			if checks {
+				assert.Equal(t, late, 0)
+			}
+		})
+	}
+}
--- a/io/placer/site_test.go
+++ b/io/placer/site_test.go
@@ -23,6 +23,12 @@
 
 func TestMain(m *testing.M) {
 	logrus.SetOutput(io.Discard)
+	if os.Getenv(envVM) != "" {
+		if err := runVM(); err != nil {
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
 	os.Exit(m.Run())
 }
 
@@ -43,6 +49,9 @@
 	log      []taken
 	// drained is true once an order has brought a model below its floor.
 	drained bool
+	// armed is a process to be stopped, stopped is closed then.
+	armed   atomic.Pointer[os.Process]
+	stopped chan struct{}
 }
 
 func (s *site) reports() place.Replicas {
