--- /dev/null
+++ b/io/claims/process_test.go
@@ -0,0 +1,173 @@
+package claims
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"gentianwell/core/call"
+	"gentianwell/core/claim"
+	"gentianwell/core/timer"
+	"gentianwell/io/fakekv"
+	"gentianwell/io/kvs"
+	"gentianwell/io/kvwire"
+)
+
+// The environment of a process that is a VM with one payment to make.
+const (
+	envVM       = "CLAIMS_VM"
+	envPlatform = "CLAIMS_PLATFORM"
+	envBackend  = "CLAIMS_BACKEND"
+)
+
+func TestMain(m *testing.M) {
+	if os.Getenv(envVM) == "" {
+		os.Exit(m.Run())
+	}
+	if err := runVM(os.Getenv(envVM)); err != nil {
+		os.Exit(1)
+	}
+}
+
+// runVM is the process: it makes the payment, again and again until it has been
+// made, and reports each verdict.
+func runVM(vm string) error {
+	ctx := context.Background()
+	address := netip.MustParseAddrPort(os.Getenv(envPlatform))
+	timers := timer.New(timer.Config{Now: time.Now})
+	go timers.Run(ctx)
+	c := New(Config{
+		Service: kvs.NewGateway(kvs.GatewayConfig{Addresses: []netip.AddrPort{address}, Timeout: time.Minute}).Service(),
+		VM:      call.VMID(vm), Nonce: func() string { return vm + time.Now().String() }, Every: timers.Every,
+		Timeout: time.Minute,
+	})
+	go c.Run(ctx)
+	for {
+		attempt, err := c.Begin(ctx, claim.Request{ID: vm, Team: "t", Service: "ledger", Key: "k", Fingerprint: 1})
+		if err != nil {
+			return err
+		}
+		kind := attempt.Verdict().Kind
+		if err := tell("verdict", vm, kind); err != nil || kind == claim.KindReplay {
+			return err
+		}
+		if kind == claim.KindRun {
+			if err := attempt.Send(time.Now()); err != nil {
+				return err
+			}
+			if err := tell("pay", vm, kind); err != nil {
+				return err
+			}
+			return c.Finish(ctx, attempt, claim.Outcome{Status: http.StatusCreated})
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func tell(path, vm string, kind claim.Kind) error {
+	values := url.Values{"vm": {vm}, "kind": {string(kind)}}
+	resp, err := http.PostForm(os.Getenv(envBackend)+"/"+path, values)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// ledger notes what the processes tell, such as "pay a run".
+type ledger struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+// ServeHTTP notes one line.
+func (l *ledger) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, strings.Join([]string{r.URL.Path[1:], r.FormValue("vm"), r.FormValue("kind")}, " "))
+}
+
+func (l *ledger) count(prefix string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, line := range l.lines {
+		if strings.HasPrefix(line, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+func (l *ledger) wait(t *testing.T, prefix string, want int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := l.count(prefix); n < want {
+			return poll.Continue("%d of %d times %q", n, want, prefix)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+func startProcess(t *testing.T, vm string, platform, backend *httptest.Server) *os.Process {
+	t.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), envVM+"="+vm, envPlatform+"="+platform.Listener.Addr().String(), envBackend+"="+backend.URL)
+	assert.NilError(t, cmd.Start())
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	return cmd.Process
+}
+
+// A process is stopped by SIGSTOP when its claim has been made and its send has
+// not. Another asks for the same key all the while. Let go on, the first sends
+// its payment; it's the only one, and the second gets its answer.
+func TestStoppedProcess(t *testing.T) {
+	handler := fakekv.New(fakekv.Config{}).Handler()
+	made, stopped := make(chan struct{}), make(chan struct{})
+	first := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, r)
+		if r.URL.Path == kvwire.PathTxn {
+			select {
+			case <-made:
+			default:
+				close(made)
+				<-stopped
+			}
+		}
+		_, _ = w.Write(recorder.Body.Bytes())
+	}))
+	defer first.CloseClientConnections()
+	second := httptest.NewServer(handler)
+	defer second.CloseClientConnections()
+	l := &ledger{}
+	backend := httptest.NewServer(l)
+	defer backend.CloseClientConnections()
+
+	holder := startProcess(t, "a", first, backend)
+	<-made
+	assert.NilError(t, holder.Signal(syscall.SIGSTOP))
+	close(stopped)
+	startProcess(t, "b", second, backend)
+	l.wait(t, "verdict b inProgress", 20)
+	assert.Equal(t, l.count("pay"), 0)
+	assert.NilError(t, holder.Signal(syscall.SIGCONT))
+	l.wait(t, "verdict b replay", 1)
+	assert.Equal(t, l.count("pay a"), 1)
+	assert.Equal(t, l.count("pay"), 1)
+	assert.Equal(t, l.count("verdict b run"), 0)
+}
