Sharpen the tests of assembled answers and of resuming

Cause: mutations of the merging rule and of the wait in mid-answer survived, and under the race detector the stand-in needed longer than the progress timeout to make up 100,000 tokens (TestDoStopsWithTheSinkAndTheCaller failed once). Change: repeated ids and chunks in the test, an attempt that brought nothing, a hung engine in mid-answer; 5,000 tokens, of which the test lets at most 1,000 be generated as before.

--- a/core/stream/assemble_test.go
+++ b/core/stream/assemble_test.go
@@ -53,22 +53,31 @@
 func TestBodyOfToolCalls(t *testing.T) {
 	a, err := newAssembled(KindChat, `{"messages":[{"role":"user","content":"P"}]}`)
 	assert.NilError(t, err)
-	const form = `{"id":"x","created":1,"model":"m","system_fingerprint":"f","choices":[{"index":0,"delta":%s,"logprobs":{"content":[{"token":"%d"}]},"finish_reason":%s}]}`
+	const form = `{"id":"x","created":1,"model":"m","system_fingerprint":"f","choices":[{"index":0,"delta":%s,"logprobs":{"content":[{"token":"%d"}]},"finish_reason":%s}],"usage":{"completion_tokens":%d}}`
 	deltas := []string{
 		`{"role":"assistant","content":null,"tool_calls":[{"index":0,"id":"c1","type":"function","function":{"name":"plot","arguments":""}}]}`,
-		`{"tool_calls":[{"index":0,"function":{"arguments":"{\"a\":"}}]}`,
+		`{"tool_calls":[{"index":0,"id":"c1","type":"function","function":{"arguments":"{\"a\":"}}]}`,
 		`{"tool_calls":[{"index":1,"id":"c2","type":"function","function":{"name":"ink","arguments":"{}"}}]}`,
 		`{"tool_calls":[{"index":0,"function":{"arguments":"1}"}}]}`,
 	}
 	_, err = a.Begin()
 	assert.NilError(t, err)
+	// An attempt that brought nothing leaves nothing behind.
+	_, err = a.Feed(Event{Data: fmt.Appendf(nil, form, `{"role":"assistant"}`, 9, "null", 0)})
+	assert.NilError(t, err)
+	assert.Equal(t, a.End("lost").Action, ActionRestart)
+	_, err = a.Begin()
+	assert.NilError(t, err)
 	for i, d := range append(deltas, `{}`) {
 		finish := "null"
 		if i == len(deltas) {
 			finish = `"tool_calls"`
 		}
-		_, err := a.Feed(Event{Data: fmt.Appendf(nil, form, d, i, finish)})
-		assert.NilError(t, err)
+		// Each chunk comes twice.
+		for range 2 {
+			_, err := a.Feed(Event{Data: fmt.Appendf(nil, form, d, i, finish, i+1)})
+			assert.NilError(t, err)
+		}
 	}
 	_, err = a.Body()
 	assert.ErrorContains(t, err, "not whole")
--- a/io/back/client_test.go
+++ b/io/back/client_test.go
@@ -172,7 +172,7 @@
 	assert.ErrorContains(t, err, "caller is gone")
 	assert.Equal(t, res.Ending, EndingSink)
 	ctx, cancel := context.WithCancel(t.Context())
-	res, err = b.client.Do(ctx, b.target, chat("[[length=100000]]"), func(Event) error { cancel(); return nil })
+	res, err = b.client.Do(ctx, b.target, chat("[[length=5000]]"), func(Event) error { cancel(); return nil })
 	assert.ErrorContains(t, err, "context canceled")
 	assert.Equal(t, res.Ending, EndingCancelled)
 	assert.Assert(t, b.engine.Tokens() < 1000)
--- a/io/fakes/openai_test.go
+++ b/io/fakes/openai_test.go
@@ -85,7 +85,7 @@
 	e, srv := startEngine(t, EngineConfig{TokenGap: time.Millisecond, Slots: 1})
 	client := newOpenAI(srv.URL)
 	ctx, cancel := context.WithCancel(t.Context())
-	stream := client.Chat.Completions.NewStreaming(ctx, chatParams("[[length=100000]]"))
+	stream := client.Chat.Completions.NewStreaming(ctx, chatParams("[[length=5000]]"))
 	assert.Assert(t, stream.Next())
 	cancel()
 	assert.NilError(t, stream.Close())
--- a/io/runner/guard.go
+++ b/io/runner/guard.go
@@ -62,7 +62,7 @@
 		return nil
 	}
 	req.FirstTimeout = n.r.c.EngineFirst
-	if n.guard.Stats().Tokens > 0 {
+	if n.guard.Stats().Tokens > 0 && req.ProgressTimeout > 0 {
 		// The caller is in the middle of its answer.
 		req.FirstTimeout = req.ProgressTimeout
 	}
--- a/io/runner/stream_test.go
+++ b/io/runner/stream_test.go
@@ -132,6 +132,7 @@
 func streamJob(kind stream.Kind, prompt string, idempotent bool) *Job {
 	j := job("r1", 0, idempotent)
 	j.Kind, j.Stream, j.AtMostOnce = KindEngine, true, false
+	j.Progress = progress
 	j.Path = "/v1/completions"
 	j.Body = fmt.Appendf(nil, `{"model":"m","stream":true,"prompt":%q}`, prompt)
 	if kind == stream.KindChat {
@@ -295,6 +296,18 @@
 	}
 }
 
+// In the middle of an answer another attempt is given no longer than the silence
+// that the caller may see anyway.
+func TestResumeDoesNotWaitForAHungEngine(t *testing.T) {
+	e := newEngines(t, 1, standIn, func(_ *fakes.EngineConfig, bc *back.Config) { bc.FirstTimeout = time.Hour })
+	e.list[0].Inject(fakes.Fault{Kind: fakes.FaultFreeze, AfterTokens: 3, Times: 1})
+	e.list[0].Inject(fakes.Fault{Kind: fakes.FaultHang})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*progress)
+	defer cancel()
+	answer := e.Run(ctx, streamJob(stream.KindChat, "hello", true), (&reader{ids: map[string]bool{}}).sink())
+	assert.Equal(t, answer.Reason, ReasonTruncated, answer.Message)
+}
+
 // Where the answer cannot be made whole, the caller is told: the answer has
 // failed, without a finish and without an end mark.
 func TestStreamFailsOpenly(t *testing.T) {
