--- a/io/claims/claims_test.go
+++ b/io/claims/claims_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -144,6 +145,30 @@
 	})
 }
 
+// A request's own retention counts, but no less than the least one.
+func TestOwnRetention(t *testing.T) {
+	tests := []struct{ own, want time.Duration }{
+		{2 * time.Hour, 2 * time.Hour}, {time.Minute, MinRetention}, {0, defaultRetention},
+	}
+	for _, tt := range tests {
+		t.Run(tt.own.String(), func(t *testing.T) {
+			inBubble(t, func(t *testing.T, _ *fakekv.Fake, a, b *Claims) {
+				req := claim.Request{ID: "r", Team: "t", Service: "s", Key: "k", Retention: tt.own}
+				for _, c := range []*Claims{a, b} {
+					begun, err := c.Begin(t.Context(), req)
+					assert.NilError(t, err)
+					wantKind(t, begun, claim.KindRun)
+					time.Sleep(tt.want - time.Minute)
+					again, err := b.Begin(t.Context(), req)
+					assert.NilError(t, err)
+					wantKind(t, again, claim.KindInProgress)
+					time.Sleep(tt.want/leaseShare + 2*time.Minute)
+				}
+			})
+		})
+	}
+}
+
 func TestLostReply(t *testing.T) {
 	faults := map[string]fakekv.Faults{
 		"reply": {LoseReplies: 1}, "request": {LoseRequests: 1}, "both": {LoseRequests: 1, LoseReplies: 1},
@@ -224,6 +249,29 @@
 	})
 }
 
+// One of 330 VMs keeps to its share of the platform's writes, however many
+// claims it makes; they share its transactions.
+func TestRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fake := fakekv.New(fakekv.Config{})
+		c := New(Config{
+			Service: fake.Service(), VM: "a", Nonce: nonce, Every: every(ctx), VMs: func() int { return 330 },
+		})
+		go func() { assert.Check(t, c.Run(ctx)) }()
+		var all sync.WaitGroup
+		for i := range 200 {
+			all.Go(func() { wantKind(t, begin(t, c, "r", strconv.Itoa(i)), claim.KindRun) })
+			time.Sleep(50 * time.Millisecond)
+		}
+		all.Wait()
+		// Ten seconds of claims, one transaction each 1.1 s beyond the burst.
+		assert.Assert(t, fake.Counts().Txns <= 11+burst, "%d transactions", fake.Counts().Txns)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // A lease that the service has forgotten is replaced.
 func TestLeaseLapse(t *testing.T) {
 	inBubble(t, func(t *testing.T, fake *fakekv.Fake, a, _ *Claims) {
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -16,8 +16,10 @@
 
 	"gentianwell/core/drain"
 	"gentianwell/core/member"
+	"gentianwell/io/kvs"
 	"gentianwell/io/mirror"
 	"gentianwell/io/peer"
+	"gentianwell/io/runner"
 )
 
 // closeTimeout bounds the closing of connections after the last answer.
@@ -40,7 +42,7 @@
 		g.Add(func() error { return fn(partCtx) }, func(error) { cancel() })
 	}
 	vms, err := mirror.New(mirror.Config{
-		Service: n.kvs, Prefix: member.ListPrefix, Changed: n.fleet.set, Rand: n.rand(randMirror), Log: n.log,
+		Service: n.kvs, Prefix: member.ListPrefix, Changed: n.listed, Rand: n.rand(randMirror), Log: n.log,
 	})
 	if err != nil {
 		return errors.Annotate(err, "Node.Run")
@@ -52,7 +54,9 @@
 	part(n.claims.Run)
 	part(n.placer.Run)
 	part(n.servePeers(listeners.peers))
-	addHTTP(&g, n.front.HTTP(), listeners.callers, n.c.CallersTLS)
+	callers := n.front.HTTP()
+	callers.BaseContext = func(net.Listener) context.Context { return n.jobs }
+	addHTTP(&g, callers, listeners.callers, n.c.CallersTLS)
 	addHTTP(&g, n.operatorsHTTP(), listeners.operators, nil)
 	n.log.WithFields(logrus.Fields{
 		"event": "started", "vm": n.c.ID, "zone": n.c.Zone, "callers": listeners.callers.Addr(),
@@ -100,12 +104,22 @@
 // what this VM sees.
 func (n *Node) updateReplicas(now time.Time) {
 	n.fleet.refresh(now)
-	n.router.SetReplicas(now, n.fleet.replicas())
-	n.router.SetVMs(n.fleet.entries())
+	n.routeToFleet(now)
 	n.members.spread(now, n.fleet.entries())
 	n.spreadSuspects(now)
 }
 
+// listed takes a new list of VMs.
+func (n *Node) listed(snap kvs.Snapshot) {
+	n.fleet.set(snap)
+	n.routeToFleet(n.now())
+}
+
+func (n *Node) routeToFleet(now time.Time) {
+	n.router.SetReplicas(now, n.fleet.replicas())
+	n.router.SetVMs(n.fleet.entries())
+}
+
 func (n *Node) servePeers(listener net.Listener) func(context.Context) error {
 	return func(ctx context.Context) error {
 		serverTLS, err := n.c.PeersTLS.serverTLS()
@@ -176,7 +190,10 @@
 
 // Stop ends the process at once; requests in progress are cut.
 func (n *Node) Stop() {
-	if cut := n.drain.Force(); cut > 0 {
+	cut := n.drain.Force()
+	// The callers of what is cut are told, as far as closeTimeout allows.
+	n.cutJobs(runner.ErrStopping)
+	if cut > 0 {
 		n.log.WithFields(logrus.Fields{"event": "forced", "vm": n.c.ID, "cut": cut}).Warn("requests in progress are cut")
 	}
 }
