--- a/core/stream/answer_test.go
+++ b/core/stream/answer_test.go
@@ -52,6 +52,7 @@
 	finish int
 	errors int
 	done   int
+	usages int
 }
 
 func (c *caller) read(out []byte) {
@@ -77,6 +78,9 @@
 		return
 	}
 	c.ids[got.ID] = true
+	if got.Usage != nil {
+		c.usages++
+	}
 	for _, p := range got.Choices {
 		c.text += p.text()
 		if p.finished() {
@@ -204,6 +208,8 @@
 		return disturb(t, chunks, faults, engine.NamesRequest)
 	})
 	assert.Equal(t, len(got.ids) <= 1, true)
+	assert.Equal(t, got.usages, 0)
+	assert.Equal(t, a.Stats().Attempts <= defaultMaxAttempts, true)
 	if d.Action == ActionFinish {
 		assert.Equal(t, got.text, want)
 		assert.Equal(t, got.finish == 1 && got.done == 1 && got.errors == 0, true, "%+v", got)
