Split the larger files of core/stream and io/back

Change: feeding, resuming, receiving and the tests' script in files of their own; no change of behaviour.

--- a/core/stream/request.go
+++ b/core/stream/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 
 	"github.com/juju/errors"
 )
@@ -119,21 +118,6 @@
 	return encode(o)
 }
 
-// resume returns the body of an attempt that continues a partial answer.
-func (r *request) resume(partial string, tokens int) ([]byte, error) {
-	o := r.copy()
-	if err := r.addPartial(o, partial); err != nil {
-		return nil, errors.Annotate(err, "request.resume")
-	}
-	if err := r.lowerLimits(o, tokens); err != nil {
-		return nil, errors.Annotate(err, "request.resume")
-	}
-	if err := r.askStream(o); err != nil {
-		return nil, errors.Annotate(err, "request.resume")
-	}
-	return encode(o)
-}
-
 func (r *request) copy() object {
 	o := make(object, len(r.members)+len(unsafeMembers))
 	for name, value := range r.members {
@@ -160,102 +144,3 @@
 	}
 	return set(o, memberStreamOptions, options)
 }
-
-func (r *request) addPartial(o object, partial string) error {
-	if r.kind == KindCompletion {
-		var prompt string
-		if err := json.Unmarshal(o[memberPrompt], &prompt); err != nil {
-			return err
-		}
-		return set(o, memberPrompt, prompt+partial)
-	}
-	messages, err := r.messagesWith(partial)
-	if err != nil {
-		return err
-	}
-	o[memberContinue] = json.RawMessage("true")
-	o[memberAddPrompt] = json.RawMessage("false")
-	return set(o, memberMessages, messages)
-}
-
-// messagesWith returns the messages with the partial answer as the last one, or
-// appended to the last one where the caller itself asked to continue it.
-func (r *request) messagesWith(partial string) ([]json.RawMessage, error) {
-	var messages []json.RawMessage
-	if err := json.Unmarshal(r.members[memberMessages], &messages); err != nil {
-		return nil, err
-	}
-	last := object{memberRole: json.RawMessage(`"assistant"`), memberContent: json.RawMessage(`""`)}
-	if r.continues() && len(messages) > 0 {
-		last = object{}
-		if err := json.Unmarshal(messages[len(messages)-1], &last); err != nil {
-			return nil, err
-		}
-		messages = messages[:len(messages)-1]
-	}
-	if err := appendContent(last, partial); err != nil {
-		return nil, err
-	}
-	data, err := encode(last)
-	if err != nil {
-		return nil, err
-	}
-	return append(messages, data), nil
-}
-
-func appendContent(message object, text string) error {
-	var content string
-	if err := json.Unmarshal(message[memberContent], &content); err != nil {
-		return err
-	}
-	return set(message, memberContent, content+text)
-}
-
-func (r *request) continues() bool { return string(r.members[memberContinue]) == "true" }
-
-func (r *request) lowerLimits(o object, tokens int) error {
-	limits := []struct {
-		name  string
-		value *int
-	}{
-		{memberMaxTokens, r.fields.MaxTokens},
-		{memberMaxCompletion, r.fields.MaxCompletion},
-		{memberMinTokens, r.fields.MinTokens},
-	}
-	for _, l := range limits {
-		if l.value == nil {
-			continue
-		}
-		if err := set(o, l.name, max(*l.value-tokens, 0)); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// unresumable returns why a partial answer of so many tokens cannot be handed on,
-// or nothing.
-func (r *request) unresumable(tokens int) string {
-	for _, name := range unsafeMembers {
-		if value, ok := r.members[name]; ok && !isEmpty(value) && string(value) != "false" {
-			return fmt.Sprintf("a request with %q cannot be resumed", name)
-		}
-	}
-	if limit := r.limit(); limit > 0 && tokens >= limit {
-		return "the token limit is reached without a finish"
-	}
-	if _, err := r.resume("", 0); err != nil {
-		return "the prompt is not in a form that can be extended"
-	}
-	return ""
-}
-
-func (r *request) limit() int {
-	if r.fields.MaxCompletion != nil {
-		return *r.fields.MaxCompletion
-	}
-	if r.fields.MaxTokens != nil {
-		return *r.fields.MaxTokens
-	}
-	return 0
-}
--- /dev/null
+++ b/core/stream/script_test.go
@@ -0,0 +1,137 @@
+package stream
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+)
+
+// script is an engine's answer in the tests: chunks of one attempt.
+type script struct {
+	id     string
+	kind   Kind
+	counts bool
+}
+
+func (s script) chunk(choice int, text string, count int, finish string) string {
+	member, reason, usage := "", "null", ""
+	if s.kind == KindChat {
+		member = fmt.Sprintf(`"delta":{"content":%q}`, text)
+	} else {
+		member = fmt.Sprintf(`"text":%q`, text)
+	}
+	if finish != "" {
+		reason = fmt.Sprintf("%q", finish)
+	}
+	if s.counts {
+		usage = fmt.Sprintf(`,"usage":{"prompt_tokens":3,"completion_tokens":%d,"total_tokens":%d}`, count, count+3)
+	}
+	const form = `{"id":%q,"created":1,"model":"m","choices":[{"index":%d,%s,"finish_reason":%s}]%s}`
+	return fmt.Sprintf(form, s.id, choice, member, reason, usage)
+}
+
+// chunks returns the whole answer of the tokens.
+func (s script) chunks(tokens []string) []string {
+	var out []string
+	for i, t := range tokens {
+		out = append(out, s.chunk(0, t, i+1, ""))
+	}
+	return append(out, s.chunk(0, "", len(tokens), "stop"), doneData)
+}
+
+// caller reads what a caller is given.
+type caller struct {
+	text   string
+	ids    map[string]bool
+	finish int
+	errors int
+	done   int
+	usages int
+}
+
+func (c *caller) read(out []byte) {
+	for _, block := range strings.Split(string(out), "\n\n") {
+		data := strings.TrimPrefix(block, "data: ")
+		switch {
+		case data == "":
+		case data == doneData:
+			c.done++
+		default:
+			c.readChunk(data)
+		}
+	}
+}
+
+func (c *caller) readChunk(data string) {
+	var got chunk
+	if err := json.Unmarshal([]byte(data), &got); err != nil {
+		panic(err)
+	}
+	if got.Error != nil {
+		c.errors++
+		return
+	}
+	c.ids[got.ID] = true
+	if got.Usage != nil {
+		c.usages++
+	}
+	for _, p := range got.Choices {
+		c.text += p.text()
+		if p.finished() {
+			c.finish++
+		}
+	}
+}
+
+// run plays attempts until the answer ends; attempt returns the chunks for a body.
+func run(a *Answer, attempt func(n int, body []byte) []string) (*caller, Decision) {
+	c := &caller{ids: map[string]bool{}}
+	for n := 0; ; n++ {
+		body, err := a.Begin()
+		if err != nil {
+			panic(err)
+		}
+		cause := "connection was lost"
+		for _, data := range attempt(n, body) {
+			out, err := a.Feed(Event{Raw: []byte("data: " + data + "\n\n"), Data: []byte(data)})
+			if err != nil {
+				cause = err.Error()
+				break
+			}
+			c.read(out)
+		}
+		d := a.End(cause)
+		c.read(d.Event)
+		if !d.Action.Again() {
+			return c, d
+		}
+	}
+}
+
+// partialOf returns the partial answer in a resumed body.
+func partialOf(kind Kind, body []byte) string {
+	var r struct {
+		Prompt   string `json:"prompt"`
+		Messages []struct {
+			Role    string `json:"role"`
+			Content string `json:"content"`
+		} `json:"messages"`
+	}
+	if err := json.Unmarshal(body, &r); err != nil {
+		panic(err)
+	}
+	if kind == KindCompletion {
+		return strings.TrimPrefix(r.Prompt, "P")
+	}
+	if last := r.Messages[len(r.Messages)-1]; last.Role == "assistant" {
+		return last.Content
+	}
+	return ""
+}
+
+func bodyOf(kind Kind) []byte {
+	if kind == KindCompletion {
+		return []byte(`{"model":"m","stream":true,"prompt":"P"}`)
+	}
+	return []byte(`{"model":"m","stream":true,"messages":[{"role":"user","content":"P"}]}`)
+}
--- a/io/back/attempt.go
+++ b/io/back/attempt.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"mime"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -131,76 +130,6 @@
 	}
 }
 
-func (a *attempt) readStream(res *http.Response) error {
-	a.result.Streamed = true
-	events := newEventScanner(res.Body, a.client.c.MaxEvent)
-	done := false
-	for events.Scan() {
-		e := parseEvent(events.Bytes())
-		if done {
-			continue
-		}
-		if err := a.pass(e); err != nil {
-			return errors.Trace(err)
-		}
-		if e.Done {
-			done = true
-			a.watch.limit(drainTimeout)
-		}
-	}
-	if done {
-		return nil
-	}
-	if err := events.Err(); err != nil {
-		return errors.Trace(err)
-	}
-	return errTruncated
-}
-
-func (a *attempt) pass(e Event) error {
-	if a.result.Events == 0 {
-		a.result.First = time.Since(a.started)
-		a.watch.limit(a.request.ProgressTimeout)
-	}
-	a.watch.pause()
-	err := a.sink(e)
-	a.watch.resume()
-	if err != nil {
-		a.sinkErr = err
-		return errors.Trace(err)
-	}
-	a.result.Events++
-	return nil
-}
-
-func (a *attempt) readBody(res *http.Response) error {
-	a.result.First = time.Since(a.started)
-	a.watch.limit(a.request.ProgressTimeout)
-	body, err := io.ReadAll(io.LimitReader(res.Body, a.client.c.MaxBody+1))
-	a.result.Body = body
-	switch {
-	case err != nil:
-		return errors.Trace(err)
-	case int64(len(body)) > a.client.c.MaxBody:
-		a.result.Body = nil
-		return errTooLarge
-	case !delimited(res):
-		return errNoLength
-	}
-	return nil
-}
-
-// delimited reports whether the end of the body can be told from a lost connection.
-func delimited(res *http.Response) bool {
-	return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 || res.Body == http.NoBody ||
-		res.Request.Method == http.MethodHead
-}
-
-func isStream(res *http.Response) bool {
-	kind, _, err := mime.ParseMediaType(res.Header.Get("Content-Type"))
-	return err == nil && kind == "text/event-stream"
-}
-
 // finish returns the result of an attempt that got a whole answer.
 func (a *attempt) finish() Result {
 	a.result.Wrote = a.wrote()
