Let a stream that may run only once run to its end without its caller

Cause: a failed write to the caller ended the attempt, which cancels the engine's run of a request that must not be run again. Ruled out: leaving it to the detached context alone (it covers the caller's leaving between events, not the failed write). Change: the rest of the stream is read and dropped. Conclusion: TestCallerLeavesAnAtMostOnceStream fails without it.

--- a/io/runner/attempt.go
+++ b/io/runner/attempt.go
@@ -130,11 +130,25 @@
 	if len(out) == 0 {
 		return nil
 	}
+	if n.callerLeft {
+		return nil
+	}
+	err = n.give(replica, out)
+	if err != nil && n.job.AtMostOnce {
+		// What may only run once runs to its end, although nobody listens.
+		n.callerLeft = true
+		return nil
+	}
+	return err
+}
+
+// give hands a part of a stream to the caller.
+func (n *run) give(replica call.ReplicaID, part []byte) error {
 	if err := n.start(replica, http.StatusOK, http.Header{"Content-Type": {"text/event-stream"}, "Cache-Control": {"no-cache"}}); err != nil {
 		return err
 	}
 	n.watch.part(n.r.c.Now())
-	return n.sink.Write(out)
+	return n.sink.Write(part)
 }
 
 // whole hands an answer that is no stream to the caller.
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -157,9 +157,11 @@
 	job  *Job
 	sink Sink
 	// ctx is the caller's; its cause tells whether the caller or the VM went.
-	ctx      context.Context
-	started  bool
-	attempts int
+	ctx     context.Context
+	started bool
+	// callerLeft is true once the caller of a job that may only run once is gone.
+	callerLeft bool
+	attempts   int
 	// wrote is true where a backend server may have run the job.
 	wrote bool
 	// fresh is true once a connection that was kept open has gone silent.
--- a/io/runner/stream_test.go
+++ b/io/runner/stream_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 
@@ -308,6 +309,19 @@
 	assert.Equal(t, answer.Reason, ReasonTruncated, answer.Message)
 }
 
+// A caller that leaves in mid-answer does not stop what may only run once.
+func TestCallerLeavesAnAtMostOnceStream(t *testing.T) {
+	e := newEngines(t, 1, standIn)
+	j := streamJob(stream.KindChat, "hello", false)
+	j.AtMostOnce = true
+	answer := e.Run(t.Context(), j, Sink{
+		Start: func(int, http.Header) error { return nil },
+		Write: func([]byte) error { return errors.New("caller is gone") },
+	})
+	assert.Equal(t, answer.Outcome, call.OutcomeRan, answer.Message)
+	assert.Equal(t, int(e.list[0].Tokens()), fakes.Length("hello"))
+}
+
 // Where the answer cannot be made whole, the caller is told: the answer has
 // failed, without a finish and without an end mark.
 func TestStreamFailsOpenly(t *testing.T) {
