--- a/core/estim/estimator_test.go
+++ b/core/estim/estimator_test.go
@@ -58,9 +58,12 @@
 	for range 100 {
 		e.Finished(start, sample("plot", 1000))
 	}
+	e.Finished(start.Add(11*time.Minute), sample("plot", 10))
+	// The window before still counts.
+	near(t, e.Guess(start, call.Call{Class: "plot", Model: "m"}).AnswerTokens, 1000)
 	for i := range 3 {
 		for range 100 {
-			e.Finished(start.Add(time.Duration(i)*10*time.Minute+time.Minute), sample("plot", 10))
+			e.Finished(start.Add(time.Duration(i+1)*10*time.Minute+2*time.Minute), sample("plot", 10))
 		}
 	}
 	near(t, e.Guess(start, call.Call{Class: "plot", Model: "m"}).Cost, 10)
--- a/core/estim/window_test.go
+++ b/core/estim/window_test.go
@@ -37,7 +37,7 @@
 		total := 0
 		for range vms {
 			own := 0
-			for w.Allows(own, replicas, vms, running) {
+			for own < 32*replicas*2 && w.Allows(own, replicas, vms, running) {
 				own++
 			}
 			total += own
