Check that an empty list changes no verdict

Cause: with statements that count for five minutes the state machine no longer saw an empty list that was taken: the VMs were still known, as gone. Change: the test compares all verdicts before and after.

--- a/core/member/machine_test.go
+++ b/core/member/machine_test.go
@@ -55,7 +55,11 @@
 	m.v.SetList(m.now, lagging)
 }
 
-func (m *machine) emptyList(*rapid.T) { m.v.SetList(m.now, nil) }
+func (m *machine) emptyList(t *rapid.T) {
+	before := m.v.Judged(m.now, RoleEntry)
+	m.v.SetList(m.now, nil)
+	assert.Assert(t, reflect.DeepEqual(m.v.Judged(m.now, RoleEntry), before), "an empty list changes a verdict")
+}
 
 func (m *machine) missed(t *rapid.T) {
 	if id := m.id(t); id != "x" {
