--- a/io/claims/config.go
+++ b/io/claims/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"gentianwell/core/call"
 	"gentianwell/core/claim"
@@ -14,12 +15,17 @@
 // DefaultPrefix is the prefix of all claims' keys.
 const DefaultPrefix = "gentianwell/claims/"
 
+// MinRetention is the least retention, which has to be far above any pause of a
+// VM: a shorter one is raised to it.
+const MinRetention = time.Hour
+
 const (
 	defaultRetention = 24 * time.Hour
 	defaultMaxBatch  = 64
 	defaultMaxQueue  = 1024
 	defaultMaxDebts  = 1024
 	defaultGap       = 20 * time.Millisecond
+	defaultMaxRate   = 300
 	defaultPause     = 500 * time.Millisecond
 	defaultTimeout   = 3 * time.Second
 	defaultRepeat    = time.Second
@@ -35,7 +41,8 @@
 	// Every subscribes to the timer service.
 	Every  func(name string, interval time.Duration, fn func(now time.Time)) func()
 	Prefix string
-	// Retention is for how long a claim surely exists; up to a quarter is added.
+	// Retention is for how long a claim surely exists where the request says
+	// nothing; up to a quarter is added.
 	Retention time.Duration
 	// MaxBody bounds a stored answer's body, in bytes.
 	MaxBody int
@@ -44,9 +51,12 @@
 	MaxBatch int
 	MaxQueue int
 	MaxDebts int
-	// Gap is the least time between the starts of two transactions: with n VMs
-	// the service gets at most n/Gap of them a second.
+	// Gap is the least time between the starts of two transactions.
 	Gap time.Duration
+	// MaxRate bounds the transactions of all VMs together, each second, and VMs
+	// returns how many VMs there are; each takes an equal share.
+	MaxRate float64
+	VMs     func() int
 	// Pause is for how long attempts are refused at once after a failure.
 	Pause time.Duration
 	// Timeout bounds Begin, and each try of Finish and Release.
@@ -66,6 +76,9 @@
 	if c.Log == nil {
 		c.Log = logrus.StandardLogger()
 	}
+	if c.VMs == nil {
+		c.VMs = func() int { return 1 }
+	}
 	if c.Prefix == "" {
 		c.Prefix = DefaultPrefix
 	}
@@ -75,6 +88,7 @@
 	setDefault(&c.MaxQueue, defaultMaxQueue)
 	setDefault(&c.MaxDebts, defaultMaxDebts)
 	setDefault(&c.Gap, defaultGap)
+	setDefault(&c.MaxRate, defaultMaxRate)
 	setDefault(&c.Pause, defaultPause)
 	setDefault(&c.Timeout, defaultTimeout)
 	setDefault(&c.Repeat, defaultRepeat)
@@ -88,6 +102,9 @@
 	}
 }
 
+// share returns this VM's transactions a second.
+func (c Config) share() rate.Limit { return rate.Limit(c.MaxRate / float64(c.VMs())) }
+
 // Validate checks the config.
 //
 // Errors: NotValid with the field's name.
--- a/io/claims/writer.go
+++ b/io/claims/writer.go
@@ -6,15 +6,22 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/time/rate"
 
 	"gentianwell/core/claim"
 	"gentianwell/io/kvs"
 )
 
+// burst is how many transactions a VM may do at once after a rest: a few claims
+// with their finishes.
+const burst = 4
+
 // writer groups writes into transactions, one of which is under way at a time.
 type writer struct {
-	config    Config
-	retention *retention
+	config Config
+	leases *leases
+	// budget is this VM's share of the platform's transactions.
+	budget *rate.Limiter
 
 	mu    sync.Mutex
 	queue []*item
@@ -22,17 +29,23 @@
 }
 
 func newWriter(c Config) *writer {
-	return &writer{config: c, retention: &retention{config: c}, ready: make(chan struct{}, 1)}
+	return &writer{
+		config: c, leases: newLeases(c), ready: make(chan struct{}, 1),
+		budget: rate.NewLimiter(c.share(), burst),
+	}
 }
 
 // write carries out one write. A write given up before its transaction began
 // has no effect; one given up later may have one.
-func (w *writer) write(ctx context.Context, path string, cw claim.Write) claim.Reply {
+func (w *writer) write(ctx context.Context, req claim.Request, cw claim.Write) claim.Reply {
 	value, err := cw.Put.Encode()
 	if err != nil {
 		return claim.Reply{Result: claim.ResultNoEffect}
 	}
-	it := &item{key: w.config.Prefix + path, write: cw, value: value, reply: make(chan claim.Reply, 1)}
+	it := &item{
+		key: w.config.Prefix + req.Path(), retention: req.Retention,
+		write: cw, value: value, reply: make(chan claim.Reply, 1),
+	}
 	if !w.enqueue(it) {
 		return claim.Reply{Result: claim.ResultNoEffect}
 	}
@@ -93,9 +106,11 @@
 	}
 }
 
-// pace keeps the gap to the next transaction; writes gather meanwhile.
+// pace waits until the next transaction is due; writes gather meanwhile.
 func (w *writer) pace(ctx context.Context, started time.Time) {
-	rest := w.config.Gap - w.config.Now().Sub(started)
+	now := w.config.Now()
+	w.budget.SetLimitAt(now, w.config.share())
+	rest := max(w.config.Gap-now.Sub(started), w.budget.ReserveN(now, 1).DelayFrom(now))
 	if rest <= 0 {
 		return
 	}
@@ -138,15 +153,15 @@
 
 // commit does one transaction and tells the outcome to all of its items.
 func (w *writer) commit(ctx context.Context, batch []*item) {
-	lease, err := w.retention.get(ctx)
+	txn, err := w.transaction(ctx, batch)
 	if err != nil {
 		replyAll(batch, claim.Reply{Result: claim.ResultNoEffect})
 		return
 	}
-	result, err := w.config.Service.Transact(ctx, transaction(batch, lease))
+	result, err := w.config.Service.Transact(ctx, txn)
 	switch {
 	case errors.Is(err, kvs.ErrLeaseLapsed):
-		w.retention.forget()
+		w.leases.forget()
 		w.requeue(batch)
 	case errors.Is(err, kvs.ErrUnavailable):
 		replyAll(batch, claim.Reply{Result: claim.ResultNoEffect})
@@ -189,14 +204,18 @@
 	w.signal()
 }
 
-func transaction(batch []*item, lease kvs.LeaseID) kvs.Txn {
+func (w *writer) transaction(ctx context.Context, batch []*item) (kvs.Txn, error) {
 	var txn kvs.Txn
 	for _, it := range batch {
+		lease, err := w.leases.get(ctx, it.retention)
+		if err != nil {
+			return kvs.Txn{}, errors.Annotate(err, "writer.transaction")
+		}
 		txn.Compares = append(txn.Compares, it.compare())
 		txn.Then = append(txn.Then, kvs.Put(it.key, it.value, lease))
 		txn.Else = append(txn.Else, kvs.Get(it.key))
 	}
-	return txn
+	return txn, nil
 }
 
 func replyAll(batch []*item, reply claim.Reply) {
--- a/io/runner/again.go
+++ b/io/runner/again.go
@@ -2,6 +2,7 @@
 
 import (
 	"gentianwell/core/retry"
+	"gentianwell/core/stream"
 	"gentianwell/io/back"
 )
 
@@ -18,18 +19,22 @@
 
 // wantsAgain reports whether another attempt could do better.
 func (n *run) wantsAgain(e attemptEnd) bool {
-	if n.started {
+	if n.continues(e) {
 		return e.next.Action.Again()
 	}
 	return e.failed()
 }
 
+// continues reports whether another attempt would continue an answer of which
+// there is a part, whether the caller has it or not.
+func (n *run) continues(e attemptEnd) bool { return n.started || e.next.Action == stream.ActionResume }
+
 func (n *run) retryAttempt(e attemptEnd) retry.Attempt {
 	a := retry.Attempt{
 		Class: n.job.Call.Class, Idempotent: n.job.Call.Idempotent, Deadline: n.job.Call.Deadline,
 		Number: n.attempts, Outcome: n.outcome(), Cause: retryCause(e), BytesWritten: e.result.Wrote,
 	}
-	if n.started {
+	if n.continues(e) {
 		// The guard has found that the answer can be continued.
 		a.Idempotent = true
 	}
--- a/io/runner/stream_test.go
+++ b/io/runner/stream_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,6 +34,7 @@
 // engines are stand-in engines behind relays, and a runner before them.
 type engines struct {
 	*Runner
+	mu     sync.Mutex
 	list   []*fakes.Engine
 	relays []*relay.Relay
 	last   Measure
@@ -86,14 +88,20 @@
 			e.strike(to)
 			return client.Do(ctx, to, req, sink)
 		},
-		Estimate: func(*call.Call) (int, time.Duration) { return 1, 0 },
-		Observe:  func(m Measure) { e.last = m },
-		Profile:  func(call.Model) stream.Profile { return profile },
+		Estimate:    func(*call.Call) (int, time.Duration) { return 1, 0 },
+		EngineFirst: bc.FirstTimeout, Observe: e.observe,
+		Profile: func(call.Model) stream.Profile { return profile },
 	})
 	assert.NilError(t, err)
 	return e
 }
 
+func (e *engines) observe(m Measure) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.last = m
+}
+
 func (e *engines) strike(to back.Target) {
 	if e.faulty == 0 {
 		return
@@ -271,6 +279,22 @@
 	assert.Equal(t, r.text, fakes.Text(prompt, 0, -1))
 }
 
+// An answer in one piece that takes longer than the longest silence is generated
+// once, also on a connection that was used before.
+func TestLongPlainAnswerIsRunOnce(t *testing.T) {
+	e := newEngines(t, 1, standIn, func(ec *fakes.EngineConfig, _ *back.Config) { ec.TokenGap = 10 * time.Millisecond })
+	const prompt = "hello [[length=60]]"
+	for i := range 2 {
+		j := streamJob(stream.KindCompletion, prompt, true)
+		j.Stream, j.Body = false, []byte(strings.Replace(string(j.Body), `"stream":true`, `"stream":false`, 1))
+		c := &collect{}
+		answer := e.Run(t.Context(), j, c.sink())
+		assert.Equal(t, answer.Outcome, call.OutcomeRan, answer.Message)
+		assert.Assert(t, strings.Contains(c.text, fakes.Text(prompt, 0, -1)), c.text)
+		assert.Equal(t, e.runs(), i+1)
+	}
+}
+
 // Where the answer cannot be made whole, the caller is told: the answer has
 // failed, without a finish and without an end mark.
 func TestStreamFailsOpenly(t *testing.T) {
@@ -303,7 +327,8 @@
 	}
 }
 
-// An answer in one piece is run again, if it may be, where it is not whole.
+// A caller that wants its answer in one piece is served as well as one that wants
+// a stream: the answer is resumed, not run again from its start.
 func TestPlainAnswerIsWhole(t *testing.T) {
 	e := newEngines(t, 3, standIn)
 	e.fault, e.faulty = fakes.Fault{Kind: fakes.FaultTruncate, AfterTokens: 2, Times: 1}, 2
@@ -314,4 +339,9 @@
 	assert.Equal(t, answer.Failed, false, answer.Message)
 	assert.Assert(t, strings.Contains(c.text, fakes.Text("hello", 0, -1)), c.text)
 	assert.Equal(t, e.runs(), 3)
+	generated := 0
+	for _, engine := range e.list {
+		generated += int(engine.Tokens())
+	}
+	assert.Equal(t, generated, fakes.Length("hello"))
 }
