--- a/core/member/bench_test.go
+++ b/core/member/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"gentianwell/core/call"
+	"gentianwell/core/gwtest"
 )
 
 var benchSizes = []int{9, 100, 330, 930}
@@ -57,18 +58,11 @@
 	for _, n := range benchSizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			for b.Loop() {
-				before := heap()
+				before := gwtest.Heap()
 				v := benchView(b, n)
-				b.ReportMetric(float64(heap()-before)/float64(n), "B/VM")
+				b.ReportMetric(float64(gwtest.Heap()-before)/float64(n), "B/VM")
 				runtime.KeepAlive(v)
 			}
 		})
 	}
 }
-
-func heap() uint64 {
-	var m runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
--- a/core/poison/bench_test.go
+++ b/core/poison/bench_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"gentianwell/core/call"
+	"gentianwell/core/gwtest"
 )
 
 var benchSizes = []int{1000, 4000, 8000, 16000}
@@ -56,22 +57,15 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			items := benchItems(b, n)
 			for b.Loop() {
-				before := heap()
+				before := gwtest.Heap()
 				r := newRegistry(b, Config{})
 				for _, item := range items {
 					assert.NilError(b, r.Merge(t0, item))
 				}
-				b.ReportMetric(float64(heap()-before)/float64(n), "B/fingerprint")
+				b.ReportMetric(float64(gwtest.Heap()-before)/float64(n), "B/fingerprint")
 				runtime.KeepAlive(r)
 			}
 			b.ReportMetric(float64(len(items[0].Key)+len(items[0].Value)), "B/item")
 		})
 	}
 }
-
-func heap() uint64 {
-	var m runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
