Tell damaged settings from others; look values up without allocation

Cause: keys that cannot be read were reported like an operator's wrong value; and each lookup of an inherited value put its levels on the heap. Change: ErrDamaged; damaged keys are neither taken over nor written over. Levels are values in an array. A fuzz target for peers' documents.

--- a/core/tree/effective.go
+++ b/core/tree/effective.go
@@ -33,28 +33,31 @@
 // level is one step of the lookup.
 type level struct {
 	branch Branch
-	values *Values
+	values Values
 }
 
+// lookups are the levels of one lookup, the first one first. They are values, so
+// that a lookup allocates nothing.
+type lookups [5]level
+
 // levels returns the branches that a value is looked up in, the first one first.
 //
 // Errors: NotFound for an unknown team or class. An empty class stands for none.
-func (t *Tree) levels(team call.Team, class call.Class) ([]level, error) {
+func (t *Tree) levels(team call.Team, class call.Class) (lookups, error) {
 	own, ok := t.Teams[team]
 	if !ok && team != "" {
-		return nil, errors.NotFoundf("team %q", team)
+		return lookups{}, errors.NotFoundf("team %q", team)
 	}
 	shared, ok := t.Classes[class]
 	if !ok && class != "" {
-		return nil, errors.NotFoundf("class %q", class)
+		return lookups{}, errors.NotFoundf("class %q", class)
 	}
-	ownClass := own.Classes[class]
-	return []level{
-		{Branch{Kind: KindTeamClass, Name: string(team), Class: string(class)}, &ownClass},
-		{Branch{Kind: KindClass, Name: string(class)}, &shared},
-		{Branch{Kind: KindTeam, Name: string(team)}, &own.Values},
-		{Branch{Kind: KindSite}, &t.Site.Values},
-		{Branch{Kind: KindDefault}, &defaults},
+	return lookups{
+		{Branch{Kind: KindTeamClass, Name: string(team), Class: string(class)}, own.Classes[class]},
+		{Branch{Kind: KindClass, Name: string(class)}, shared},
+		{Branch{Kind: KindTeam, Name: string(team)}, own.Values},
+		{Branch{Kind: KindSite}, t.Site.Values},
+		{Branch{Kind: KindDefault}, defaults},
 	}, nil
 }
 
@@ -68,8 +71,8 @@
 		return Policy{}, errors.Annotate(err, "Tree.Effective")
 	}
 	var values Values
-	for _, l := range levels {
-		values.inherit(l.values)
+	for i := range levels {
+		values.inherit(&levels[i].values)
 	}
 	return values.policy(), nil
 }
@@ -84,9 +87,9 @@
 	}
 	sources := make(Sources, 0, len(valueFields))
 	for _, f := range valueFields {
-		for _, l := range levels {
-			if value, ok := f.get(l.values); ok {
-				sources = append(sources, Source{Key: f.Name, Value: value, Branch: l.branch.Path()})
+		for i := range levels {
+			if value, ok := f.get(&levels[i].values); ok {
+				sources = append(sources, Source{Key: f.Name, Value: value, Branch: levels[i].branch.Path()})
 				break
 			}
 		}
--- a/core/tree/fuzz_test.go
+++ b/core/tree/fuzz_test.go
@@ -51,3 +51,33 @@
 		NewSnapshot(Document{Tree: second})
 	})
 }
+
+// FuzzParseDocument checks what a peer may send: no panic, and what was accepted
+// survives being written and read again.
+func FuzzParseDocument(f *testing.F) {
+	f.Add([]byte(`{"version": 3, "changeId": "c", "recent": [{"version": 2, "changeId": "b"}], "tree": {}}`))
+	f.Add([]byte(`{"version": 1, "tree": {"site": {"tier": 9}}}`))
+	f.Add([]byte(`{"version": -1, "tree": {}}`))
+	f.Add([]byte(`{"version": 1, "time": "x", "tree": null}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		first, err := ParseDocument(raw)
+		if err != nil {
+			return
+		}
+		if err := first.Tree.Validate(); err != nil {
+			t.Fatal(err)
+		}
+		again, err := first.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, err := ParseDocument(again)
+		if err != nil {
+			t.Fatalf("%s: %v", again, err)
+		}
+		if v := first.Judge(second.Head).Verdict; v != VerdictSame {
+			t.Fatalf("%s: %s", raw, v)
+		}
+		first.MergeInto(second, Merge{ChangeID: "m"})
+	})
+}
--- a/io/conf/change.go
+++ b/io/conf/change.go
@@ -36,8 +36,8 @@
 // Change makes one change. Floor is the head that is in force where the change
 // is submitted: a platform that is behind it is not changed.
 //
-// Errors: tree.Problems, *Conflict, ErrBehind, ErrTooLarge, kvs.ErrUnavailable
-// (surely not made), ErrUnsettled.
+// Errors: tree.Problems, *Conflict, ErrBehind, ErrDamaged, ErrTooLarge,
+// kvs.ErrUnavailable (all of them: surely not made), ErrUnsettled.
 func (s *Store) Change(ctx context.Context, c Change, floor tree.Head) (Accepted, error) {
 	if c.ID == "" {
 		c.ID = s.c.NewID()
--- a/io/conf/errors.go
+++ b/io/conf/errors.go
@@ -17,6 +17,8 @@
 	// ErrUnsettled means that the platform's replies were lost: the change may
 	// be accepted. Submitting it again with the same ID settles it.
 	ErrUnsettled = errors.ConstError("no reply from the platform: the change may be accepted")
+	// ErrDamaged means that the platform's keys cannot be read as settings.
+	ErrDamaged = errors.ConstError("the platform's settings are damaged")
 	// ErrTooLarge means that the change has to be split.
 	ErrTooLarge = errors.ConstError("the change is too large for one transaction")
 )
--- a/io/conf/follower_test.go
+++ b/io/conf/follower_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"gentianwell/core/call"
+	"gentianwell/core/tree"
 	"gentianwell/io/fakekv"
 	"gentianwell/io/kvs"
 )
@@ -194,3 +195,32 @@
 		w.inForce("site.weight", "2")
 	})
 }
+
+// Damaged keys are neither taken over nor written over, as a newer program may
+// have written them. Without its head the tree is restored.
+func TestDamagedKeysChangeNothing(t *testing.T) {
+	tests := []struct{ key, value string }{
+		{HeadKey, "{"},
+		{HeadKey, `{"version": -1}`},
+		{branchKey(firstGeneration, tree.Branch{Kind: tree.KindSite}), `{"weihgt": 1}`},
+	}
+	for _, test := range tests {
+		inWorld(t, func(w *world) {
+			w.fake.Put(test.key, []byte(test.value))
+			time.Sleep(bound)
+			w.inForce("site.weight", "1")
+			_, err := w.vms["e1"].Submit(w.ctx, set("site.weight", "2"))
+			assert.ErrorIs(w.t, err, ErrDamaged)
+			found, err := w.fake.Service().Get(w.ctx, test.key)
+			assert.NilError(w.t, err)
+			assert.Equal(w.t, string(found.Entry.Value), test.value)
+
+			_, err = w.fake.Service().Transact(w.ctx, kvs.Txn{Then: []kvs.Op{kvs.Delete(HeadKey)}})
+			assert.NilError(w.t, err)
+			time.Sleep(bound)
+			w.mustSet("e1", "site.weight", "2")
+			time.Sleep(time.Second)
+			w.inForce("site.weight", "2")
+		})
+	}
+}
--- a/io/conf/store.go
+++ b/io/conf/store.go
@@ -111,7 +111,7 @@
 
 // Load reads the whole tree; without a head, an empty one of version 0.
 //
-// Errors: kvs.ErrUnavailable, or NotValid or tree.Problems for a damaged tree.
+// Errors: kvs.ErrUnavailable, ErrDamaged.
 func (s *Store) Load(ctx context.Context) (Loaded, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.c.CallTimeout)
 	defer cancel()
@@ -121,7 +121,7 @@
 	}
 	loaded, err := assemble(snap)
 	if err != nil {
-		return Loaded{}, errors.Annotate(err, "Store.Load")
+		return Loaded{}, errors.Annotatef(ErrDamaged, "Store.Load: %v", err)
 	}
 	return loaded, nil
 }
@@ -164,5 +164,8 @@
 		return head{}, 0, nil
 	}
 	h, err := parseHead(found.Entry.Value)
-	return h, found.Entry.Mod, err
+	if err != nil {
+		return head{}, 0, errors.Annotatef(ErrDamaged, "Store.loadHead: %v", err)
+	}
+	return h, found.Entry.Mod, nil
 }
--- a/io/oper/failure.go
+++ b/io/oper/failure.go
@@ -15,6 +15,8 @@
 	f := &Failure{Kind: FailureInternal, Message: err.Error()}
 	var problem tree.Problem
 	switch {
+	case errors.Is(err, conf.ErrDamaged):
+		f.Kind = FailureInternal
 	case errors.As(err, &f.Problems):
 		f.Kind = FailureInvalid
 	case errors.As(err, &problem):
