--- a/io/conf/world_test.go
+++ b/io/conf/world_test.go
@@ -18,6 +18,7 @@
 
 	"gentianwell/core/call"
 	"gentianwell/core/gwtest"
+	"gentianwell/core/spread"
 	"gentianwell/core/timer"
 	"gentianwell/core/tree"
 	"gentianwell/io/fakekv"
@@ -25,7 +26,7 @@
 )
 
 // gossipInterval is the time between exchanges with peers.
-const gossipInterval = time.Second
+const gossipInterval = 500 * time.Millisecond
 
 // world is a platform and some VMs that follow it; VMs hear of each other's
 // versions at once, as gossip would tell them.
@@ -50,6 +51,8 @@
 	*Follower
 	store  *Store
 	cancel context.CancelFunc
+	// targets chooses the peers of one round of gossip.
+	targets func(all []call.VMID) []call.VMID
 
 	mu    sync.Mutex
 	heads []tree.Head
@@ -165,6 +168,8 @@
 	ctx, cancel := context.WithCancel(w.ctx)
 	v := &vm{cancel: cancel}
 	w.starts++
+	rnd := func(part uint64) *rand.Rand { return rand.New(rand.NewPCG(gwtest.Seed()+part, uint64(w.starts))) }
+	v.targets = spread.New(spread.Config{Self: id, Rand: rnd(1)}).Targets
 	v.store = newStore(w.service(id), fmt.Sprintf("%s-%d", id, w.starts))
 	timers := timer.New(timer.Config{Now: time.Now})
 	log := logrus.New()
@@ -172,7 +177,7 @@
 	var err error
 	v.Follower, err = NewFollower(FollowerConfig{
 		Self: id, Store: v.store, Timer: timers, Log: log,
-		Rand: rand.New(rand.NewPCG(gwtest.Seed(), uint64(id[1]))),
+		Rand: rnd(0),
 		Fetch: func(ctx context.Context, from call.VMID, have int64) ([]byte, error) {
 			peer, err := w.peer(id, from)
 			if err != nil {
@@ -197,12 +202,15 @@
 	return v
 }
 
-// gossip tells a VM its peers' versions.
+// gossip has a VM and a few others tell each other their versions.
 func (w *world) gossip(id call.VMID, v *vm) {
-	for _, other := range w.ids() {
-		if peer, err := w.peer(id, other); err == nil && other != id {
-			v.Behind(other, peer.Current().Version)
+	for _, other := range v.targets(w.ids()) {
+		peer, err := w.peer(id, other)
+		if err != nil {
+			continue
 		}
+		v.Behind(other, peer.Current().Version)
+		peer.Behind(id, v.Current().Version)
 	}
 }
 
