Give a suspect's replica back to the other VMs

Cause: a reservation held for 30 s on every other VM although the suspect had run for one, and its item expired with it, so that a reservation of no time could not spread. Change: the runner ends the reservation with the run or the wait; the item lives for a minute.

--- a/core/poison/reservation.go
+++ b/core/poison/reservation.go
@@ -20,7 +20,7 @@
 type Reservation struct {
 	Replica call.ReplicaID `json:"replica"`
 	By      call.VMID      `json:"by"`
-	// For is how long it holds from when it is heard.
+	// For is how long it holds from when it is heard; zero ends it.
 	For time.Duration `json:"for"`
 }
 
--- a/io/node/suspects.go
+++ b/io/node/suspects.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// reserve tells the others to keep their calls off a replica.
+// reserve tells the others to keep their calls off a replica, or no longer.
 func (n *Node) reserve(now time.Time, r poison.Reservation) {
 	r.By = n.c.ID
 	raw, err := json.Marshal(r)
@@ -71,6 +71,6 @@
 	}
 	n.store.Put(now, spread.Item{
 		ID:      spread.ID{Kind: poison.ReservationKind, Key: string(r.Replica)},
-		Version: uint64(now.UnixNano()), Value: raw, Expires: now.Add(r.For),
+		Version: uint64(now.UnixNano()), Value: raw, Expires: now.Add(poison.MaxReservation),
 	})
 }
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -38,7 +38,8 @@
 	Queue  *sched.Queue
 	Router *route.Router
 	// Retry decides about further attempts, Poison about requests that crash
-	// backend servers. Reserve tells other VMs to keep off a replica.
+	// backend servers. Reserve tells other VMs to keep off a replica, for no
+	// time where it is free again.
 	Retry   *retry.Policy
 	Poison  *poison.Registry
 	Reserve func(now time.Time, r poison.Reservation)
--- a/io/runner/suspect.go
+++ b/io/runner/suspect.go
@@ -73,6 +73,7 @@
 			return grant{}, n.refusal(ReasonNoReplica, http.StatusServiceUnavailable, n.r.c.RetryAfter)
 		}
 		if !sleep(ctx, aloneInterval) {
+			n.release(now, told)
 			return grant{}, n.refusal(ReasonSuspect, http.StatusServiceUnavailable, n.r.c.RetryAfter)
 		}
 	}
@@ -92,11 +93,19 @@
 	result := route.Result{Status: routeStatus(e), FirstToken: e.result.First}
 	if n.alone {
 		n.r.c.Router.FinishedAlone(now, e.replica, float64(n.cost), result)
+		n.release(now, e.replica)
 		return
 	}
 	n.r.c.Router.Finished(now, e.replica, float64(n.cost), result)
 }
 
+// release tells the other VMs that they may use the replica again.
+func (n *run) release(now time.Time, id call.ReplicaID) {
+	if id != "" {
+		n.r.c.Reserve(now, poison.Reservation{Replica: id})
+	}
+}
+
 // observe records what the attempt showed about the request: a crash or a whole
 // answer. A lost connection is a crash only where the replica then does not
 // answer at all.
