Let every setting have its effect; keep each VM to its share of an engine's places

Cause: maxWait, weight, queueCapacity, retryShare and claimRetention of the settings were read by nobody, and each VM filled every place that it saw free. Change: the queue takes an item's longest wait and its team's weight, places and retry share come from the settings, atMostOnce is a key of its own for completions; the runner asks estim.Window before it sends, and orders late calls after fresh ones; claimRetention is at least 1 h, as claims enforce it.

--- a/core/estim/window.go
+++ b/core/estim/window.go
@@ -77,8 +77,14 @@
 	if perToken <= 0 {
 		return
 	}
+	w.Count(now, perToken > w.config.TokenGap)
+}
+
+// Count learns from an answer whose target between tokens is its own: late tells
+// whether it was missed.
+func (w *Window) Count(now time.Time, late bool) {
 	w.seen++
-	if perToken > w.config.TokenGap {
+	if late {
 		w.late++
 	}
 	if now.Sub(w.changed) < w.config.Interval || w.seen < minWindowSamples {
--- a/core/retry/config.go
+++ b/core/retry/config.go
@@ -10,7 +10,6 @@
 // The defaults of Config.
 const (
 	defaultMaxAttempts = 3
-	defaultShare       = 0.1
 	defaultFloor       = 1.0
 	defaultBurst       = 20.0
 	defaultBackoff     = 20 * time.Millisecond
@@ -25,8 +24,6 @@
 	Rand *rand.Rand
 	// MaxAttempts bounds the attempts of a call, the first included.
 	MaxAttempts int
-	// Share is how many retries each first attempt pays for.
-	Share float64
 	// Floor is how many retries a second are paid for besides, in each budget.
 	Floor float64
 	// Burst bounds each budget, in retries.
@@ -49,7 +46,6 @@
 	if c.MaxClasses == 0 {
 		c.MaxClasses = defaultMaxClasses
 	}
-	setFloat(&c.Share, defaultShare)
 	setFloat(&c.Floor, defaultFloor)
 	setFloat(&c.Burst, defaultBurst)
 	setTime(&c.Backoff, defaultBackoff)
@@ -67,8 +63,6 @@
 		return errors.NotValidf("Config.Validate: nil Rand")
 	case c.MaxAttempts < 1:
 		return errors.NotValidf("Config.Validate: MaxAttempts %d, at least 1", c.MaxAttempts)
-	case c.Share < 0 || c.Share > 1:
-		return errors.NotValidf("Config.Validate: Share %g, allowed 0 to 1", c.Share)
 	case c.Floor < 0:
 		return errors.NotValidf("Config.Validate: Floor %g, at least 0", c.Floor)
 	case c.Burst < 1:
--- a/core/retry/policy.go
+++ b/core/retry/policy.go
@@ -32,13 +32,14 @@
 	return &Policy{c: c, classes: map[call.Class]*budget{}}, nil
 }
 
-// First tells that a call's first attempt is made, which pays for retries.
-func (p *Policy) First(now time.Time, class call.Class) {
+// First tells that a call's first attempt is made, which pays for the share of a
+// retry, 0 to 1.
+func (p *Policy) First(now time.Time, class call.Class, share float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	vm, own := p.budgets(now, class)
-	vm.add(p.c.Share, p.c)
-	own.add(p.c.Share, p.c)
+	vm.add(share, p.c)
+	own.add(share, p.c)
 }
 
 // Decide returns whether a call is attempted again. A retry of an attempt that
--- a/core/retry/policy_test.go
+++ b/core/retry/policy_test.go
@@ -69,7 +69,7 @@
 }
 
 func TestBudgets(t *testing.T) {
-	p := newPolicy(t, Config{Burst: 10, Floor: 1, Share: 0.1})
+	p := newPolicy(t, Config{Burst: 10, Floor: 1})
 	n, reason := retries(p, t0, crashed, 100)
 	assert.Equal(t, n, 10)
 	assert.Equal(t, reason, ReasonBudgetOfClass)
@@ -81,7 +81,7 @@
 
 	// 30 first attempts pay for 3 retries, 2 seconds for 2.
 	for range 30 {
-		p.First(t0, "plot")
+		p.First(t0, "plot", 0.1)
 	}
 	n, _ = retries(p, t0.Add(2*time.Second), crashed, 100)
 	assert.Equal(t, n, 5)
@@ -96,7 +96,8 @@
 // attempts and the time have paid for.
 func TestRetriesStayWithinBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := Config{Burst: 5, Floor: 0.5, Share: 0.2}
+		const share = 0.2
+		c := Config{Burst: 5, Floor: 0.5}
 		p := newPolicy(t, c)
 		now, first, made := t0, 0, 0
 		classes := rapid.SampledFrom([]call.Class{"plot", "summary", "question"})
@@ -105,7 +106,7 @@
 			a.Class = classes.Draw(t, "class")
 			switch rapid.IntRange(0, 2).Draw(t, "kind") {
 			case 0:
-				p.First(now, a.Class)
+				p.First(now, a.Class, share)
 				first++
 			case 1:
 				now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause")) * time.Millisecond)
@@ -114,7 +115,7 @@
 					made++
 				}
 			}
-			paid := c.Burst + c.Share*float64(first) + c.Floor*now.Sub(t0).Seconds()
+			paid := c.Burst + share*float64(first) + c.Floor*now.Sub(t0).Seconds()
 			assert.Assert(t, float64(made) <= paid+1e-6, "%d retries, %g paid", made, paid)
 		}
 	})
@@ -139,7 +140,7 @@
 func TestClassesAreBounded(t *testing.T) {
 	p := newPolicy(t, Config{MaxClasses: 10})
 	for i := range 1000 {
-		p.First(t0, call.Class(fmt.Sprint(i)))
+		p.First(t0, call.Class(fmt.Sprint(i)), 0.1)
 	}
 	assert.Assert(t, len(p.classes) <= 11)
 }
@@ -147,7 +148,7 @@
 func TestNewRefusesBadConfig(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	for want, c := range map[string]Config{
-		"Rand": {}, "MaxAttempts": {Rand: rng, MaxAttempts: -1}, "Share": {Rand: rng, Share: 2},
+		"Rand": {}, "MaxAttempts": {Rand: rng, MaxAttempts: -1},
 		"Floor": {Rand: rng, Floor: -1}, "Burst": {Rand: rng, Burst: 0.5}, "BackoffMax": {Rand: rng, Backoff: time.Hour},
 	} {
 		_, err := New(c)
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -110,6 +110,16 @@
 	}
 }
 
+// Fleet returns how many replicas of the model there are, and how many VMs route.
+func (r *Router) Fleet(model call.Model) (replicas, vms int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.pools[model]; p != nil {
+		replicas = len(p.all)
+	}
+	return replicas, r.vms
+}
+
 // Started tells that a call of the cost was sent to the replica. Cost is in
 // estimated tokens, or in any unit that is the same for all calls.
 func (r *Router) Started(now time.Time, id call.ReplicaID, cost float64) {
--- a/core/sched/item.go
+++ b/core/sched/item.go
@@ -21,6 +21,10 @@
 	// time for its target is not possible any more; it is given up on no sooner
 	// for that. Zero: always in order of arrival.
 	FreshFor time.Duration
+	// MaxWait replaces the tier's where it is not zero.
+	MaxWait time.Duration
+	// Weight is the team's share against others of the tier; zero counts as 1.
+	Weight float64
 }
 
 // Validate checks that the item can be queued.
@@ -30,12 +34,23 @@
 	if err := i.Call.Validate(); err != nil {
 		return errors.Annotate(err, "Item.Validate")
 	}
+	if i.MaxWait < 0 || i.Weight < 0 {
+		return errors.NotValidf("Item.Validate: longest wait %s, weight %g", i.MaxWait, i.Weight)
+	}
 	if i.Cost < 1 || i.Service < 0 || i.FreshFor < 0 {
 		return errors.NotValidf("Item.Validate: cost %d, service %s, fresh for %s", i.Cost, i.Service, i.FreshFor)
 	}
 	return nil
 }
 
+// share is the cost that the item's team is charged for it.
+func (i *Item) share() int {
+	if i.Weight == 0 {
+		return i.Cost
+	}
+	return max(1, int(float64(i.Cost)/i.Weight))
+}
+
 // lastStart returns the latest dispatch that can meet the deadline; zero if there
 // is none.
 func (i *Item) lastStart() time.Time {
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -203,11 +203,22 @@
 	return now.Add(wait + item.Service).After(deadline)
 }
 
+// SetPlaces changes the number of places that all tiers of one model share. Calls
+// that wait beyond it stay.
+func (q *Queue) SetPlaces(places int) { q.config.Places = max(1, places) }
+
+func (q *Queue) maxWait(item Item) time.Duration {
+	if item.MaxWait > 0 {
+		return item.MaxWait
+	}
+	return q.config.Tiers[item.Call.Tier].MaxWait
+}
+
 // insert queues the item; there is a place for it.
 func (q *Queue) insert(now time.Time, m *modelQueue, item Item) {
 	q.seq++
 	e := &entry{item: item, model: m, arrived: now, seq: q.seq}
-	e.expires = now.Add(q.config.Tiers[item.Call.Tier].MaxWait)
+	e.expires = now.Add(q.maxWait(item))
 	e.reason = ReasonMaxWait
 	if start := item.lastStart(); !start.IsZero() && start.Before(e.expires) {
 		e.expires, e.reason = start, ReasonHopeless
--- a/core/sched/tier.go
+++ b/core/sched/tier.go
@@ -44,7 +44,7 @@
 func (t *tierQueue) dispatch(now time.Time, e *entry) {
 	class := e.class
 	class.team.classes.served(class, e.item.Cost)
-	t.teams.served(class.team, e.item.Cost)
+	t.teams.served(class.team, e.item.share())
 	t.remove(e)
 	t.served = now
 }
--- a/core/tree/keys.go
+++ b/core/tree/keys.go
@@ -80,8 +80,11 @@
 		Key{"stopLimit", typeDuration, `"0s"`, "0s (none) to 24h", siteOnly, "Longest planned stop of an entry VM; what runs then is cut."},
 		func(v *Values) **Duration { return &v.StopLimit }, 0, maxDeadline),
 	durationField(
-		Key{"claimRetention", typeDuration, `"24h0m0s"`, "1m to 720h", siteOnly, "How long the claim and outcome of a non-idempotent call are kept."},
-		func(v *Values) **Duration { return &v.ClaimRetention }, time.Minute, maxRetention),
+		Key{"claimRetention", typeDuration, `"24h0m0s"`, "1h to 720h", siteOnly, "How long the claim and outcome of a non-idempotent call are kept."},
+		func(v *Values) **Duration { return &v.ClaimRetention }, time.Hour, maxRetention),
+	optional(
+		Key{"atMostOnce", typeBoolean, "false", "true or false", everyInherited, "A completion runs at most once; with an idempotency key its repeats get the recorded answer."},
+		func(v *Values) **bool { return &v.AtMostOnce }, anything[bool]),
 }
 
 var siteFields = []field[Site]{
--- a/core/tree/policy.go
+++ b/core/tree/policy.go
@@ -35,6 +35,8 @@
 	StopLimit time.Duration
 	// ClaimRetention is how long a call's claim and outcome are kept.
 	ClaimRetention time.Duration
+	// AtMostOnce is true where a completion must not run twice.
+	AtMostOnce bool
 }
 
 // policy gives the typed form of values that are all set.
@@ -56,5 +58,6 @@
 		QueueCapacity:         *v.QueueCapacity,
 		StopLimit:             time.Duration(*v.StopLimit),
 		ClaimRetention:        time.Duration(*v.ClaimRetention),
+		AtMostOnce:            *v.AtMostOnce,
 	}
 }
--- a/core/tree/values.go
+++ b/core/tree/values.go
@@ -21,6 +21,7 @@
 	QueueCapacity         *int        `json:"queueCapacity,omitempty"`
 	StopLimit             *Duration   `json:"stopLimit,omitempty"`
 	ClaimRetention        *Duration   `json:"claimRetention,omitempty"`
+	AtMostOnce            *bool       `json:"atMostOnce,omitempty"`
 }
 
 // inherit fills what is not set from the parent.
@@ -41,6 +42,7 @@
 	inheritOne(&v.QueueCapacity, parent.QueueCapacity)
 	inheritOne(&v.StopLimit, parent.StopLimit)
 	inheritOne(&v.ClaimRetention, parent.ClaimRetention)
+	inheritOne(&v.AtMostOnce, parent.AtMostOnce)
 }
 
 func inheritOne[T any](own **T, parent *T) {
--- a/io/front/completion.go
+++ b/io/front/completion.go
@@ -55,6 +55,7 @@
 		Kind: runner.KindEngine, Method: r.Method, Path: r.URL.Path, Header: forward(r.Header), Body: body,
 		Stream: p.Stream, AtMostOnce: policy.AtMostOnce, FirstAttempt: r.Header.Get(HeaderAttempt) == "1",
 		Retention: policy.Retention, MaxWait: policy.MaxWait, Progress: policy.Progress,
+		RetryShare: policy.RetryShare, Weight: policy.Weight,
 		FirstTokenTarget: policy.FirstTokenTarget, TokenGapTarget: policy.TokenGapTarget,
 	}, nil
 }
--- a/io/front/config.go
+++ b/io/front/config.go
@@ -17,10 +17,12 @@
 	Class call.Class
 	Tier  call.Tier
 	// Deadline is the time an answer may take; zero is none.
-	Deadline  time.Duration
-	MaxWait   time.Duration
-	Progress  time.Duration
-	Retention time.Duration
+	Deadline   time.Duration
+	MaxWait    time.Duration
+	Progress   time.Duration
+	Retention  time.Duration
+	RetryShare float64
+	Weight     float64
 	// FirstTokenTarget and TokenGapTarget are the class's targets; zero is none.
 	FirstTokenTarget time.Duration
 	TokenGapTarget   time.Duration
--- a/io/front/service.go
+++ b/io/front/service.go
@@ -60,6 +60,7 @@
 		Kind: runner.KindService, Method: r.Method, Path: path, Header: forward(r.Header), Body: body,
 		AtMostOnce: !idempotent, FirstAttempt: r.Header.Get(HeaderAttempt) == "1",
 		Retention: policy.Retention, MaxWait: policy.MaxWait, Progress: policy.Progress,
+		RetryShare: policy.RetryShare, Weight: policy.Weight,
 		FirstTokenTarget: policy.FirstTokenTarget, TokenGapTarget: policy.TokenGapTarget,
 	}, nil
 }
--- a/io/node/estimates.go
+++ b/io/node/estimates.go
@@ -15,11 +15,10 @@
 	now func() time.Time
 }
 
-func (s *estimates) guess(c *call.Call) (cost int, service time.Duration) {
+func (s *estimates) guess(c *call.Call) estim.Guess {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	g := s.e.Guess(s.now(), *c)
-	return g.Cost, g.Service
+	return s.e.Guess(s.now(), *c)
 }
 
 func (s *estimates) learn(sample estim.Sample) {
--- a/io/runner/attempt.go
+++ b/io/runner/attempt.go
@@ -72,6 +72,9 @@
 	n.finished(now, end)
 	n.observe(ctx, target, end)
 	n.r.mu.Lock()
+	if !n.alone {
+		n.r.leaveWindow(n.job)
+	}
 	n.r.pump(now, n.job.Call.Model)
 	n.r.mu.Unlock()
 	return end
--- a/io/runner/job.go
+++ b/io/runner/job.go
@@ -40,6 +40,10 @@
 	Retention time.Duration
 	MaxWait   time.Duration
 	Progress  time.Duration
+	// RetryShare is how many retries the job's first attempt pays for, Weight its
+	// team's share in the queue (zero counts as 1).
+	RetryShare float64
+	Weight     float64
 	// FirstTokenTarget and TokenGapTarget are the class's targets; zero is none.
 	FirstTokenTarget time.Duration
 	TokenGapTarget   time.Duration
--- a/io/runner/learn.go
+++ b/io/runner/learn.go
@@ -16,6 +16,7 @@
 		sample.FirstToken = n.watch.first.Sub(n.watch.granted)
 	}
 	n.r.c.Learn(sample)
+	n.r.learnWindow(n)
 	if over := c.PromptTokens + n.tokens - n.cost; over > 0 {
 		n.r.c.Settle(n.r.c.Now(), c, over)
 	}
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -49,8 +49,8 @@
 	Alive func(context.Context, back.Target) bool
 	// Send does one attempt on one backend server.
 	Send func(context.Context, back.Target, back.Request, func(back.Event) error) (back.Result, error)
-	// Estimate returns the cost in tokens and the time that a call will take.
-	Estimate func(c *call.Call) (cost int, service time.Duration)
+	// Estimate returns what a call will cost in tokens and time.
+	Estimate func(c *call.Call) estim.Guess
 	// Profile says what the engines of a model can do; nil is EngineProfile.
 	Profile func(call.Model) stream.Profile
 	// Observe gets the measure of each job that has ended.
@@ -127,6 +127,7 @@
 	// mu guards the queue and the waiters.
 	mu      sync.Mutex
 	waiting map[string]*waiter
+	windows map[call.Model]*window
 }
 
 // New returns a runner.
@@ -137,7 +138,7 @@
 	if err := c.Validate(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &Runner{c: c, waiting: map[string]*waiter{}}, nil
+	return &Runner{c: c, waiting: map[string]*waiter{}, windows: map[call.Model]*window{}}, nil
 }
 
 // Run runs a job to its end. An answer that has begun goes to the sink; what the
@@ -170,7 +171,7 @@
 	// exclude holds the replicas that have failed this job.
 	exclude []call.ReplicaID
 	cost    int
-	service time.Duration
+	guess   estim.Guess
 	watch   stopwatch
 	// tokens is the answer's length, zero where it is not known.
 	tokens int
@@ -193,7 +194,8 @@
 
 func (n *run) run(ctx context.Context) Answer {
 	n.ctx = ctx
-	n.cost, n.service = n.r.c.Estimate(&n.job.Call)
+	n.guess = n.r.c.Estimate(&n.job.Call)
+	n.cost = n.guess.Cost
 	if err := n.beginGuard(); err != nil {
 		a := n.refusal(ReasonBadRequest, http.StatusBadRequest, 0)
 		a.Message = err.Error()
@@ -213,7 +215,7 @@
 
 // tryAll makes attempts until one is the last.
 func (n *run) tryAll(ctx context.Context) Answer {
-	n.r.c.Retry.First(n.r.c.Now(), n.job.Call.Class)
+	n.r.c.Retry.First(n.r.c.Now(), n.job.Call.Class, n.job.RetryShare)
 	for {
 		g, refusal := n.next(ctx)
 		if refusal != nil {
--- a/io/runner/runner_test.go
+++ b/io/runner/runner_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/poll"
 
 	"gentianwell/core/call"
+	"gentianwell/core/estim"
 	"gentianwell/core/gwtest"
 	"gentianwell/core/poison"
 	"gentianwell/core/retry"
@@ -57,7 +58,7 @@
 		Retry: decide, Poison: suspects, Reserve: func(time.Time, poison.Reservation) {},
 		Alive: func(context.Context, back.Target) bool { return false },
 		Queue: queue, Router: router, Now: time.Now, Log: log,
-		Estimate: func(*call.Call) (int, time.Duration) { return 1, 0 },
+		Estimate: func(*call.Call) estim.Guess { return estim.Guess{Cost: 1} },
 		Observe:  func(Measure) {},
 		Send: func(ctx context.Context, to back.Target, _ back.Request, sink func(back.Event) error) (back.Result, error) {
 			b.mu.Lock()
--- a/io/runner/stream_test.go
+++ b/io/runner/stream_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"gentianwell/core/call"
+	"gentianwell/core/estim"
 	"gentianwell/core/gwtest"
 	"gentianwell/core/poison"
 	"gentianwell/core/retry"
@@ -89,7 +90,7 @@
 			e.strike(to)
 			return client.Do(ctx, to, req, sink)
 		},
-		Estimate:    func(*call.Call) (int, time.Duration) { return 1, 0 },
+		Estimate:    func(*call.Call) estim.Guess { return estim.Guess{Cost: 1} },
 		EngineFirst: bc.FirstTimeout, Observe: e.observe,
 		Profile: func(call.Model) stream.Profile { return profile },
 	})
--- a/io/runner/wait.go
+++ b/io/runner/wait.go
@@ -56,7 +56,7 @@
 		return nil, n.refusal(ReasonNoReplica, http.StatusServiceUnavailable, r.c.RetryAfter)
 	}
 	w := &waiter{n: n, done: make(chan grant, 1)}
-	verdict := r.c.Queue.Offer(now, sched.Item{Call: c, Cost: n.cost, Service: n.service})
+	verdict := r.c.Queue.Offer(now, n.item())
 	r.refuse(verdict.Displaced)
 	if !verdict.Queued {
 		return nil, n.refusal(Reason(verdict.Reason), statusOf(verdict.Reason), verdict.RetryAfter)
@@ -79,6 +79,7 @@
 	case g := <-w.done:
 		if g.refusal == nil {
 			r.c.Router.Finished(now, g.decision.Replica.ID, float64(w.n.cost), route.Result{Status: route.StatusCanceled})
+			r.leaveWindow(w.n.job)
 			r.pump(now, c.Model)
 		}
 	default:
@@ -99,7 +100,7 @@
 // pump hands out waiting jobs of the model while a replica is free.
 func (r *Runner) pump(now time.Time, model call.Model) {
 	for r.c.Router.Free(now, model) {
-		item, reason, ok := r.c.Queue.Next(now, model)
+		item, reason, ok := r.c.Queue.NextUpTo(now, model, r.lowest(now, model))
 		r.refuse(r.c.Queue.Expire(now))
 		if !ok {
 			return
@@ -117,6 +118,7 @@
 		return
 	}
 	r.c.Router.Started(now, d.Replica.ID, float64(item.Cost))
+	r.enter(w.n.job)
 	r.c.Dispatched(now, item.Call.Model, item.Cost, r.c.Queue.Len() > 0)
 	r.c.Router.Hints().Sent(item.Call.Model, item.Call.Prefixes, d.Replica.ID)
 	r.logDecision(now, w.n, d, reason)
@@ -173,6 +175,13 @@
 	return http.StatusServiceUnavailable
 }
 
+// SetPlaces changes the number of places in each model's queue.
+func (r *Runner) SetPlaces(places int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.c.Queue.SetPlaces(places)
+}
+
 // Waiting returns the number of jobs in the queue.
 func (r *Runner) Waiting() int {
 	r.mu.Lock()
