Settle an undo whose reply was lost by its change id

Cause: an undo submitted again met its own first attempt as a conflict. Change: undo takes an id like set and unset do; a change that is found again answers with its own version, not with the latest. Checked: go test ./io/conf ./cmd/gentianwell (ok); TestSettingsCommands fails when the id is not looked up.

--- a/cmd/gentianwell/settings_undo.go
+++ b/cmd/gentianwell/settings_undo.go
@@ -7,6 +7,7 @@
 	"github.com/urfave/cli/v3"
 
 	"gentianwell/core/tree"
+	"gentianwell/io/conf"
 	"gentianwell/io/oper"
 )
 
@@ -19,7 +20,10 @@
 func settingsUndoCommand() *cli.Command {
 	return &cli.Command{
 		Name: "undo", Usage: "undo a change", ArgsUsage: "VERSION", Description: settingsUndoHelp,
-		Flags: changeFlags(), Action: settingsUndo,
+		Flags: append(changeFlags(),
+			&cli.StringFlag{Name: "id", Usage: "change `ID`, to settle an undo whose reply was lost"},
+		),
+		Action: settingsUndo,
 	}
 }
 
@@ -32,11 +36,17 @@
 	if err != nil {
 		return err
 	}
+	id := cmd.String("id")
+	if id == "" {
+		id = conf.NewChangeID()
+	}
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout+cmd.Duration("wait"))
+	defer cancel()
 	answer, err := client.Undo(ctx, oper.UndoRequest{
-		Version: version, Author: cmd.String("author"), Wait: tree.Duration(cmd.Duration("wait")),
+		ID: id, Version: version, Author: cmd.String("author"), Wait: tree.Duration(cmd.Duration("wait")),
 	})
 	if err != nil {
-		return settingsExit(err)
+		return unsettledHint(settingsExit(err), err, id)
 	}
 	return printAnswer(cmd, answer)
 }
--- a/io/conf/change.go
+++ b/io/conf/change.go
@@ -24,7 +24,8 @@
 
 // Accepted is an accepted change.
 type Accepted struct {
-	// Document is the tree with the change.
+	// Document is the tree with the change; a later one if the change was
+	// submitted again.
 	Document tree.Document
 	Record   tree.Record
 	// Unchanged is true where the tree already was as the change wants it.
@@ -33,6 +34,14 @@
 	Settled bool
 }
 
+// Mark names the change, or what the tree is at where it is unchanged.
+func (a Accepted) Mark() tree.Mark {
+	if a.Unchanged {
+		return a.Document.Mark
+	}
+	return a.Record.Mark
+}
+
 // Change makes one change. Floor is the head that is in force where the change
 // is submitted: a platform that is behind it is not changed.
 //
--- a/io/conf/follower.go
+++ b/io/conf/follower.go
@@ -108,16 +108,28 @@
 //
 // Errors: those of Store.Change.
 func (f *Follower) Submit(ctx context.Context, c Change) (Accepted, error) {
+	return f.submit(c, func(c Change) (Accepted, error) { return f.c.Store.Change(ctx, c, f.known()) })
+}
+
+// Undo undoes the change of a version and puts the result into force here. The
+// edits of the given change are not used.
+//
+// Errors: those of Store.Undo.
+func (f *Follower) Undo(ctx context.Context, version int64, c Change) (Accepted, error) {
+	return f.submit(c, func(c Change) (Accepted, error) { return f.c.Store.Undo(ctx, version, c, f.known()) })
+}
+
+func (f *Follower) submit(c Change, send func(Change) (Accepted, error)) (Accepted, error) {
 	if c.ID == "" {
 		c.ID = f.c.Store.c.NewID()
 	}
-	accepted, err := f.c.Store.Change(ctx, c, f.known())
+	accepted, err := send(c)
 	log := f.c.Log.WithFields(logrus.Fields{"author": c.Author, "change": c.ID, "edits": len(c.Edits)})
 	if err != nil {
 		log.WithError(err).Info("settings change refused")
 		return Accepted{}, err
 	}
-	log.WithField("version", accepted.Document.Version).Info("settings change accepted")
+	log.WithField("version", accepted.Mark().Version).Info("settings change accepted")
 	f.consider(accepted.Document, "operator")
 	return accepted, nil
 }
--- a/io/conf/history.go
+++ b/io/conf/history.go
@@ -49,6 +49,25 @@
 	return nil, errors.NotFoundf("Store.UndoEdits: version %d in the history", version)
 }
 
+// Undo undoes the change of a version by a new change with the given id.
+//
+// Errors: those of UndoEdits and Change. Submitted again with the same id, an undo
+// that was made is found.
+func (s *Store) Undo(ctx context.Context, version int64, c Change, floor tree.Head) (Accepted, error) {
+	present, _, err := s.loadHead(ctx)
+	if err != nil {
+		return Accepted{}, errors.Trace(err)
+	}
+	if find(present.Head, c.ID).Version > 0 {
+		return s.Change(ctx, c, floor)
+	}
+	c.Edits, err = s.UndoEdits(ctx, version)
+	if err != nil {
+		return Accepted{}, err
+	}
+	return s.Change(ctx, c, floor)
+}
+
 func undoable(record tree.Record, later tree.Records) (tree.Edits, error) {
 	if len(record.Covers) > 1 {
 		return nil, errors.NotSupportedf("to undo version %d, which brought in %d changes,", record.Version, len(record.Covers))
--- a/io/oper/messages.go
+++ b/io/oper/messages.go
@@ -52,6 +52,8 @@
 
 // UndoRequest asks for an earlier change to be undone.
 type UndoRequest struct {
+	// ID makes the undo recognisable when it is submitted again.
+	ID      string        `json:"id,omitempty"`
 	Version int64         `json:"version"`
 	Author  string        `json:"author"`
 	Wait    tree.Duration `json:"wait,omitempty"`
--- a/io/oper/settings.go
+++ b/io/oper/settings.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianwell/core/call"
+	"gentianwell/core/tree"
 	"gentianwell/io/conf"
 )
 
@@ -125,7 +126,14 @@
 	if len(req.Edits) == 0 {
 		return nil, errors.NotValidf("a change without edits")
 	}
-	return s.submit(r.Context(), req)
+	if req.Author == "" {
+		return nil, errors.NotValidf("a change without author")
+	}
+	accepted, err := s.c.Follower.Submit(r.Context(), req.Change)
+	if err != nil {
+		return nil, err
+	}
+	return s.answer(r.Context(), accepted, req.Wait), nil
 }
 
 func (s *Settings) undo(r *http.Request) (any, error) {
@@ -133,11 +141,14 @@
 	if err := readBody(r, &req); err != nil {
 		return nil, errors.Trace(err)
 	}
-	edits, err := s.c.Store.UndoEdits(r.Context(), req.Version)
+	if req.Author == "" {
+		return nil, errors.NotValidf("an undo without author")
+	}
+	accepted, err := s.c.Follower.Undo(r.Context(), req.Version, conf.Change{ID: req.ID, Author: req.Author})
 	if err != nil {
-		return nil, errors.Trace(err)
+		return nil, err
 	}
-	return s.submit(r.Context(), ChangeRequest{Change: conf.Change{Author: req.Author, Edits: edits}, Wait: req.Wait})
+	return s.answer(r.Context(), accepted, req.Wait), nil
 }
 
 func readBody(r *http.Request, into any) error {
@@ -149,24 +160,19 @@
 	return nil
 }
 
-func (s *Settings) submit(ctx context.Context, req ChangeRequest) (any, error) {
-	if req.Author == "" {
-		return nil, errors.NotValidf("a change without author")
-	}
-	accepted, err := s.c.Follower.Submit(ctx, req.Change)
-	if err != nil {
-		return nil, err
-	}
+// answer tells of an accepted change, after waiting for the VMs if asked to.
+func (s *Settings) answer(ctx context.Context, accepted conf.Accepted, wait tree.Duration) ChangeAnswer {
+	mark := accepted.Mark()
 	answer := ChangeAnswer{
-		Version:   accepted.Document.Version,
-		ChangeID:  accepted.Document.ChangeID,
+		Version:   mark.Version,
+		ChangeID:  mark.ChangeID,
 		Unchanged: accepted.Unchanged,
 		Settled:   accepted.Settled,
 	}
-	if req.Wait > 0 {
-		answer.VMs = s.wait(ctx, answer.Version, min(time.Duration(req.Wait), maxWait))
+	if wait > 0 {
+		answer.VMs = s.wait(ctx, answer.Version, min(time.Duration(wait), maxWait))
 	}
-	return answer, nil
+	return answer
 }
 
 // wait asks the VMs until all of them have the version, or the time is over.
