Let calls that have to go on keep their place

Cause: a call that fails mid-answer and is queued again could be refused for lack of places or displaced, although its caller has part of the answer.

Change: Item.Again takes no place, is not displaced and goes first in its class.

Seen failing first: four one-line mutations, each fails TestQueueStateMachine.

--- /dev/null
+++ b/core/sched/admit.go
@@ -0,0 +1,45 @@
+package sched
+
+import "time"
+
+// refusal returns why the item cannot be queued, or "".
+func (q *Queue) refusal(now time.Time, m *modelQueue, item Item) Reason {
+	if q.hopeless(now, m, item) {
+		return ReasonHopeless
+	}
+	if item.Again {
+		return ""
+	}
+	places := m.obtainable(item.Call.Tier)
+	if places == 0 {
+		return ReasonFull
+	}
+	if m.teamItems(item.Call.Tier, item.Call.Team) >= places {
+		return ReasonTeamFull
+	}
+	return ""
+}
+
+// hopeless reports whether the item would miss its deadline.
+func (q *Queue) hopeless(now time.Time, m *modelQueue, item Item) bool {
+	deadline := item.Call.Deadline
+	if deadline.IsZero() {
+		return false
+	}
+	wait := q.wait(now, m, item.Call.Tier, item.Call.Team, item.Cost)
+	return now.Add(wait + item.Service).After(deadline)
+}
+
+// insert queues the item; there is a place for it.
+func (q *Queue) insert(now time.Time, m *modelQueue, item Item) {
+	q.seq++
+	e := &entry{item: item, model: m, arrived: now, seq: q.seq}
+	e.expires = now.Add(q.config.Tiers[item.Call.Tier].MaxWait)
+	e.reason = ReasonMaxWait
+	if start := item.lastStart(); !start.IsZero() && start.Before(e.expires) {
+		e.expires, e.reason = start, ReasonHopeless
+	}
+	q.byID[item.Call.ID] = e
+	q.expiry.push(e)
+	m.insert(now, e)
+}
--- a/core/sched/chain.go
+++ b/core/sched/chain.go
@@ -22,6 +22,17 @@
 	c.last = e
 }
 
+func (c *chain) pushFront(e *entry) {
+	l := c.of(e)
+	l.prev, l.next = nil, c.first
+	if c.first == nil {
+		c.last = e
+	} else {
+		c.of(c.first).prev = e
+	}
+	c.first = e
+}
+
 func (c *chain) remove(e *entry) {
 	l := c.of(e)
 	if l.prev == nil {
--- a/core/sched/item.go
+++ b/core/sched/item.go
@@ -21,6 +21,10 @@
 	// time for its target is not possible any more; it is given up on no sooner
 	// for that. Zero: always in order of arrival.
 	FreshFor time.Duration
+	// Again is true for a call that was dispatched before and has to go on, for
+	// example on another replica after a crash. It takes no place, is not displaced
+	// and goes first in its class; its deadline and MaxWait hold.
+	Again bool
 }
 
 // Validate checks that the item can be queued.
--- a/core/sched/model.go
+++ b/core/sched/model.go
@@ -56,9 +56,17 @@
 	return m.tiers[t].items
 }
 
+// placed returns how many items of the tier take a place.
+func (m *modelQueue) placed(t call.Tier) int {
+	if m.tiers[t] == nil {
+		return 0
+	}
+	return m.tiers[t].items - m.tiers[t].again
+}
+
 // shared returns how many items of the tier are on shared places.
 func (m *modelQueue) shared(t call.Tier) int {
-	return max(0, m.count(t)-m.config.TierPlaces)
+	return max(0, m.placed(t)-m.config.TierPlaces)
 }
 
 // free returns how many shared places are free.
@@ -72,7 +80,7 @@
 
 // own returns how many of the tier's own places are free.
 func (m *modelQueue) own(t call.Tier) int {
-	return max(0, m.config.TierPlaces-m.count(t))
+	return max(0, m.config.TierPlaces-m.placed(t))
 }
 
 // placeFor reports whether the tier has a free place, shared or its own.
@@ -104,7 +112,7 @@
 func (m *modelQueue) victim(t call.Tier) *entry {
 	for low := call.MaxTier; low > t; low-- {
 		if m.shared(low) > 0 {
-			return m.tiers[low].arrived.last
+			return m.tiers[low].newest()
 		}
 	}
 	return nil
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -16,6 +16,8 @@
 //     cannot keep it out of the queue.
 //   - A team holds no more places of a tier than are left for the tier, so that
 //     one team's burst leaves places for the others.
+//   - A call that was dispatched before and has to go on (Item.Again) takes no
+//     place and is not displaced.
 //   - A call whose deadline cannot be met any more, or which has waited for its
 //     tier's MaxWait, is given up on at once, before it costs tokens.
 //
@@ -87,7 +89,7 @@
 		return v
 	}
 	v := Verdict{Queued: true, Reason: ReasonQueued}
-	if !m.placeFor(item.Call.Tier) {
+	if !item.Again && !m.placeFor(item.Call.Tier) {
 		victim := m.victim(item.Call.Tier)
 		v.Displaced = append(v.Displaced, q.refuse(now, victim, ReasonDisplaced))
 	}
@@ -178,45 +180,6 @@
 	return m
 }
 
-// refusal returns why the item cannot be queued, or "".
-func (q *Queue) refusal(now time.Time, m *modelQueue, item Item) Reason {
-	if q.hopeless(now, m, item) {
-		return ReasonHopeless
-	}
-	places := m.obtainable(item.Call.Tier)
-	if places == 0 {
-		return ReasonFull
-	}
-	if m.teamItems(item.Call.Tier, item.Call.Team) >= places {
-		return ReasonTeamFull
-	}
-	return ""
-}
-
-// hopeless reports whether the item would miss its deadline.
-func (q *Queue) hopeless(now time.Time, m *modelQueue, item Item) bool {
-	deadline := item.Call.Deadline
-	if deadline.IsZero() {
-		return false
-	}
-	wait := q.wait(now, m, item.Call.Tier, item.Call.Team, item.Cost)
-	return now.Add(wait + item.Service).After(deadline)
-}
-
-// insert queues the item; there is a place for it.
-func (q *Queue) insert(now time.Time, m *modelQueue, item Item) {
-	q.seq++
-	e := &entry{item: item, model: m, arrived: now, seq: q.seq}
-	e.expires = now.Add(q.config.Tiers[item.Call.Tier].MaxWait)
-	e.reason = ReasonMaxWait
-	if start := item.lastStart(); !start.IsZero() && start.Before(e.expires) {
-		e.expires, e.reason = start, ReasonHopeless
-	}
-	q.byID[item.Call.ID] = e
-	q.expiry.push(e)
-	m.insert(now, e)
-}
-
 // giveUp refuses all items whose time has passed.
 func (q *Queue) giveUp(now time.Time) {
 	for len(q.expiry.list) > 0 && !q.expiry.list[0].expires.After(now) {
--- a/core/sched/tier.go
+++ b/core/sched/tier.go
@@ -8,6 +8,8 @@
 	arrived chain
 	items   int
 	tokens  int
+	// again is how many of the items take no place.
+	again int
 	// served is when the tier last had a dispatch or, if that is later, when it
 	// last got work after having none.
 	served time.Time
@@ -28,7 +30,11 @@
 	class := team.classes.flow(string(e.item.Call.Class))
 	class.team, class.waiting.of, class.late.of = team, classLinks, classLinks
 	e.class = class
-	class.waiting.push(e)
+	if e.item.Again {
+		class.waiting.pushFront(e)
+	} else {
+		class.waiting.push(e)
+	}
 	t.arrived.push(e)
 	t.count(e, 1)
 	team.classes.activate(class)
@@ -66,10 +72,22 @@
 		f.items += sign
 		f.tokens += tokens
 	}
+	if e.item.Again {
+		t.again += sign
+	}
 	t.items += sign
 	t.tokens += tokens
 }
 
+// newest returns the newest item that takes a place; there is one.
+func (t *tierQueue) newest() *entry {
+	e := t.arrived.last
+	for e.item.Again {
+		e = e.inTier.prev
+	}
+	return e
+}
+
 // team returns how many items and tokens of the team wait.
 func (t *tierQueue) team(name string) (items, tokens int) {
 	f, ok := t.teams.flows[name]
