Sleep until the next subscription is due

Cause: an entry VM without requests spent 2.4 % of a core: the timer service looked for due subscriptions 100 times a second, and the queue ticked 50 times. Ruled out: a coarser fixed tick (later calls, still idle wake-ups).

--- a/core/timer/timer.go
+++ b/core/timer/timer.go
@@ -19,8 +19,8 @@
 	"time"
 )
 
-// resolution is how often Run looks for due subscriptions.
-const resolution = 10 * time.Millisecond
+// idleWait is how long Run sleeps without a subscription.
+const idleWait = time.Minute
 
 // Config configures a Service.
 type Config struct {
@@ -34,6 +34,8 @@
 	mu   sync.Mutex
 	next int
 	subs map[int]*subscription
+	// changed wakes Run for a new subscription.
+	changed chan struct{}
 }
 
 type subscription struct {
@@ -45,7 +47,7 @@
 
 // New returns a service without subscribers.
 func New(c Config) *Service {
-	return &Service{now: c.Now, subs: map[int]*subscription{}}
+	return &Service{now: c.Now, subs: map[int]*subscription{}, changed: make(chan struct{}, 1)}
 }
 
 // Now returns the present time.
@@ -59,6 +61,10 @@
 	id := s.next
 	s.next++
 	s.subs[id] = &subscription{name: name, interval: interval, due: s.now().Add(interval), fn: fn}
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -95,16 +101,29 @@
 	return due
 }
 
-// Run drives the service until ctx ends.
+// wait returns how long it is until the next subscription is due.
+func (s *Service) wait(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wait := idleWait
+	for _, sub := range s.subs {
+		wait = min(wait, sub.due.Sub(now))
+	}
+	return max(0, wait)
+}
+
+// Run drives the service until ctx ends. It sleeps while nothing is due.
 func (s *Service) Run(ctx context.Context) error {
-	tick := time.NewTicker(resolution)
-	defer tick.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-tick.C:
+		case <-s.changed:
+		case <-timer.C:
 			s.Advance(s.now())
 		}
+		timer.Reset(s.wait(s.now()))
 	}
 }
--- a/core/timer/timer_test.go
+++ b/core/timer/timer_test.go
@@ -1,7 +1,9 @@
 package timer
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -22,3 +24,23 @@
 	s.Advance(now)
 	assert.DeepEqual(t, got, []string{"fast", "fast", "fast", "slow", "slow"})
 }
+
+// Run calls each subscription at its interval, one that comes late too, and
+// stops with its context.
+func TestRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{Now: time.Now})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- s.Run(ctx) }()
+		synctest.Wait()
+		var got []time.Duration
+		began := time.Now()
+		s.Every("late", 400*time.Millisecond, func(now time.Time) { got = append(got, now.Sub(began)) })
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.DeepEqual(t, got, []time.Duration{400 * time.Millisecond, 800 * time.Millisecond})
+		cancel()
+		assert.NilError(t, <-done)
+	})
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -44,11 +44,11 @@
 
 // The intervals of periodic work.
 const (
-	queueInterval  = 20 * time.Millisecond
+	queueInterval  = 50 * time.Millisecond
 	gossipInterval = 500 * time.Millisecond
 	loadInterval   = time.Second
 	fleetInterval  = 500 * time.Millisecond
-	drainInterval  = 50 * time.Millisecond
+	drainInterval  = 200 * time.Millisecond
 	limitInterval  = time.Second
 )
 
