--- a/io/site/site.go
+++ b/io/site/site.go
@@ -14,7 +14,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -189,14 +188,6 @@
 	})
 }
 
-// freeAddress returns an address of loopback that was free a moment ago.
-func freeAddress(t testing.TB) netip.AddrPort {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	return netip.MustParseAddrPort(listener.Addr().String())
-}
-
 // configure stores the usual settings.
 func (s *Site) configure(t testing.TB) {
 	s.Change(t, append(tree.Edits{
