Keep the form of events whose data has several lines

Cause: FuzzFeed found that cutting the usage out of a chunk whose JSON has line breaks gave an event whose later lines lacked their prefix, so that a caller would lose them. Ruled out: prefixing each line there (the slow path writes one line already). Change: such chunks take the slow path; the test's caller reads lines as clients do, and the case is a seed.

--- a/core/stream/answer_test.go
+++ b/core/stream/answer_test.go
@@ -232,6 +232,7 @@
 	s := script{id: "id", kind: KindChat, counts: true}
 	f.Add(s.chunk(0, "a", 1, ""), s.chunk(0, "b", 2, "stop"))
 	f.Add(`{"id":"x","choices":[{"delta":null}]}`, `{"error":{}}`)
+	f.Add("{\"id\":\"id\",\n\n\"choices\":[{\"delta\":{\"content\":\"a\"}}],\"usage\":{\"completion_tokens\":1}}", "{}")
 	f.Fuzz(func(t *testing.T, first, second string) {
 		a, err := New(Config{Kind: KindChat, Body: bodyOf(KindChat), Engine: Profile{CanResume: true, CountsTokens: true}, Idempotent: true})
 		assert.NilError(t, err)
--- a/core/stream/edit.go
+++ b/core/stream/edit.go
@@ -62,7 +62,8 @@
 // It reports false where the name stands more than once, so that the JSON has to
 // be taken apart to tell which is meant. Within a text the quotes are escaped.
 func (a *Answer) withoutUsage(data []byte, u *rawUsage) ([]byte, bool) {
-	if u == nil || bytes.Count(data, []byte(memberUsage)) != 1 {
+	// Several lines of data would need a prefix each.
+	if u == nil || bytes.ContainsAny(data, "\r\n") || bytes.Count(data, []byte(memberUsage)) != 1 {
 		return nil, false
 	}
 	start := bytes.Index(data, []byte(memberUsage))
--- a/core/stream/script_test.go
+++ b/core/stream/script_test.go
@@ -51,7 +51,7 @@
 
 func (c *caller) read(out []byte) {
 	for _, block := range strings.Split(string(out), "\n\n") {
-		data := strings.TrimPrefix(block, "data: ")
+		data := unframe(block)
 		switch {
 		case data == "":
 		case data == doneData:
@@ -62,6 +62,22 @@
 	}
 }
 
+// frame makes an event of data, each line of it with its prefix.
+func frame(data string) []byte {
+	return []byte("data: " + strings.ReplaceAll(data, "\n", "\ndata: ") + "\n\n")
+}
+
+// unframe returns the data of an event; a line without prefix is none of it.
+func unframe(block string) string {
+	var lines []string
+	for line := range strings.SplitSeq(block, "\n") {
+		if data, ok := strings.CutPrefix(line, "data: "); ok {
+			lines = append(lines, data)
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
 func (c *caller) readChunk(data string) {
 	var got chunk
 	if err := json.Unmarshal([]byte(data), &got); err != nil {
@@ -93,7 +109,7 @@
 		}
 		cause := "connection was lost"
 		for _, data := range attempt(n, body) {
-			out, err := a.Feed(Event{Raw: []byte("data: " + data + "\n\n"), Data: []byte(data)})
+			out, err := a.Feed(Event{Raw: frame(data), Data: []byte(data)})
 			if err != nil {
 				cause = err.Error()
 				break
