--- a/cmd/gwload/experiment.go
+++ b/cmd/gwload/experiment.go
@@ -28,6 +28,7 @@
 			&cli.BoolFlag{Name: "preempt", Value: true, Usage: "engines pause lower tiers for tier 0"},
 			&cli.Float64Flag{Name: "kept", Value: estim.WindowDefaults().Kept, Usage: "part of a batch that is kept free for tier 0"},
 			&cli.DurationFlag{Name: "token-gap", Usage: "time between tokens that the batch is learnt for (default: the target)"},
+			&cli.StringFlag{Name: "plot", Usage: "write SVG files into this directory"},
 			&cli.BoolFlag{Name: "json", Usage: "print every run as one line of JSON"},
 		},
 		Action: runExperiment,
@@ -48,8 +49,16 @@
 		fmt.Fprint(out, model.Targets)
 	}
 	for _, site := range sites {
+		var results []result
 		for _, w := range workloads {
-			if err := measure(out, cmd, site, w); err != nil {
+			summaries, err := measure(out, cmd, site, w)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			results = append(results, result{workload: w.Name, summaries: summaries})
+		}
+		if dir := cmd.String("plot"); dir != "" {
+			if err := plotResults(dir, site, results); err != nil {
 				return errors.Trace(err)
 			}
 		}
@@ -58,7 +67,7 @@
 }
 
 // measure runs one workload with all policies and seeds.
-func measure(out io.Writer, cmd *cli.Command, site model.Site, w model.Workload) error {
+func measure(out io.Writer, cmd *cli.Command, site model.Site, w model.Workload) (model.Summaries, error) {
 	var summaries model.Summaries
 	for _, p := range model.AllPolicies() {
 		var runs []*model.Figures
@@ -68,12 +77,12 @@
 				Workload: w, Site: site, Policy: p, Seed: seed, Extra: cmd.Float64("extra"), Preempts: cmd.Bool("preempt"), TokenGap: cmd.Duration("token-gap"), Kept: cmd.Float64("kept"),
 			})
 			if err != nil {
-				return errors.Trace(err)
+				return nil, errors.Trace(err)
 			}
 			runs = append(runs, f)
 			if cmd.Bool("json") {
 				if err := json.NewEncoder(out).Encode(f); err != nil {
-					return errors.Trace(err)
+					return nil, errors.Trace(err)
 				}
 			}
 		}
@@ -82,7 +91,7 @@
 	if !cmd.Bool("json") {
 		fmt.Fprintf(out, "\n%s, %s\n%s", site.Name, w.Name, summaries.Table())
 	}
-	return nil
+	return summaries, nil
 }
 
 func chosenWorkloads(name string) (model.Workloads, error) {
--- a/io/model/summary.go
+++ b/io/model/summary.go
@@ -31,6 +31,11 @@
 	return s
 }
 
+// Times returns the spread with each value times a factor.
+func (s Spread) Times(factor float64) Spread {
+	return Spread{Mean: s.Mean * factor, Least: s.Least * factor, Greatest: s.Greatest * factor}
+}
+
 // percent writes the spread of shares.
 func (s Spread) percent() string {
 	return fmt.Sprintf("%.1f (%.1f-%.1f)", 100*s.Mean, 100*s.Least, 100*s.Greatest)
