Do not refuse a tier's own places after the shared ones shrink

Cause: after SetPlaces had left fewer places than were taken, the number of free ones went below zero and took away the tiers' own places: a call of a higher tier could be refused with places of its own free.

Change: no fewer than none are free. The state machine changes the places, draws an item's own MaxWait, and TestFairShare draws weights; each fails with its mechanism taken out.

--- a/core/sched/model.go
+++ b/core/sched/model.go
@@ -69,13 +69,14 @@
 	return max(0, m.placed(t)-m.config.TierPlaces)
 }
 
-// free returns how many shared places are free.
+// free returns how many shared places are free; none where SetPlaces has left
+// fewer than are taken.
 func (m *modelQueue) free() int {
 	free := m.config.Places
 	for t := range call.Tier(TierCount) {
 		free -= m.shared(t)
 	}
-	return free
+	return max(0, free)
 }
 
 // own returns how many of the tier's own places are free.
--- a/core/sched/rapid_test.go
+++ b/core/sched/rapid_test.go
@@ -25,6 +25,8 @@
 	// owed are the tokens dispatched since a tier's turn was due.
 	owed [TierCount]int
 	last [TierCount]time.Time
+	// mostPlaces is the greatest number of shared places so far.
+	mostPlaces int
 }
 
 type waitingItem struct {
@@ -42,7 +44,7 @@
 	c.TurnShare = rapid.Float64Range(0.05, 0.5).Draw(rt, "share")
 	q, err := New(c)
 	assert.NilError(rt, err)
-	return &queueModel{q: q, now: start, waiting: map[string]waitingItem{}, ended: map[string]int{}}
+	return &queueModel{q: q, now: start, waiting: map[string]waitingItem{}, ended: map[string]int{}, mostPlaces: c.Places}
 }
 
 func (m *queueModel) offer(rt *rapid.T) {
@@ -63,6 +65,7 @@
 	team := call.Team(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "team"))
 	it := item(id, tier, team, rapid.IntRange(1, maxTestCost).Draw(rt, "cost"))
 	it.Call.Class = call.Class(rapid.SampledFrom([]string{"x", "y"}).Draw(rt, "class"))
+	it.MaxWait = time.Duration(rapid.SampledFrom([]int{0, 0, 1, 7}).Draw(rt, "maxWait")) * time.Second
 	it.Again = rapid.IntRange(0, 7).Draw(rt, "again") == 0
 	if it.Call.Class == "y" {
 		it.FreshFor = 2 * time.Second
@@ -184,7 +187,7 @@
 func (m *queueModel) expire(rt *rapid.T) {
 	for _, r := range m.q.Expire(m.now) {
 		w := m.waiting[r.Item.Call.ID]
-		patience := m.q.config.Tiers[r.Item.Call.Tier].MaxWait
+		patience := m.patience(r.Item)
 		deadline := r.Item.Call.Deadline
 		hopeless := !deadline.IsZero() && !m.now.Add(r.Item.Service).Before(deadline)
 		assert.Assert(rt, hopeless || m.now.Sub(w.arrived) >= patience, "given up too soon")
@@ -192,10 +195,25 @@
 		m.end(rt, r.Item.Call.ID)
 	}
 	for id, w := range m.waiting {
-		assert.Assert(rt, m.now.Sub(w.arrived) < m.q.config.Tiers[w.item.Call.Tier].MaxWait, "%s waits too long", id)
+		assert.Assert(rt, m.now.Sub(w.arrived) < m.patience(w.item), "%s waits too long", id)
 	}
 }
 
+func (m *queueModel) patience(it Item) time.Duration {
+	if it.MaxWait > 0 {
+		return it.MaxWait
+	}
+	return m.q.config.Tiers[it.Call.Tier].MaxWait
+}
+
+// resize changes the places; what waits stays.
+func (m *queueModel) resize(rt *rapid.T) {
+	before := m.q.Len()
+	m.q.SetPlaces(rapid.IntRange(1, 12).Draw(rt, "places"))
+	m.mostPlaces = max(m.mostPlaces, m.q.config.Places)
+	assert.Equal(rt, m.q.Len(), before)
+}
+
 func (m *queueModel) remove(rt *rapid.T) {
 	id := fmt.Sprint(rapid.IntRange(1, m.next+1).Draw(rt, "id"))
 	m.expire(rt)
@@ -246,7 +264,7 @@
 	for tier := range call.Tier(TierCount) {
 		placed += m.placed(tier)
 	}
-	assert.Assert(rt, placed <= c.Places+TierCount*c.TierPlaces)
+	assert.Assert(rt, placed <= m.mostPlaces+TierCount*c.TierPlaces)
 }
 
 func TestQueueStateMachine(t *testing.T) {
@@ -258,6 +276,7 @@
 			"dispatch": m.dispatch,
 			"expire":   m.expire,
 			"remove":   m.remove,
+			"resize":   m.resize,
 			"wait": func(rt *rapid.T) {
 				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(rt, "ms")) * time.Millisecond)
 				m.expire(rt)
@@ -308,12 +327,13 @@
 	})
 }
 
-// TestFairShare keeps several teams waiting with items of unlike costs: their
-// service differs by no more than the costs of two items.
+// TestFairShare keeps several teams waiting with items of unlike costs and unlike
+// weights: their service by weight differs by no more than the costs of two items.
 func TestFairShare(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		q := newTestQueue(t, nil)
 		teams := rapid.IntRange(2, 6).Draw(rt, "teams")
+		weights := rapid.SliceOfN(rapid.IntRange(1, 4), teams, teams).Draw(rt, "weights")
 		costs := rapid.SliceOfN(rapid.IntRange(1, maxTestCost), teams, teams).Draw(rt, "costs")
 		served := make([]int, teams)
 		next := 0
@@ -321,6 +341,8 @@
 			next++
 			it := item(fmt.Sprint(next), 3, call.Team(fmt.Sprint(team)), costs[team])
 			it.Call.Class = call.Class(fmt.Sprint(next % 2))
+			it.Cost *= weights[team]
+			it.Weight = float64(weights[team])
 			assert.Assert(rt, q.Offer(start, it).Queued)
 		}
 		for team := range teams {
@@ -334,7 +356,7 @@
 			var team int
 			_, err := fmt.Sscan(string(it.Call.Team), &team)
 			assert.NilError(rt, err)
-			served[team] += it.Cost
+			served[team] += it.Cost / weights[team]
 			offer(team)
 			for i := range served {
 				for j := range served {
