Keep only moved limits quiet after a change of the VMs

Cause: a home granted nothing for 10 s after every change of the set of VMs. A rolling restart would have kept all limits at a tenth. In io/node the list was built in the map's order of zones, so that with several zones every exchange looked like a change.

Change: Home.Moved takes whether a key was here before; only keys that were not are quiet. io/node gives the sorted lists, the zone's to the zone's home and the site's to the site's.

Leaving out the sorting in io/node fails no test any more, as an unchanged home is not quiet.

Command: go test -count=1 ./core/limit ./io/node

--- a/core/limit/home.go
+++ b/core/limit/home.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -9,9 +10,15 @@
 // Home grants shares of the limits that it is the home of.
 type Home struct {
 	config HomeConfig
-	// quiet is until when shares of another home may be in force.
-	quiet time.Time
-	keys  map[Key]*keyState
+	keys   map[Key]*keyState
+	moves  []move
+}
+
+// move is a change of the VMs that homes are chosen from. Until its end, shares
+// of another home may be in force for the keys that were not here before it.
+type move struct {
+	until time.Time
+	was   func(Key) bool
 }
 
 // NewHome returns a home that grants nothing for its first TTL: it may have
@@ -23,24 +30,42 @@
 		return nil, errors.Trace(err)
 	}
 	h := &Home{config: c, keys: map[Key]*keyState{}}
-	h.Changed(now)
+	h.Moved(now, func(Key) bool { return false })
 	return h, nil
 }
 
-// Changed tells that the set of VMs from which homes are chosen has changed, so
-// that keys may have come here from another home.
-func (h *Home) Changed(now time.Time) { h.quiet = now.Add(h.config.TTL) }
+// Moved tells that the set of VMs from which homes are chosen has changed; was
+// reports whether a key was here before. For keys that were not, nothing is
+// granted for a TTL.
+func (h *Home) Moved(now time.Time, was func(Key) bool) {
+	h.moves = slices.DeleteFunc(h.moves, func(m move) bool { return !m.until.After(now) })
+	m := move{until: now.Add(h.config.TTL), was: was}
+	h.moves = append(h.moves, m)
+	for key, k := range h.keys {
+		k.moved(key, m)
+	}
+}
+
+// key returns the key's state.
+func (h *Home) key(key Key) *keyState {
+	k, ok := h.keys[key]
+	if ok {
+		return k
+	}
+	k = newKeyState()
+	for _, m := range h.moves {
+		k.moved(key, m)
+	}
+	h.keys[key] = k
+	return k
+}
 
 // Report takes in a member's demands and returns its shares. A key is left out
 // where nothing can be granted now; what the member holds stays in force.
 func (h *Home) Report(now time.Time, member Member, demands Demands) Shares {
 	shares := make(Shares, 0, len(demands))
 	for _, d := range demands {
-		k, ok := h.keys[d.Key]
-		if !ok {
-			k = newKeyState()
-			h.keys[d.Key] = k
-		}
+		k := h.key(d.Key)
 		k.demand(now.Add(h.config.TTL), member, d.Wanted)
 		if s, ok := h.grant(now, k, member, d.Key); ok {
 			shares = append(shares, s)
@@ -50,7 +75,7 @@
 }
 
 func (h *Home) grant(now time.Time, k *keyState, member Member, key Key) (Share, bool) {
-	if now.Before(h.quiet) {
+	if now.Before(k.quiet) {
 		return Share{}, false
 	}
 	capacity, until := h.config.Capacity(now, key)
--- a/core/limit/keystate.go
+++ b/core/limit/keystate.go
@@ -8,6 +8,8 @@
 // keyState is what a home knows about one limit.
 type keyState struct {
 	members map[Member]*memberState
+	// quiet is until when another home's shares may be in force.
+	quiet time.Time
 }
 
 // memberState is one member's demand and what it may hold.
@@ -23,6 +25,13 @@
 
 func newKeyState() *keyState { return &keyState{members: map[Member]*memberState{}} }
 
+// moved keeps the key quiet where it was not here before the move.
+func (k *keyState) moved(key Key, m move) {
+	if !m.was(key) {
+		k.quiet = later(m.until, k.quiet)
+	}
+}
+
 func (k *keyState) demand(until time.Time, member Member, wanted float64) {
 	m, ok := k.members[member]
 	if !ok {
--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -108,6 +108,25 @@
 	assert.Equal(t, h.Len(), 0)
 }
 
+// TestOnlyMovedKeysAreQuiet: VMs that come and go do not hold up the keys that
+// stay.
+func TestOnlyMovedKeysAreQuiet(t *testing.T) {
+	const stays, comes = Key("stays"), Key("comes")
+	h := newTestHome(t, start, 0, fixed(testLimit))
+	now := start.Add(testTTL)
+	wanted := Demands{{stays, 10}, {comes, 10}}
+	assert.Equal(t, len(h.Report(now, "a", wanted)), 2)
+	for range 5 {
+		h.Moved(now, func(key Key) bool { return key == stays })
+		got := h.Report(now, "a", wanted)
+		assert.Equal(t, len(got), 1)
+		assert.Equal(t, got[0].Key, stays)
+		now = now.Add(testTTL / 2)
+	}
+	assert.Equal(t, len(h.Report(now.Add(testTTL), "a", wanted)), 2)
+	assert.Assert(t, len(h.moves) <= 3)
+}
+
 func TestHomeOfMovesLittle(t *testing.T) {
 	var vms []call.VMID
 	for i := range 10 {
--- a/core/limit/rapid_test.go
+++ b/core/limit/rapid_test.go
@@ -119,6 +119,30 @@
 	})
 }
 
+// TestKeyMovesBetweenHomes lets the key move between three homes that keep their
+// state, back to a former one too: the shares in force never exceed the limit.
+func TestKeyMovesBetweenHomes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := newBench(t, rt, rapid.IntRange(1, 6).Draw(rt, "vms"), 0.1)
+		homes, owner := make([]*Home, 3), 0
+		for i := range homes {
+			homes[i] = newTestHome(t, start, 0.1, fixed(testLimit))
+		}
+		for i := range 200 {
+			if b.rng.IntN(20) == 0 {
+				before := owner
+				owner = b.rng.IntN(len(homes))
+				for n, h := range homes {
+					h.Moved(b.now, func(Key) bool { return n == before })
+				}
+			}
+			b.home = homes[owner]
+			b.round()
+			assert.Assert(rt, b.inForce() <= testLimit*1.000001, "%g in force in round %d", b.inForce(), i)
+		}
+	})
+}
+
 // TestAdmittedWithinBound counts what the VMs really admit, over every window of
 // the run: at most the limit for the window and the burst time.
 func TestAdmittedWithinBound(t *testing.T) {
--- a/io/node/limits.go
+++ b/io/node/limits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,8 +35,8 @@
 	zoneHome *limit.Home
 	siteHome *limit.Home
 	held     *limit.Holder
-	// members are the live VMs that the homes were last chosen from.
-	members string
+	// zoneVMs and siteVMs are the live VMs that the homes were last chosen from.
+	zoneVMs, siteVMs []call.VMID
 }
 
 func newLimits(l *limits, rng *rand.Rand) (*limits, error) {
@@ -150,26 +151,37 @@
 	for _, vms := range zones {
 		all = append(all, vms...)
 	}
-	l.noteMembers(now, all)
+	l.noteMembers(now, zones[l.zone], all)
 	for home, demands := range l.group(all, l.zoneDemands(now)) {
 		go l.ask(home, l.zone, demands, l.grantZone)
 	}
 }
 
-// noteMembers tells the homes that keys may have moved.
-func (l *limits) noteMembers(now time.Time, all []peer.Peer) {
-	members := ""
-	for _, p := range all {
-		members += string(p.ID) + " "
-	}
+// noteMembers tells the homes which VMs they are chosen from, where that has
+// changed.
+func (l *limits) noteMembers(now time.Time, zone, all []peer.Peer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if members == l.members {
-		return
+	l.zoneVMs = l.note(now, l.zoneHome, l.zoneVMs, ids(zone))
+	l.siteVMs = l.note(now, l.siteHome, l.siteVMs, ids(all))
+}
+
+// note tells one home and returns the present list.
+func (l *limits) note(now time.Time, home *limit.Home, before, present []call.VMID) []call.VMID {
+	if !slices.Equal(before, present) {
+		home.Moved(now, func(key limit.Key) bool { return limit.HomeOf(key, before) == l.self })
+	}
+	return present
+}
+
+// ids returns the peers' ids in order.
+func ids(peers []peer.Peer) []call.VMID {
+	list := make([]call.VMID, 0, len(peers))
+	for _, p := range peers {
+		list = append(list, p.ID)
 	}
-	l.members = members
-	l.zoneHome.Changed(now)
-	l.siteHome.Changed(now)
+	slices.Sort(list)
+	return list
 }
 
 func (l *limits) localDemands(now time.Time) limit.Demands {
@@ -187,15 +199,14 @@
 
 // group sorts demands by the key's home among the VMs.
 func (l *limits) group(vms []peer.Peer, demands limit.Demands) map[peer.Peer]limit.Demands {
-	ids := make([]call.VMID, 0, len(vms))
 	byID := make(map[call.VMID]peer.Peer, len(vms))
 	for _, p := range vms {
-		ids = append(ids, p.ID)
 		byID[p.ID] = p
 	}
+	live := ids(vms)
 	out := map[peer.Peer]limit.Demands{}
 	for _, d := range demands {
-		if home := limit.HomeOf(d.Key, ids); home != "" {
+		if home := limit.HomeOf(d.Key, live); home != "" {
 			out[byID[home]] = append(out[byID[home]], d)
 		}
 	}
