Name the event in each log line; answer 503 while there are no settings

A VM without settings answered every key with 401, as if the caller had it wrong, and without Retry-After. callersTLS.caFile was accepted without effect. The message for an unknown class showed names of internal functions.

Change: an event in each line; back.Config.Log; front.Config.Settled, by which a VM without settings answers 503 noSettings with Retry-After; callersTLS.caFile is refused; messages of their own for a missing and an unknown class.

--- a/io/back/attempt.go
+++ b/io/back/attempt.go
@@ -154,7 +154,7 @@
 	a.result.Total = time.Since(a.started)
 	a.result.Ending = a.ending(err, silent)
 	if a.conn != nil {
-		closeConn(a.conn)
+		a.client.conns.close(a.conn)
 	}
 	if a.result.Ending == EndingSilent {
 		a.client.conns.distrust(a.target)
--- a/io/back/client.go
+++ b/io/back/client.go
@@ -23,7 +23,7 @@
 	if err := c.Validate(); err != nil {
 		return nil, errors.Annotate(err, "New")
 	}
-	out := &Client{c: c, conns: newConns(c.DialTimeout, c.Dial)}
+	out := &Client{c: c, conns: newConns(c)}
 	out.pooled = out.newTransport(false)
 	out.fresh = out.newTransport(true)
 	return out, nil
--- a/io/back/client_test.go
+++ b/io/back/client_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/juju/errors"
 	"go.uber.org/goleak"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 
 	"gentianwell/io/fakes"
@@ -31,6 +32,7 @@
 	relay  *relay.Relay
 	client *Client
 	target Target
+	logged *logtest.Hook
 }
 
 func newBench(t *testing.T, c fakes.EngineConfig) *bench {
@@ -49,10 +51,13 @@
 	r, err := relay.New(relay.Config{Target: srv.Listener.Addr().(*net.TCPAddr).AddrPort()})
 	assert.NilError(t, err)
 	t.Cleanup(r.Close)
-	client, err := New(Config{ProgressTimeout: testTimeout, FirstTimeout: testTimeout, MaxBody: 1 << 16, MaxEvent: 1 << 12})
+	log, logged := logtest.NewNullLogger()
+	client, err := New(Config{
+		ProgressTimeout: testTimeout, FirstTimeout: testTimeout, MaxBody: 1 << 16, MaxEvent: 1 << 12, Log: log,
+	})
 	assert.NilError(t, err)
 	t.Cleanup(client.Close)
-	return &bench{engine: e, relay: r, client: client, target: Target{ID: "engine-1", Address: r.Address()}}
+	return &bench{engine: e, relay: r, client: client, target: Target{ID: "engine-1", Address: r.Address()}, logged: logged}
 }
 
 func chat(prompt string) Request {
--- a/io/back/config.go
+++ b/io/back/config.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 )
 
 // Config configures a Client. Zero fields get their defaults.
@@ -35,6 +36,8 @@
 	NotRunHeader string
 	// Metrics names the load report's metrics.
 	Metrics MetricNames
+	// Log gets a line for each connection that goes silent.
+	Log logrus.FieldLogger
 }
 
 // The defaults of Config.
@@ -64,6 +67,9 @@
 	if c.Dial == nil {
 		c.Dial = dialTCP
 	}
+	if c.Log == nil {
+		c.Log = logrus.StandardLogger()
+	}
 	c.Metrics = c.Metrics.Defaults()
 	return c
 }
--- a/io/back/conns.go
+++ b/io/back/conns.go
@@ -15,13 +15,14 @@
 type conns struct {
 	dialTo  func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	timeout time.Duration
+	log     logrus.FieldLogger
 	mu      sync.Mutex
 	open    map[netip.AddrPort]map[*conn]bool
 }
 
-func newConns(timeout time.Duration, dial func(context.Context, netip.AddrPort) (net.Conn, error)) *conns {
+func newConns(c Config) *conns {
 	return &conns{
-		dialTo: dial, timeout: timeout,
+		dialTo: c.Dial, timeout: c.DialTimeout, log: c.Log,
 		open: map[netip.AddrPort]map[*conn]bool{},
 	}
 }
@@ -76,14 +77,14 @@
 func (s *conns) distrust(t Target) {
 	idle := s.idle(t.Address)
 	for _, c := range idle {
-		closeConn(c)
+		s.close(c)
 	}
-	logrus.WithFields(logrus.Fields{"replica": t.ID, "address": t.Address, "idleClosed": len(idle)}).
+	s.log.WithFields(logrus.Fields{"event": "silentConnection", "replica": t.ID, "address": t.Address, "idleClosed": len(idle)}).
 		Warn("backend connection is silent, idle connections closed")
 }
 
-func closeConn(c *conn) {
+func (s *conns) close(c *conn) {
 	if err := c.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
-		logrus.WithField("address", c.address).WithError(err).Debug("close backend connection")
+		s.log.WithFields(logrus.Fields{"event": "backendClose", "address": c.address}).WithError(err).Debug("close backend connection")
 	}
 }
--- a/io/back/replay_test.go
+++ b/io/back/replay_test.go
@@ -145,7 +145,7 @@
 	near, far := net.Pipe()
 	defer func() { _ = far.Close() }()
 	c := &conn{Conn: near, dialed: time.Now(), onEnd: func(*conn) {}}
-	a := &attempt{client: &Client{conns: newConns(time.Second, dialTCP)}, watch: newWatchdog(time.Hour, func(error) {}), parent: context.Background()}
+	a := &attempt{client: &Client{conns: newConns(Config{DialTimeout: time.Second}.Defaults())}, watch: newWatchdog(time.Hour, func(error) {}), parent: context.Background()}
 	a.gotConn(httptrace.GotConnInfo{Conn: c})
 	res := a.fail(context.Canceled)
 	assert.Assert(t, !res.Wrote)
--- a/io/back/silent_test.go
+++ b/io/back/silent_test.go
@@ -47,6 +47,7 @@
 	res, err := b.do(t, chat("again"), discard)
 	assert.Equal(t, res.Ending, EndingSilent, "%v", err)
 	assert.Assert(t, res.Reused && res.Wrote)
+	assert.Equal(t, b.logged.LastEntry().Data["event"], "silentConnection")
 	for range pooled {
 		res, err = b.do(t, chat("again"), discard)
 		assert.NilError(t, err)
--- a/io/conf/follower.go
+++ b/io/conf/follower.go
@@ -126,10 +126,10 @@
 	accepted, err := send(c)
 	log := f.c.Log.WithFields(logrus.Fields{"author": c.Author, "change": c.ID, "edits": len(c.Edits)})
 	if err != nil {
-		log.WithError(err).Info("settings change refused")
+		log.WithField("event", "settingsRefused").WithError(err).Info("settings change refused")
 		return Accepted{}, err
 	}
-	log.WithField("version", accepted.Mark().Version).Info("settings change accepted")
+	log.WithFields(logrus.Fields{"event": "settingsAccepted", "version": accepted.Mark().Version}).Info("settings change accepted")
 	f.consider(accepted.Document, "operator")
 	return accepted, nil
 }
@@ -158,7 +158,7 @@
 	case judgement.Verdict == tree.VerdictAdopt, judgement.Verdict == tree.VerdictSame && !f.Ready():
 		f.adopt(d, source)
 	case judgement.Verdict != tree.VerdictSame:
-		f.c.Log.WithFields(logrus.Fields{"source": source, "reason": judgement.Reason}).Info("settings not adopted")
+		f.c.Log.WithFields(logrus.Fields{"event": "settingsNotAdopted", "source": source, "reason": judgement.Reason}).Info("settings not adopted")
 	}
 	return judgement.Verdict
 }
@@ -182,7 +182,7 @@
 	f.current.Store(snapshot)
 	f.ready.Store(true)
 	f.c.Log.WithFields(logrus.Fields{
-		"version": d.Version, "change": d.ChangeID, "author": d.Author, "source": source,
+		"event": "settingsInForce", "version": d.Version, "change": d.ChangeID, "author": d.Author, "source": source,
 	}).Info("settings in force")
 	f.c.Apply(snapshot)
 }
--- a/io/conf/peers.go
+++ b/io/conf/peers.go
@@ -48,7 +48,7 @@
 			return
 		case vm := <-f.hints:
 			if err := f.fetch(ctx, vm); err != nil {
-				f.c.Log.WithFields(logrus.Fields{"peer": vm}).WithError(err).Warn("settings fetch failed")
+				f.c.Log.WithFields(logrus.Fields{"event": "settingsFetch", "peer": vm}).WithError(err).Warn("settings fetch failed")
 			}
 		}
 	}
--- a/io/conf/poll.go
+++ b/io/conf/poll.go
@@ -31,15 +31,15 @@
 	h, _, err := f.c.Store.loadHead(reading)
 	f.learn(err)
 	if err != nil {
-		f.c.Log.WithError(err).Warn("settings poll failed")
+		f.c.Log.WithField("event", "settingsPoll").WithError(err).Warn("settings poll failed")
 		return
 	}
 	judgement := f.known().Judge(h.Head)
 	if judgement.Verdict == tree.VerdictAdopt {
-		f.c.Log.WithField("reason", judgement.Reason).Warn("settings watch missed a change")
+		f.c.Log.WithFields(logrus.Fields{"event": "settingsMissed", "reason": judgement.Reason}).Warn("settings watch missed a change")
 		notify(f.rewatch)
 		if _, err := f.resync(ctx); err != nil {
-			f.c.Log.WithError(err).Warn("settings read failed")
+			f.c.Log.WithField("event", "settingsPoll").WithError(err).Warn("settings read failed")
 		}
 		return
 	}
@@ -81,11 +81,11 @@
 	document := f.Current().Document
 	restored, err := f.c.Store.Restore(ctx, document, string(f.c.Self))
 	if err != nil {
-		f.c.Log.WithError(err).Warn("settings restore failed")
+		f.c.Log.WithField("event", "settingsRestore").WithError(err).Warn("settings restore failed")
 		return
 	}
 	f.c.Log.WithFields(logrus.Fields{
-		"version": restored.Document.Version, "reason": restored.Judgement.Reason, "dropped": len(restored.Dropped),
+		"event": "settingsRestore", "version": restored.Document.Version, "reason": restored.Judgement.Reason, "dropped": len(restored.Dropped),
 	}).Warn("settings restored in the platform")
 	f.consider(restored.Document, "restore")
 }
--- a/io/conf/watch.go
+++ b/io/conf/watch.go
@@ -28,7 +28,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.c.Log.WithError(err).Warn("settings watch ended")
+		f.c.Log.WithField("event", "settingsWatch").WithError(err).Warn("settings watch ended")
 		if f.c.Timer.Now().Sub(began) > f.c.PollInterval {
 			wait = f.c.RewatchPause
 		}
--- a/io/front/models.go
+++ b/io/front/models.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/sirupsen/logrus"
+
 	"gentianwell/core/call"
 )
 
@@ -33,6 +35,6 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(HeaderOutcome, string(call.OutcomeRan))
 	if err := json.NewEncoder(w).Encode(list); err != nil {
-		s.c.Log.WithError(err).WithField("request", r.id).Warn("answer not written")
+		s.c.Log.WithFields(logrus.Fields{"event": "answer", "request": r.id}).WithError(err).Warn("answer not written")
 	}
 }
--- a/io/front/read.go
+++ b/io/front/read.go
@@ -13,6 +13,9 @@
 
 // identify finds the request's team by its bearer key.
 func (s *Server) identify(r *request) *Fault {
+	if !s.c.Settled() {
+		return noSettings()
+	}
 	bearer, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if ok {
 		r.team, ok = s.c.Team(bearer)
@@ -30,17 +33,28 @@
 func (s *Server) policy(r *request) (Policy, *Fault) {
 	p, err := s.c.Policy(r.team, call.Class(r.Header.Get(HeaderClass)))
 	if errors.Is(err, errors.NotFound) {
-		return Policy{}, invalid("unknown_class", err.Error())
+		return Policy{}, invalid("unknown_class", unknownClass(r.Header.Get(HeaderClass)))
 	}
 	if err != nil {
-		return Policy{}, &Fault{
-			Status: http.StatusServiceUnavailable, Type: FaultUnavailable, Code: "noSettings",
-			Message: "no settings are in force yet", Outcome: call.OutcomeNotRun, RetryAfter: time.Second,
-		}
+		return Policy{}, noSettings()
 	}
 	return p, nil
 }
 
+func unknownClass(name string) string {
+	if name == "" {
+		return "the request names no class by " + HeaderClass + ", and its team has no default class"
+	}
+	return "the class " + name + " does not exist"
+}
+
+func noSettings() *Fault {
+	return &Fault{
+		Status: http.StatusServiceUnavailable, Type: FaultUnavailable, Code: "noSettings",
+		Message: "no settings are in force yet", Outcome: call.OutcomeNotRun, RetryAfter: time.Second,
+	}
+}
+
 // deadline returns when the answer is due: the earlier of the caller's wish and
 // the policy; the zero time is never.
 func (s *Server) deadline(r *request, p Policy) (time.Time, *Fault) {
--- a/io/front/server_test.go
+++ b/io/front/server_test.go
@@ -105,6 +105,18 @@
 	}
 }
 
+// A VM that has no settings yet knows no team: that is not the caller's mistake.
+func TestNoSettingsYet(t *testing.T) {
+	srv := serve(t, notReached, func(c *Config) { c.Settled = func() bool { return false } })
+	for _, path := range []string{"/v1/chat/completions", "/ledger/payments"} {
+		resp := post(t, srv, path, goodBody)
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+		assert.Equal(t, resp.Header.Get(HeaderReason), "noSettings")
+		assert.Equal(t, resp.Header.Get(HeaderOutcome), "notRun")
+		assert.Equal(t, resp.Header.Get("Retry-After"), "1")
+	}
+}
+
 func TestStoppingRefuses(t *testing.T) {
 	srv := serve(t, notReached, func(c *Config) { c.Admit = func() bool { return false } })
 	resp := post(t, srv, "/v1/chat/completions", goodBody)
--- a/io/node/config.go
+++ b/io/node/config.go
@@ -30,7 +30,8 @@
 	// OperatorKeyHashes are SHA-256 sums in hex of keys that operators may use
 	// besides those of the settings tree, for the first start.
 	OperatorKeyHashes []string `json:"operatorKeyHashes,omitempty"`
-	// CallersTLS and PeersTLS are used where set; peers then prove themselves too.
+	// CallersTLS and PeersTLS are used where set; peers then prove themselves too,
+	// by an authority, which callers have none of.
 	CallersTLS *TLSFiles `json:"callersTLS,omitempty"`
 	PeersTLS   *TLSFiles `json:"peersTLS,omitempty"`
 	LogLevel   string    `json:"logLevel,omitempty"`
@@ -99,6 +100,7 @@
 		p.add(err != nil || len(raw) != 32, "operatorKeyHashes: %q is no SHA-256 sum in hex", sum)
 	}
 	c.CallersTLS.check(&p, "callersTLS", false)
+	p.add(c.CallersTLS != nil && c.CallersTLS.CAFile != "", "callersTLS.caFile: callers prove themselves by their keys only")
 	c.PeersTLS.check(&p, "peersTLS", true)
 	if _, err := logrus.ParseLevel(c.LogLevel); err != nil {
 		p.add(true, "logLevel: %q, allowed: error, warning, info, debug", c.LogLevel)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -154,7 +154,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if n.client, err = back.New(back.Config{Dial: o.Dial}); err != nil {
+	if n.client, err = back.New(back.Config{Dial: o.Dial, Log: o.Log}); err != nil {
 		return errors.Trace(err)
 	}
 	estimator, err := estim.New(estim.Defaults())
@@ -245,7 +245,7 @@
 	p := policies{snapshot: n.snapshot}
 	var err error
 	n.front, err = front.New(front.Config{
-		Zone: n.c.Zone, Team: p.team, Policy: p.policy, Service: p.service, Models: p.models,
+		Zone: n.c.Zone, Settled: n.follower.Ready, Team: p.team, Policy: p.policy, Service: p.service, Models: p.models,
 		Run: n.runner.Run, Admit: func() bool { return n.drain.Admit(n.now()) }, Finish: n.drain.Finish,
 		Ready: n.ready, Now: n.now, NewID: n.newID(), Log: n.log,
 	})
--- a/io/node/operators.go
+++ b/io/node/operators.go
@@ -87,6 +87,6 @@
 func (n *Node) writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(value); err != nil {
-		n.log.WithError(err).Warn("answer not written")
+		n.log.WithField("event", "answer").WithError(err).Warn("answer not written")
 	}
 }
--- a/io/node/suspects.go
+++ b/io/node/suspects.go
@@ -66,7 +66,7 @@
 	r.By = n.c.ID
 	raw, err := json.Marshal(r)
 	if err != nil {
-		n.log.WithError(err).Error("reservation not made")
+		n.log.WithField("event", "reservation").WithError(err).Error("reservation not made")
 		return
 	}
 	n.store.Put(now, spread.Item{
--- a/io/oper/settings.go
+++ b/io/oper/settings.go
@@ -87,7 +87,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(status)
 		if err := json.NewEncoder(w).Encode(value); err != nil {
-			s.c.Log.WithError(err).Info("operator's answer not written")
+			s.c.Log.WithField("event", "answer").WithError(err).Info("operator's answer not written")
 		}
 	}
 }
