--- a/io/back/client_test.go
+++ b/io/back/client_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"github.com/juju/errors"
-	"go.uber.org/goleak"
 	logtest "github.com/sirupsen/logrus/hooks/test"
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	"gentianwell/io/fakes"
