Log the HTTP servers' own lines as events

Cause: a failed TLS handshake on the callers' address was written by the standard logger, not as key=value (seen with callersTLS and a client without TLS). Change: front.ErrorLog for both HTTP servers, event http. Seen failing: TestErrorLog without the line in Server.HTTP.

--- a/io/front/server.go
+++ b/io/front/server.go
@@ -63,6 +63,7 @@
 		ReadHeaderTimeout: s.c.HeaderTimeout,
 		IdleTimeout:       s.c.IdleTimeout,
 		MaxHeaderBytes:    s.c.HeaderBytes,
+		ErrorLog:          ErrorLog(s.c.Log),
 	}
 }
 
--- a/io/node/operators.go
+++ b/io/node/operators.go
@@ -13,6 +13,7 @@
 	"gentianwell/core/drain"
 	"gentianwell/core/member"
 	"gentianwell/core/route"
+	"gentianwell/io/front"
 )
 
 // Status is what an operator sees of an entry VM.
@@ -45,7 +46,9 @@
 	mux.HandleFunc("GET /status", n.operator(n.status))
 	mux.HandleFunc("POST /drain", n.operator(n.startDrain))
 	n.oper.Register(mux, n.operator)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
+	return &http.Server{
+		Handler: mux, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, ErrorLog: front.ErrorLog(n.log),
+	}
 }
 
 // operator lets only operators in.
