--- a/io/node/operators.go
+++ b/io/node/operators.go
@@ -13,6 +13,7 @@
 	"gentianwell/core/drain"
 	"gentianwell/core/member"
 	"gentianwell/core/route"
+	"gentianwell/io/front"
 )
 
 // Status is what an operator sees of an entry VM.
@@ -45,7 +46,9 @@
 	mux.HandleFunc("GET /status", n.operator(n.status))
 	mux.HandleFunc("POST /drain", n.operator(n.startDrain))
 	n.oper.Register(mux, n.operator)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute}
+	return &http.Server{
+		Handler: mux, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, ErrorLog: front.ErrorLog(n.log),
+	}
 }
 
 // operator lets only operators in.
@@ -87,6 +90,6 @@
 func (n *Node) writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(value); err != nil {
-		n.log.WithError(err).Warn("answer not written")
+		n.log.WithField("event", "answer").WithError(err).Warn("answer not written")
 	}
 }
