Bound the window by an engine's places; try another engine where a model is not loaded

Cause: the window's greatest batch was 32 whatever the engine has, urgent calls waited for a place of an engine that honours priorities, and an engine without the listed model answered 404 to the caller. Ruled out: taking the models from the engines' own lists on every VM (each VM would read them all); only the placement's holder does. Change: Window.Bound, 1.25 places for each of an engine's in the router, a 404 of an engine counts as a failed attempt; HTTP/2 pings towards callers; the rate of a model's queue counts its own backlog only. Measured: TestModelNotLoaded fails with 404 without the check and passes with it. Conclusion: none.

--- a/core/estim/window.go
+++ b/core/estim/window.go
@@ -102,6 +102,15 @@
 	w.batch = min(w.config.Greatest, w.batch+w.config.Up)
 }
 
+// Bound sets the greatest batch, for replicas that say how many requests they run
+// at the same time.
+func (w *Window) Bound(greatest float64) {
+	greatest = max(1, greatest)
+	w.config.Greatest = greatest
+	w.config.Least = min(w.config.Least, greatest)
+	w.batch = min(w.batch, greatest)
+}
+
 // Batch returns the number of requests that a replica is to run at a time.
 func (w *Window) Batch() float64 { return w.batch }
 
--- a/core/estim/window_test.go
+++ b/core/estim/window_test.go
@@ -53,6 +53,14 @@
 	assert.Assert(t, !w.Allows(0, 10, 9, 29))
 }
 
+// TestWindowBound: replicas of 8 places get no more than 8, less the kept part.
+func TestWindowBound(t *testing.T) {
+	w := newTestWindow(t)
+	w.Bound(8)
+	assert.Assert(t, w.Allows(0, 10, 9, 7))
+	assert.Assert(t, !w.Allows(0, 10, 9, 7.5))
+}
+
 func TestWindowLendsSpareShares(t *testing.T) {
 	w := newTestWindow(t)
 	assert.Assert(t, w.Allows(500, 10, 9, 5))
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -50,6 +50,10 @@
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
 
+// pingAfter is the silence after which a caller's HTTP/2 connection is asked for a
+// sign of life, and how long it has to answer.
+const pingAfter = 15 * time.Second
+
 // HTTP returns an HTTP server with the limits of the configuration, for
 // HTTP/1.1 and HTTP/2, the latter also without TLS.
 func (s *Server) HTTP() *http.Server {
@@ -63,6 +67,7 @@
 		ReadHeaderTimeout: s.c.HeaderTimeout,
 		IdleTimeout:       s.c.IdleTimeout,
 		MaxHeaderBytes:    s.c.HeaderBytes,
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingAfter},
 		ErrorLog:          ErrorLog(s.c.Log),
 	}
 }
--- a/io/node/loads.go
+++ b/io/node/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"gentianwell/core/member"
 	"gentianwell/core/route"
 	"gentianwell/io/back"
+	"gentianwell/io/runner"
 )
 
 // loads reads the replicas' load reports, each at most once at a time.
@@ -68,7 +70,16 @@
 		// It lives, but has no report: what it has from others is not known.
 		return
 	}
-	l.report(l.now(), t.ID, route.Load{Running: load.Running, Waiting: load.Waiting, Slots: load.Slots, Taken: asked})
+	l.report(l.now(), t.ID, route.Load{Running: load.Running, Waiting: load.Waiting, Slots: l.places(t.ID, load.Slots), Taken: asked})
+}
+
+// places returns the places that the router counts for a backend server; zero
+// where it does not say how many it has.
+func (l *loads) places(id call.ReplicaID, slots int) int {
+	if l.view.Judge(l.now(), call.VMID(id)).VM.Role != member.RoleEngine {
+		return slots
+	}
+	return int(math.Ceil(float64(slots) * runner.UrgentPlaces))
 }
 
 func (l *loads) end(id call.ReplicaID) {
--- a/io/runner/attempt.go
+++ b/io/runner/attempt.go
@@ -27,6 +27,9 @@
 	replica call.ReplicaID
 	result  back.Result
 	err     error
+	// notLoaded is true where the engine does not have the model, which the list
+	// of VMs says it can serve.
+	notLoaded bool
 	// fault is what is wrong with the answer itself.
 	fault error
 	// next is the guard's decision on a streamed answer.
@@ -40,7 +43,7 @@
 
 // failed reports whether another replica might do better.
 func (e attemptEnd) failed() bool {
-	return e.fault != nil || !e.result.Complete() || e.result.Status >= http.StatusInternalServerError
+	return e.fault != nil || !e.result.Complete() || e.result.Status >= http.StatusInternalServerError || e.notLoaded
 }
 
 // whole reports whether the answer may be handed over, or has been. An answer
@@ -62,6 +65,7 @@
 	target := back.Target{ID: replica.ID, Address: replica.Address}
 	end := attemptEnd{replica: replica.ID}
 	end.result, end.err = n.send(ctx, target)
+	end.notLoaded = n.job.Kind == KindEngine && end.result.Complete() && end.result.Status == http.StatusNotFound
 	n.inspect(&end)
 	result := end.result
 	n.unmark(result)
--- a/io/runner/wait.go
+++ b/io/runner/wait.go
@@ -119,7 +119,7 @@
 	}
 	r.c.Router.Started(now, d.Replica.ID, float64(item.Cost))
 	r.enter(w.n.job)
-	r.c.Dispatched(now, item.Call.Model, item.Cost, r.c.Queue.Len() > 0)
+	r.c.Dispatched(now, item.Call.Model, item.Cost, r.c.Queue.Backlogged(item.Call.Model))
 	r.c.Router.Hints().Sent(item.Call.Model, item.Call.Prefixes, d.Replica.ID)
 	r.logDecision(now, w.n, d, reason)
 	w.done <- grant{decision: d, reason: reason}
--- a/io/runner/window.go
+++ b/io/runner/window.go
@@ -8,6 +8,11 @@
 	"gentianwell/core/sched"
 )
 
+// UrgentPlaces is how many places the router counts for each one that an engine
+// has: beyond its own, an engine that honours priorities takes the most urgent
+// calls first and lets others wait, so that these need not wait for a free place.
+const UrgentPlaces = 1.25
+
 // window keeps this VM to its share of the places of one model's engines.
 type window struct {
 	*estim.Window
@@ -38,7 +43,9 @@
 		return 0
 	}
 	replicas, vms := r.c.Router.Fleet(model)
-	if !w.Allows(w.inFlight, replicas, vms, d.Load*float64(d.Replica.Slots)) {
+	places := float64(d.Replica.Slots)
+	w.Bound(places / UrgentPlaces)
+	if !w.Allows(w.inFlight, replicas, vms, d.Load*places) {
 		return 0
 	}
 	return call.MaxTier
--- a/io/site/path_test.go
+++ b/io/site/path_test.go
@@ -3,11 +3,15 @@
 import (
 	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"gentianwell/core/call"
+	"gentianwell/core/member"
 	"gentianwell/io/fakes"
 	"gentianwell/io/front"
 )
@@ -46,3 +50,24 @@
 	assert.Equal(t, resp.StatusCode/100, 2, read(t, resp))
 	assert.Equal(t, len(s.Plains[0].Bookings().Bookings), 1)
 }
+
+// An engine that does not have the model, although it is listed with it, costs a
+// try on another one and no answer.
+func TestModelNotLoaded(t *testing.T) {
+	s := New(t, Config{Entries: 1, Engines: 2, Engine: func(c *fakes.EngineConfig) {
+		if c.ID == "m0" {
+			c.Models = []string{"other"}
+		}
+	}})
+	address := netip.MustParseAddrPort(s.Servers[1].Listener.Addr().String())
+	s.List(t, member.VM{
+		ID: "m0", Zone: zone(0), Role: member.RoleEngine, Address: address,
+		Models: []call.Model{"drafts"}, State: member.StateLive,
+	})
+	time.Sleep(100 * time.Millisecond)
+	for range 8 {
+		resp := s.Post(t, 0, "/v1/chat/completions", body("hello", false), nil)
+		got := read(t, resp)
+		assert.Equal(t, resp.StatusCode, http.StatusOK, got)
+	}
+}
