Tick the queue only while jobs wait

Change: the runner subscribes its tick when a job has to wait and ends it when none does. TestTicksWhileJobsWait fails where the tick is not ended.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -184,7 +184,7 @@
 		Claims: runner.Claims{
 			Begin: n.claims.Begin, Finish: n.claims.Finish, Release: n.claims.Release, RetryAfter: n.claims.RetryAfter,
 		},
-		Retry: again, Poison: n.poison, Reserve: n.reserve, Push: n.pushSuspects, Alive: n.client.Alive,
+		Retry: again, Poison: n.poison, Reserve: n.reserve, Push: n.pushSuspects, Every: n.everyQueueTick, Alive: n.client.Alive,
 		Now: n.now, Log: n.log,
 	})
 	return errors.Trace(err)
@@ -206,6 +206,10 @@
 	return nil
 }
 
+func (n *Node) everyQueueTick(tick func(time.Time)) func() {
+	return n.timers.Every("queue", queueInterval, tick)
+}
+
 func (n *Node) newLoads(most int) *loads {
 	return &loads{
 		fetch: n.client.FetchLoad, report: n.router.Report, view: n.fleet.view, now: n.now,
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -90,7 +90,6 @@
 }
 
 func (n *Node) subscribe() {
-	n.timers.Every("queue", queueInterval, n.runner.Tick)
 	n.timers.Every("gossip", gossipInterval, n.gossip.Round)
 	n.timers.Every("limits", limitInterval, n.limits.exchange)
 	n.timers.Every("fleet", fleetInterval, n.updateReplicas)
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -5,7 +5,6 @@
 // # Usage
 //
 //	r, err := runner.New(runner.Config{Queue: q, Router: router, Send: client.Do, …})
-//	timers.Every("queue", 20*time.Millisecond, r.Tick)
 //	answer := r.Run(ctx, job, sink)
 //
 // The decisions are those of core/sched (who is next), core/route (where) and
@@ -43,6 +42,9 @@
 	Retry   *retry.Policy
 	Poison  *poison.Registry
 	Reserve func(now time.Time, r poison.Reservation)
+	// Every subscribes a function to regular calls until stop is called; nil
+	// leaves the calls of Tick to the user.
+	Every func(tick func(now time.Time)) (stop func())
 	// Push spreads what Poison has to spread at once; may be nil.
 	Push func()
 	// Alive looks whether a backend server answers at all.
@@ -100,6 +102,9 @@
 	if c.Dispatched == nil {
 		c.Dispatched = func(time.Time, call.Model, int, bool) {}
 	}
+	if c.Every == nil {
+		c.Every = func(func(time.Time)) func() { return func() {} }
+	}
 	if c.Push == nil {
 		c.Push = func() {}
 	}
@@ -128,6 +133,8 @@
 	mu      sync.Mutex
 	waiting map[string]*waiter
 	windows map[call.Model]*window
+	// stopTicks ends the subscription of Tick; nil while there is none.
+	stopTicks func()
 }
 
 // New returns a runner.
--- a/io/runner/runner_test.go
+++ b/io/runner/runner_test.go
@@ -246,3 +246,23 @@
 	got := b.Run(ctx, job("1", 0, false), (&collect{}).sink())
 	assert.Equal(t, got.Outcome, call.OutcomeRan)
 }
+
+// Ticks are subscribed while a job waits, and only then; they give up on it in time.
+func TestTicksWhileJobsWait(t *testing.T) {
+	b, release := hold(t)
+	var tick func(time.Time)
+	subscribed := 0
+	b.c.Every = func(fn func(time.Time)) func() {
+		tick = fn
+		subscribed++
+		return func() { subscribed-- }
+	}
+	j := job("1", 3, true)
+	j.MaxWait = time.Minute
+	out := b.start(t, t.Context(), j, 1)
+	assert.Equal(t, subscribed, 1)
+	tick(time.Now().Add(2 * time.Minute))
+	assert.Equal(t, (<-out).Reason, Reason(sched.ReasonMaxWait))
+	assert.Equal(t, subscribed, 0)
+	release()
+}
--- a/io/runner/wait.go
+++ b/io/runner/wait.go
@@ -63,6 +63,9 @@
 	}
 	r.waiting[c.ID] = w
 	r.pump(now, c.Model)
+	if r.c.Queue.Len() > 0 && r.stopTicks == nil {
+		r.stopTicks = r.c.Every(r.Tick)
+	}
 	return w, nil
 }
 
@@ -88,6 +91,7 @@
 }
 
 // Tick gives up on jobs whose time has passed and fills replicas that are free.
+// It is subscribed to Every while jobs wait.
 func (r *Runner) Tick(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -95,6 +99,10 @@
 	for _, model := range r.c.Queue.Waiting() {
 		r.pump(now, model)
 	}
+	if r.c.Queue.Len() == 0 && r.stopTicks != nil {
+		r.stopTicks()
+		r.stopTicks = nil
+	}
 }
 
 // pump hands out waiting jobs of the model while a replica is free.
