--- a/core/spread/store.go
+++ b/core/spread/store.go
@@ -45,7 +45,7 @@
 // Defaults fills in the fields left zero.
 func (c *Config) Defaults() {
 	if c.Fanout == 0 {
-		c.Fanout = 3
+		c.Fanout = 2
 	}
 	if c.BatchBytes == 0 {
 		c.BatchBytes = 1400
