Read requests in one place; pass headers and escaped paths on; defaults by cmp.Or

Measured: go test ./core/... ./io/front ./io/runner ./io/back ./io/claims ./cmd/... passes. Conclusion: none.

--- a/core/member/config.go
+++ b/core/member/config.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/juju/errors"
@@ -51,11 +52,11 @@
 	if c.OpinionsToSuspect == 0 {
 		c.OpinionsToSuspect = defaultOpinionsToSuspect
 	}
-	setTime(&c.SilentAfter, defaultSilentAfter)
-	setTime(&c.OpinionMaxAge, defaultOpinionMaxAge)
-	setTime(&c.ListLag, defaultListLag)
-	setTime(&c.StatementMaxAge, defaultStatementMaxAge)
-	setTime(&c.AnswerMaxAge, defaultAnswerMaxAge)
+	c.SilentAfter = cmp.Or(c.SilentAfter, defaultSilentAfter)
+	c.OpinionMaxAge = cmp.Or(c.OpinionMaxAge, defaultOpinionMaxAge)
+	c.ListLag = cmp.Or(c.ListLag, defaultListLag)
+	c.StatementMaxAge = cmp.Or(c.StatementMaxAge, defaultStatementMaxAge)
+	c.AnswerMaxAge = cmp.Or(c.AnswerMaxAge, defaultAnswerMaxAge)
 	return c
 }
 
@@ -76,9 +77,3 @@
 
 // maxOpinions is how many opinions about a VM are kept and worth spreading.
 func (c Config) maxOpinions() int { return 2 * c.OpinionsToSuspect }
-
-func setTime(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/core/poison/config.go
+++ b/core/poison/config.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/juju/errors"
@@ -43,9 +44,9 @@
 	if c.MaxFingerprints == 0 {
 		c.MaxFingerprints = defaultMaxFingerprints
 	}
-	setTime(&c.CrashWindow, defaultCrashWindow)
-	setTime(&c.SpreadTime, defaultSpreadTime)
-	setTime(&c.MemoryTime, defaultMemoryTime)
+	c.CrashWindow = cmp.Or(c.CrashWindow, defaultCrashWindow)
+	c.SpreadTime = cmp.Or(c.SpreadTime, defaultSpreadTime)
+	c.MemoryTime = cmp.Or(c.MemoryTime, defaultMemoryTime)
 	return c
 }
 
@@ -70,9 +71,3 @@
 // take down in all when at most copies of it are in the system at the same time,
 // from arrival until the Retry-After of the failed answer.
 func (c Config) Cap(copies int) int { return (c.SuspectAfter + 1) * copies }
-
-func setTime(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/core/retry/config.go
+++ b/core/retry/config.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -46,11 +47,11 @@
 	if c.MaxClasses == 0 {
 		c.MaxClasses = defaultMaxClasses
 	}
-	setFloat(&c.Floor, defaultFloor)
-	setFloat(&c.Burst, defaultBurst)
-	setTime(&c.Backoff, defaultBackoff)
-	setTime(&c.BackoffMax, defaultBackoffMax)
-	setTime(&c.MinRun, defaultMinRun)
+	c.Floor = cmp.Or(c.Floor, defaultFloor)
+	c.Burst = cmp.Or(c.Burst, defaultBurst)
+	c.Backoff = cmp.Or(c.Backoff, defaultBackoff)
+	c.BackoffMax = cmp.Or(c.BackoffMax, defaultBackoffMax)
+	c.MinRun = cmp.Or(c.MinRun, defaultMinRun)
 	return c
 }
 
@@ -72,15 +73,3 @@
 	}
 	return nil
 }
-
-func setFloat(field *float64, value float64) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
-func setTime(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/core/route/config.go
+++ b/core/route/config.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -86,23 +87,23 @@
 
 // Defaults returns the config with its unset fields filled in.
 func (c Config) Defaults() Config {
-	setInt(&c.Choices, defaultChoices)
-	setInt(&c.Slots, defaultSlots)
-	setInt(&c.SubsetMin, defaultSubsetMin)
-	setInt(&c.SubsetCover, defaultSubsetCover)
-	setInt(&c.FailuresToEject, defaultFailuresToEject)
-	setInt(&c.SlowSamples, defaultSlowSamples)
-	setTime(&c.ReportMaxAge, defaultReportMaxAge)
-	setTime(&c.SlowStart, defaultSlowStart)
-	setTime(&c.SlowFloor, defaultSlowFloor)
-	setTime(&c.EjectTime, defaultEjectTime)
-	setTime(&c.EjectTimeMax, defaultEjectTimeMax)
-	setTime(&c.AloneWait, defaultAloneWait)
-	setFloat(&c.ZonePenalty, defaultZonePenalty)
-	setFloat(&c.AffinityWeight, defaultAffinityWeight)
-	setFloat(&c.AffinityBound, defaultAffinityBound)
-	setFloat(&c.SlowFactor, defaultSlowFactor)
-	setFloat(&c.EjectedShareMax, defaultEjectedShareMax)
+	c.Choices = cmp.Or(c.Choices, defaultChoices)
+	c.Slots = cmp.Or(c.Slots, defaultSlots)
+	c.SubsetMin = cmp.Or(c.SubsetMin, defaultSubsetMin)
+	c.SubsetCover = cmp.Or(c.SubsetCover, defaultSubsetCover)
+	c.FailuresToEject = cmp.Or(c.FailuresToEject, defaultFailuresToEject)
+	c.SlowSamples = cmp.Or(c.SlowSamples, defaultSlowSamples)
+	c.ReportMaxAge = cmp.Or(c.ReportMaxAge, defaultReportMaxAge)
+	c.SlowStart = cmp.Or(c.SlowStart, defaultSlowStart)
+	c.SlowFloor = cmp.Or(c.SlowFloor, defaultSlowFloor)
+	c.EjectTime = cmp.Or(c.EjectTime, defaultEjectTime)
+	c.EjectTimeMax = cmp.Or(c.EjectTimeMax, defaultEjectTimeMax)
+	c.AloneWait = cmp.Or(c.AloneWait, defaultAloneWait)
+	c.ZonePenalty = cmp.Or(c.ZonePenalty, defaultZonePenalty)
+	c.AffinityWeight = cmp.Or(c.AffinityWeight, defaultAffinityWeight)
+	c.AffinityBound = cmp.Or(c.AffinityBound, defaultAffinityBound)
+	c.SlowFactor = cmp.Or(c.SlowFactor, defaultSlowFactor)
+	c.EjectedShareMax = cmp.Or(c.EjectedShareMax, defaultEjectedShareMax)
 	if c.Penalty == nil {
 		c.Penalty = zonePenalty(c.ZonePenalty)
 	}
@@ -144,21 +145,3 @@
 		return penalty
 	}
 }
-
-func setInt(field *int, value int) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
-func setFloat(field *float64, value float64) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
-func setTime(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/io/back/attempt.go
+++ b/io/back/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -42,8 +43,8 @@
 }
 
 func newAttempt(c *Client, ctx context.Context, t Target, r Request, sink func(Event) error) *attempt {
-	setDefault(&r.FirstTimeout, c.c.FirstTimeout)
-	setDefault(&r.ProgressTimeout, c.c.ProgressTimeout)
+	r.FirstTimeout = cmp.Or(r.FirstTimeout, c.c.FirstTimeout)
+	r.ProgressTimeout = cmp.Or(r.ProgressTimeout, c.c.ProgressTimeout)
 	a := &attempt{client: c, parent: ctx, target: t, request: r, sink: sink, started: time.Now()}
 	a.ctx, a.end = context.WithCancelCause(ctx)
 	a.watch = newWatchdog(r.FirstTimeout, a.end)
--- a/io/back/config.go
+++ b/io/back/config.go
@@ -1,6 +1,7 @@
 package back
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
@@ -55,15 +56,15 @@
 
 // Defaults returns the configuration with zero fields filled in.
 func (c Config) Defaults() Config {
-	setDefault(&c.DialTimeout, defaultDialTimeout)
-	setDefault(&c.FirstTimeout, defaultFirstTimeout)
-	setDefault(&c.ProgressTimeout, defaultProgressTimeout)
-	setDefault(&c.IdleTimeout, defaultIdleTimeout)
-	setDefault(&c.MaxIdle, defaultMaxIdle)
-	setDefault(&c.MaxHeader, defaultMaxHeader)
-	setDefault(&c.MaxEvent, defaultMaxEvent)
-	setDefault(&c.MaxBody, defaultMaxBody)
-	setDefault(&c.NotRunHeader, defaultNotRunHeader)
+	c.DialTimeout = cmp.Or(c.DialTimeout, defaultDialTimeout)
+	c.FirstTimeout = cmp.Or(c.FirstTimeout, defaultFirstTimeout)
+	c.ProgressTimeout = cmp.Or(c.ProgressTimeout, defaultProgressTimeout)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, defaultIdleTimeout)
+	c.MaxIdle = cmp.Or(c.MaxIdle, defaultMaxIdle)
+	c.MaxHeader = cmp.Or(c.MaxHeader, defaultMaxHeader)
+	c.MaxEvent = cmp.Or(c.MaxEvent, defaultMaxEvent)
+	c.MaxBody = cmp.Or(c.MaxBody, defaultMaxBody)
+	c.NotRunHeader = cmp.Or(c.NotRunHeader, defaultNotRunHeader)
 	if c.Dial == nil {
 		c.Dial = dialTCP
 	}
@@ -79,13 +80,6 @@
 	return d.DialContext(ctx, "tcp", address.String())
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Validate checks the configuration.
 //
 // Errors: NotValid with the field's name.
--- a/io/claims/config.go
+++ b/io/claims/config.go
@@ -1,6 +1,7 @@
 package claims
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/juju/errors"
@@ -82,26 +83,19 @@
 	if c.Prefix == "" {
 		c.Prefix = DefaultPrefix
 	}
-	setDefault(&c.Retention, defaultRetention)
-	setDefault(&c.MaxBody, claim.DefaultMaxBody)
-	setDefault(&c.MaxBatch, defaultMaxBatch)
-	setDefault(&c.MaxQueue, defaultMaxQueue)
-	setDefault(&c.MaxDebts, defaultMaxDebts)
-	setDefault(&c.Gap, defaultGap)
-	setDefault(&c.MaxRate, defaultMaxRate)
-	setDefault(&c.Pause, defaultPause)
-	setDefault(&c.Timeout, defaultTimeout)
-	setDefault(&c.Repeat, defaultRepeat)
+	c.Retention = cmp.Or(c.Retention, defaultRetention)
+	c.MaxBody = cmp.Or(c.MaxBody, claim.DefaultMaxBody)
+	c.MaxBatch = cmp.Or(c.MaxBatch, defaultMaxBatch)
+	c.MaxQueue = cmp.Or(c.MaxQueue, defaultMaxQueue)
+	c.MaxDebts = cmp.Or(c.MaxDebts, defaultMaxDebts)
+	c.Gap = cmp.Or(c.Gap, defaultGap)
+	c.MaxRate = cmp.Or(c.MaxRate, defaultMaxRate)
+	c.Pause = cmp.Or(c.Pause, defaultPause)
+	c.Timeout = cmp.Or(c.Timeout, defaultTimeout)
+	c.Repeat = cmp.Or(c.Repeat, defaultRepeat)
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var unset T
-	if *field == unset {
-		*field = value
-	}
-}
-
 // share returns this VM's transactions a second.
 func (c Config) share() rate.Limit { return rate.Limit(c.MaxRate / float64(c.VMs())) }
 
--- a/io/front/answer.go
+++ b/io/front/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -54,13 +55,14 @@
 	now     func() time.Time
 }
 
-// copiedHeaders are the headers of a backend server that a caller sees.
-var copiedHeaders = []string{"Content-Type", "Cache-Control", "Content-Language", "Location", "Etag", "Last-Modified", "Retry-After"}
+// unsentHeaders are the headers of a backend server that a caller does not see:
+// net/http writes its own.
+var unsentHeaders = []string{"Date", "Content-Length", "Transfer-Encoding", "Connection", HeaderRequestID}
 
 func (o *writer) start(status int, header http.Header) error {
 	h := o.w.Header()
-	for _, name := range copiedHeaders {
-		if values := header.Values(name); len(values) > 0 {
+	for name, values := range header {
+		if !slices.Contains(unsentHeaders, name) {
 			h[name] = values
 		}
 	}
@@ -69,9 +71,6 @@
 	if outcome := header.Get(HeaderOutcome); outcome != "" {
 		h.Set(HeaderOutcome, outcome)
 	}
-	if replica := header.Get(HeaderReplica); replica != "" {
-		h.Set(HeaderReplica, replica)
-	}
 	if length := header.Get("Content-Length"); length != "" {
 		if _, err := strconv.ParseInt(length, 10, 64); err == nil {
 			h.Set("Content-Length", length)
--- a/io/front/completion.go
+++ b/io/front/completion.go
@@ -24,19 +24,11 @@
 	if f := s.identify(r); f != nil {
 		return nil, f
 	}
-	policy, f := s.policy(r)
+	in, f := s.intake(w, r)
 	if f != nil {
 		return nil, f
 	}
-	due, f := s.deadline(r, policy)
-	if f != nil {
-		return nil, f
-	}
-	body, f := s.body(w, r)
-	if f != nil {
-		return nil, f
-	}
-	p, err := parsePrompt(body)
+	p, err := parsePrompt(in.body)
 	if err != nil {
 		return nil, invalid("invalid_body", err.Error())
 	}
@@ -46,29 +38,9 @@
 			Message: "the model " + p.Model + " does not exist", Outcome: call.OutcomeNotRun,
 		}
 	}
-	return &runner.Job{
-		Call: call.Call{
-			ID: r.id, Team: r.team, Class: policy.Class, Tier: policy.Tier, Model: call.Model(p.Model), Zone: s.c.Zone,
-			Key: r.Header.Get(HeaderKey), Idempotent: !policy.AtMostOnce, Fingerprint: xxhash.Sum64(body),
-			Prefixes: p.prefixes(), PromptTokens: p.tokens(), MaxTokens: p.maxTokens(), Arrived: r.arrived, Deadline: due,
-		},
-		Kind: runner.KindEngine, Method: r.Method, Path: r.URL.Path, Header: forward(r.Header), Body: body,
-		Stream: p.Stream, AtMostOnce: policy.AtMostOnce, FirstAttempt: r.Header.Get(HeaderAttempt) == "1",
-		Retention: policy.Retention, MaxWait: policy.MaxWait, Progress: policy.Progress,
-		RetryShare: policy.RetryShare, Weight: policy.Weight,
-		FirstTokenTarget: policy.FirstTokenTarget, TokenGapTarget: policy.TokenGapTarget,
-	}, nil
-}
-
-// keptHeaders are the headers of a caller that a backend server sees.
-var keptHeaders = []string{"Accept", "Content-Type", "User-Agent", "Traceparent", "Tracestate"}
-
-func forward(h http.Header) http.Header {
-	out := http.Header{}
-	for _, name := range keptHeaders {
-		if values := h.Values(name); len(values) > 0 {
-			out[name] = values
-		}
-	}
-	return out
+	job := s.job(r, in, call.Model(p.Model), !in.policy.AtMostOnce)
+	job.Kind, job.Path, job.Stream = runner.KindEngine, r.URL.Path, p.Stream
+	job.Call.Fingerprint, job.Call.Prefixes = xxhash.Sum64(in.body), p.prefixes()
+	job.Call.PromptTokens, job.Call.MaxTokens = p.tokens(), p.maxTokens()
+	return job, nil
 }
--- a/io/front/config.go
+++ b/io/front/config.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -90,27 +91,13 @@
 	if c.Settled == nil {
 		c.Settled = func() bool { return true }
 	}
-	if c.BodyBytes == 0 {
-		c.BodyBytes = 8 << 20
-	}
-	if c.HeaderBytes == 0 {
-		c.HeaderBytes = 64 << 10
-	}
-	durations := []struct {
-		field *time.Duration
-		value time.Duration
-	}{
-		{&c.HeaderTimeout, 10 * time.Second},
-		{&c.BodyTimeout, 10 * time.Second},
-		{&c.WriteTimeout, 20 * time.Second},
-		{&c.IdleTimeout, 90 * time.Second},
-		{&c.StopRetryAfter, time.Second},
-	}
-	for _, d := range durations {
-		if *d.field == 0 {
-			*d.field = d.value
-		}
-	}
+	c.BodyBytes = cmp.Or(c.BodyBytes, 8<<20)
+	c.HeaderBytes = cmp.Or(c.HeaderBytes, 64<<10)
+	c.HeaderTimeout = cmp.Or(c.HeaderTimeout, 10*time.Second)
+	c.BodyTimeout = cmp.Or(c.BodyTimeout, 10*time.Second)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, 20*time.Second)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, 90*time.Second)
+	c.StopRetryAfter = cmp.Or(c.StopRetryAfter, time.Second)
 }
 
 // Validate checks that all needed fields are there.
--- a/io/front/server_test.go
+++ b/io/front/server_test.go
@@ -141,15 +141,18 @@
 	var got *runner.Job
 	srv := serve(t, func(job *runner.Job, sink runner.Sink) runner.Answer {
 		got = job
-		assert.NilError(t, sink.Start(http.StatusCreated, http.Header{"Content-Type": {"application/json"}}))
+		assert.NilError(t, sink.Start(http.StatusCreated, http.Header{"Content-Type": {"application/json"}, "X-Booking": {"b-1"}}))
 		assert.NilError(t, sink.Write([]byte("{}")))
 		return runner.Answer{Started: true, Outcome: call.OutcomeRan}
 	}, nil)
-	resp := post(t, srv, "/ledger/payments?x=1", `{"amount":1}`, HeaderKey, "k-1", HeaderDeadline, "2s")
+	resp := post(t, srv, "/ledger/payments%2F7?x=1", `{"amount":1}`, HeaderKey, "k-1", HeaderDeadline, "2s", "X-Member", "m-7")
 	assert.Equal(t, resp.StatusCode, 201)
 	assert.Equal(t, resp.Header.Get(HeaderOutcome), "ran")
 	assert.Equal(t, text(t, resp), "{}")
-	assert.Equal(t, got.Path, "/payments?x=1")
+	assert.Equal(t, got.Path, "/payments%2F7?x=1")
+	assert.Equal(t, got.Header.Get("X-Member"), "m-7")
+	assert.Equal(t, got.Header.Get("Authorization"), "")
+	assert.Equal(t, resp.Header.Get("X-Booking"), "b-1")
 	assert.Equal(t, got.Call.Key, "k-1")
 	assert.Equal(t, got.AtMostOnce, true)
 	assert.Equal(t, got.Call.Deadline.Sub(got.Call.Arrived), 2*time.Second)
--- a/io/front/service.go
+++ b/io/front/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 
@@ -32,35 +33,24 @@
 			Message: "nothing is served at " + r.URL.Path, Outcome: call.OutcomeNotRun,
 		}
 	}
-	policy, f := s.policy(r)
+	in, f := s.intake(w, r)
 	if f != nil {
 		return nil, f
 	}
-	due, f := s.deadline(r, policy)
-	if f != nil {
-		return nil, f
-	}
-	body, f := s.body(w, r)
-	if f != nil {
-		return nil, f
-	}
-	path := "/" + strings.TrimLeft(strings.TrimPrefix(r.URL.Path, service.Prefix), "/")
-	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
+	path := servicePath(r.URL, service.Prefix)
+	idempotent := slices.Contains(service.Idempotent, r.Method) || service.RemovesDuplicates && r.Header.Get(HeaderKey) != ""
+	job := s.job(r, in, service.Name, idempotent)
+	job.Kind, job.Path = runner.KindService, path
+	job.Call.Fingerprint = xxhash.Sum64(append([]byte(r.Method+" "+path+"\n"), in.body...))
+	return job, nil
+}
+
+// servicePath returns the path below the service's prefix as the caller escaped
+// it, with the query.
+func servicePath(u *url.URL, prefix string) string {
+	path := "/" + strings.TrimLeft(strings.TrimPrefix(u.EscapedPath(), prefix), "/")
+	if u.RawQuery != "" {
+		path += "?" + u.RawQuery
 	}
-	key := r.Header.Get(HeaderKey)
-	idempotent := slices.Contains(service.Idempotent, r.Method) || service.RemovesDuplicates && key != ""
-	fingerprint := xxhash.Sum64(append([]byte(r.Method+" "+path+"\n"), body...))
-	return &runner.Job{
-		Call: call.Call{
-			ID: r.id, Team: r.team, Class: policy.Class, Tier: policy.Tier, Model: service.Name, Zone: s.c.Zone,
-			Key: key, Idempotent: idempotent, Fingerprint: fingerprint,
-			Arrived: r.arrived, Deadline: due,
-		},
-		Kind: runner.KindService, Method: r.Method, Path: path, Header: forward(r.Header), Body: body,
-		AtMostOnce: !idempotent, FirstAttempt: r.Header.Get(HeaderAttempt) == "1",
-		Retention: policy.Retention, MaxWait: policy.MaxWait, Progress: policy.Progress,
-		RetryShare: policy.RetryShare, Weight: policy.Weight,
-		FirstTokenTarget: policy.FirstTokenTarget, TokenGapTarget: policy.TokenGapTarget,
-	}, nil
+	return path
 }
