--- a/cmd/gentianwell/settings_test.go
+++ b/cmd/gentianwell/settings_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os/exec"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,7 +31,7 @@
 	fake    *fakekv.Fake
 	address string
 	// versions are the other VMs, as the endpoint reports them.
-	versions oper.VMVersions
+	versions atomic.Pointer[oper.VMVersions]
 }
 
 func newEndpoint(t *testing.T) *endpoint {
@@ -52,7 +53,11 @@
 	settings, err := oper.New(oper.Config{
 		Follower: follower, Store: store, Log: log,
 		Versions: func(context.Context) oper.VMVersions {
-			return append(oper.VMVersions{{VM: "e1", Zone: "sala", Version: follower.Current().Version}}, e.versions...)
+			own := oper.VMVersions{{VM: "e1", Zone: "sala", Version: follower.Current().Version}}
+			if others := e.versions.Load(); others != nil {
+				return append(own, *others...)
+			}
+			return own
 		},
 	})
 	assert.NilError(t, err)
@@ -112,7 +117,7 @@
 // Each step goes on from the one before.
 func TestSettingsCommands(t *testing.T) {
 	e := newEndpoint(t)
-	e.versions = oper.VMVersions{{VM: "e9", Zone: "koping", Version: 9}, {VM: "e8", Zone: "koping", Error: "connection refused"}}
+	e.versions.Store(&oper.VMVersions{{VM: "e9", Zone: "koping", Version: 9}, {VM: "e8", Zone: "koping", Error: "connection refused"}})
 	tests := []struct {
 		args string
 		code int
@@ -182,7 +187,7 @@
 
 func TestSettingsWaitFailsForAVMThatLags(t *testing.T) {
 	e := newEndpoint(t)
-	e.versions = oper.VMVersions{{VM: "e9", Zone: "koping"}}
+	e.versions.Store(&oper.VMVersions{{VM: "e9", Zone: "koping"}})
 	out, code := e.run(t, "set", "site.weight", "2", "--wait", "300ms")
 	assert.Equal(t, code, exitFailed, out)
 	assert.Assert(t, strings.Contains(out, "behind vm=e9 zone=koping version=0"), out)
--- a/io/mirror/mirror_test.go
+++ b/io/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,15 +18,24 @@
 
 // fake is a service whose watch says nothing unless events are sent.
 type fake struct {
+	mu      sync.Mutex
 	entries kvs.Entries
 	rev     kvs.Revision
 	down    bool
 	events  chan kvs.Batch
 }
 
+func (f *fake) set(down bool, entries kvs.Entries, rev kvs.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down, f.entries, f.rev = down, entries, rev
+}
+
 func (f *fake) service() kvs.Service {
 	return kvs.Service{
 		List: func(context.Context, string) (kvs.Snapshot, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			if f.down {
 				return kvs.Snapshot{}, kvs.ErrUnavailable
 			}
@@ -86,7 +96,7 @@
 func TestSilentGap(t *testing.T) {
 	f := &fake{entries: kvs.Entries{{Key: "p/a"}}, rev: 1}
 	run(t, f, func(got *[]string) {
-		f.entries, f.rev = kvs.Entries{{Key: "p/a"}, {Key: "p/b"}}, 2
+		f.set(false, kvs.Entries{{Key: "p/a"}, {Key: "p/b"}}, 2)
 		time.Sleep(31 * time.Second)
 		synctest.Wait()
 		assert.DeepEqual(t, *got, []string{"p/a", "p/b"})
@@ -96,10 +106,10 @@
 func TestOutageKeepsCopy(t *testing.T) {
 	f := &fake{entries: kvs.Entries{{Key: "p/a"}}, rev: 1}
 	run(t, f, func(got *[]string) {
-		f.down = true
+		f.set(true, nil, 1)
 		time.Sleep(time.Hour)
 		assert.DeepEqual(t, *got, []string{"p/a"})
-		f.down, f.entries = false, kvs.Entries{{Key: "p/c"}}
+		f.set(false, kvs.Entries{{Key: "p/c"}}, 2)
 		time.Sleep(3 * time.Second)
 		synctest.Wait()
 		assert.DeepEqual(t, *got, []string{"p/c"})
