--- a/io/front/config.go
+++ b/io/front/config.go
@@ -65,6 +65,8 @@
 	Finish func()
 	// Ready and Serving answer the balancer.
 	Ready func() bool
+	// Refused counts refusals by their code; nil counts nothing.
+	Refused func(code string)
 	// Now gives the present time, NewID a new request id.
 	Now   func() time.Time
 	NewID func() string
@@ -91,6 +93,9 @@
 	if c.Settled == nil {
 		c.Settled = func() bool { return true }
 	}
+	if c.Refused == nil {
+		c.Refused = func(string) {}
+	}
 	c.BodyBytes = cmp.Or(c.BodyBytes, 8<<20)
 	c.HeaderBytes = cmp.Or(c.HeaderBytes, 64<<10)
 	c.HeaderTimeout = cmp.Or(c.HeaderTimeout, 10*time.Second)
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -109,6 +109,7 @@
 // refuse answers with a fault and logs it.
 func (s *Server) refuse(w http.ResponseWriter, r *request, f *Fault) {
 	f.write(w)
+	s.c.Refused(f.Code)
 	s.c.Log.WithFields(map[string]any{
 		"event": "refused", "request": r.id, "team": r.team, "status": f.Status,
 		"reason": f.Code, "outcome": f.Outcome, "retryAfter": f.RetryAfter,
--- a/io/metric/set.go
+++ b/io/metric/set.go
@@ -62,6 +62,7 @@
 	good       *prometheus.CounterVec
 	parts      *prometheus.CounterVec
 	wasted     *prometheus.CounterVec
+	refused    *prometheus.CounterVec
 	waited     *prometheus.HistogramVec
 	firstToken *prometheus.HistogramVec
 	tokenGap   *prometheus.HistogramVec
@@ -83,12 +84,13 @@
 		good:       counter("goodput_total", "Requests completed within their targets.", "class"),
 		parts:      counter("parts_total", "Parts of streams (tokens, where the engine sends each by itself).", "class"),
 		wasted:     counter("wasted_parts_total", "Parts that were discarded or generated again.", "class"),
+		refused:    counter("refused_total", "Requests refused, those that became no job included.", "reason"),
 		waited:     histogram("queue_seconds", "Time in the queue.", latencyBuckets),
 		firstToken: histogram("first_token_seconds", "Time from arrival to the first part of the answer.", latencyBuckets),
 		tokenGap:   histogram("token_gap_seconds", "Mean time between the parts of a stream.", gapBuckets),
 	}
 	c.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	c.Registry.MustRegister(s.requests, s.targets, s.good, s.parts, s.wasted, s.waited, s.firstToken, s.tokenGap)
+	c.Registry.MustRegister(s.requests, s.refused, s.targets, s.good, s.parts, s.wasted, s.waited, s.firstToken, s.tokenGap)
 	gauge := func(name, help string, value func() float64) {
 		c.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gentianwell_" + name, Help: help}, value))
 	}
@@ -103,6 +105,9 @@
 	return promhttp.HandlerFor(s.c.Registry, promhttp.HandlerOpts{})
 }
 
+// Refused counts a refusal by its code, of which there is a fixed number.
+func (s *Set) Refused(code string) { s.refused.WithLabelValues(code).Inc() }
+
 // Observe counts a job that has ended.
 func (s *Set) Observe(m runner.Measure) {
 	class, tier := s.class(m.Call.Class), strconv.Itoa(int(m.Call.Tier))
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -250,7 +250,8 @@
 	var err error
 	n.front, err = front.New(front.Config{
 		Zone: n.c.Zone, Settled: n.follower.Ready, Team: p.team, Policy: p.policy, Service: p.service, Models: p.models,
-		Run: n.runner.Run, Admit: func() bool { return n.drain.Admit(n.now()) }, Finish: n.drain.Finish,
+		Refused: n.metrics.Refused,
+		Run:     n.runner.Run, Admit: func() bool { return n.drain.Admit(n.now()) }, Finish: n.drain.Finish,
 		Ready: n.ready, Now: n.now, NewID: n.newID(), Log: n.log,
 	})
 	return errors.Trace(err)
--- a/io/node/versions.go
+++ b/io/node/versions.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"gentianwell/core/call"
 	"gentianwell/io/oper"
 	"gentianwell/io/peer"
 	"gentianwell/io/peerpb"
@@ -14,7 +15,7 @@
 
 // versions asks all entry VMs which settings version they apply.
 func (n *Node) versions(ctx context.Context) oper.VMVersions {
-	out := oper.VMVersions{{VM: n.c.ID, Version: n.settingsVersion()}}
+	out := oper.VMVersions{{VM: n.c.ID, Zone: n.c.Zone, Version: n.settingsVersion()}}
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	slots := make(chan struct{}, maxAsked)
@@ -41,7 +42,7 @@
 		if err != nil {
 			return err
 		}
-		v.Version = reply.SettingsVersion
+		v.Version, v.Zone = reply.SettingsVersion, call.Zone(reply.Zone)
 		return nil
 	})
 	if err != nil {
