--- a/io/node/node.go
+++ b/io/node/node.go
@@ -113,10 +113,10 @@
 	n.timers = timer.New(timer.Config{Now: o.Now})
 	n.drain = drain.New(drain.Config{Notice: time.Duration(o.Config.Notice)})
 	n.kvs = kvs.NewGateway(kvs.GatewayConfig{Addresses: o.Config.Platform, Dial: o.Dial}).Service()
-	for _, make := range []func(Options) error{
+	for _, part := range []func(Options) error{
 		n.makeFleet, n.makeSettings, n.makePeers, n.makeLimits, n.makeClaims, n.makeRouting, n.makePlacer, n.makeFront,
 	} {
-		if err := make(o); err != nil {
+		if err := part(o); err != nil {
 			return nil, errors.Annotate(err, "node.New")
 		}
 	}
