Serve the users' platform: routing table, replica registry, proxy, adapter

Cause: the product spoke its own API and the etcd gateway only; the platform has its own requests, store, settings and replicas. Ruled out: running the requests through io/runner (bodies are OpenAI's there, answers are rewritten, claims are written per request) and a second list of replicas in the adapter. Before: nothing ran there.

--- a/cmd/gentianwell/main.go
+++ b/cmd/gentianwell/main.go
@@ -26,7 +26,7 @@
 		Usage:                 "route language-model traffic with service levels and priorities",
 		Version:               version,
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{serveCommand(), statusCommand(), drainCommand(), settingsCommand(), versionCommand()},
+		Commands:              []*cli.Command{serveCommand(), entryCommand(), statusCommand(), drainCommand(), settingsCommand(), versionCommand()},
 		Action:                unknownCommand,
 	}
 }
--- a/core/retry/attempt.go
+++ b/core/retry/attempt.go
@@ -30,9 +30,11 @@
 	// Deadline is the call's; zero: none.
 	Deadline time.Time
 	// Number is 1 for the first attempt.
-	Number  int
-	Outcome call.Outcome
-	Cause   Cause
+	Number int
+	// MaxAttempts bounds the attempts of this call; zero: as configured.
+	MaxAttempts int
+	Outcome     call.Outcome
+	Cause       Cause
 	// BytesWritten is true where any byte reached the connection.
 	BytesWritten bool
 	// Delivered is true where part of the answer has reached the caller and
--- a/core/retry/policy.go
+++ b/core/retry/policy.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -32,6 +33,14 @@
 	return &Policy{c: c, classes: map[call.Class]*budget{}}, nil
 }
 
+// SetFloor changes the retries a second that are paid for besides, and the bound
+// of each budget. What is left in the budgets stays, within the bound.
+func (p *Policy) SetFloor(floor, burst float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.c.Floor, p.c.Burst = max(0, floor), max(1, burst)
+}
+
 // First tells that a call's first attempt is made, which pays for the share of a
 // retry, 0 to 1.
 func (p *Policy) First(now time.Time, class call.Class, share float64) {
@@ -79,7 +88,7 @@
 		return ReasonDelivered
 	case !a.Idempotent && !a.surelyNotRun():
 		return ReasonMayHaveRun
-	case a.Number >= p.c.MaxAttempts:
+	case a.Number >= cmp.Or(a.MaxAttempts, p.c.MaxAttempts):
 		return ReasonAttempts
 	}
 	return ""
--- a/core/route/decision.go
+++ b/core/route/decision.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"time"
+
 	"github.com/juju/errors"
 
 	"gentianwell/core/call"
@@ -54,6 +56,8 @@
 	Reason  Reason
 	// Load is the chosen replica's estimated load per slot.
 	Load float64
+	// ReportAge is the age of the replica's load report; zero where there is none.
+	ReportAge time.Duration
 	// CachedPrefixes is how many of the call's prefixes it is believed to hold.
 	CachedPrefixes int
 	// Passed holds the first few that were passed over, Usable how many could
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -39,6 +39,9 @@
 	best := r.best(now, c, f, &d)
 	d.Replica = best.s.Replica
 	d.Load = best.load
+	if !best.s.reported.IsZero() {
+		d.ReportAge = now.Sub(best.s.reported)
+	}
 	d.CachedPrefixes = best.cached
 	d.Usable = f.usable()
 	d.Reason = r.reason(now, best, f)
--- /dev/null
+++ b/core/table/table.go
@@ -0,0 +1,93 @@
+package table
+
+import (
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"gentianwell/core/call"
+)
+
+// Table is one version of the configuration with its indexes.
+type Table struct {
+	document Document
+	hosts    map[string][]*Route
+	services map[call.Model]*Service
+	keys     map[string]*Team
+}
+
+// New returns the table of a document, which is not changed afterwards.
+//
+// Errors: NotValid with the route.
+func New(d Document) (*Table, error) {
+	t := &Table{
+		document: d, hosts: map[string][]*Route{},
+		services: map[call.Model]*Service{}, keys: map[string]*Team{},
+	}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		if err := r.Validate(); err != nil {
+			return nil, errors.Annotatef(err, "table.New: version %d", d.Version)
+		}
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, longer)
+	}
+	for i := range d.Services {
+		t.services[d.Services[i].Name] = &d.Services[i]
+	}
+	for i := range d.Teams {
+		for _, key := range d.Teams[i].Keys {
+			t.keys[key] = &d.Teams[i]
+		}
+	}
+	return t, nil
+}
+
+// Version returns the version; nil has version 0.
+func (t *Table) Version() int64 {
+	if t == nil {
+		return 0
+	}
+	return t.document.Version
+}
+
+// Newer reports whether t replaces other.
+func (t *Table) Newer(other *Table) bool { return t.Version() > other.Version() }
+
+// Limits returns what a caller may send.
+func (t *Table) Limits() Limits { return t.document.Limits }
+
+// Match returns the route with the longest prefix of the path. The host may have
+// a port.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	for _, r := range t.hosts[HostName(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// HostName returns a Host header's name without a port, in lower case.
+func HostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// Service returns a service; nil where the configuration does not describe it.
+func (t *Table) Service(name call.Model) *Service { return t.services[name] }
+
+// NeedsKey reports whether requests of the route need a team's key.
+func (t *Table) NeedsKey(r *Route) bool { return !r.Public && len(t.document.Teams) > 0 }
+
+// Team returns the team that holds a key.
+func (t *Table) Team(key string) (*Team, bool) {
+	team, ok := t.keys[key]
+	return team, ok
+}
--- /dev/null
+++ b/core/table/table_test.go
@@ -0,0 +1,105 @@
+package table
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	_ "gentianwell/core/gwtest"
+)
+
+func document() Document {
+	rank := 3
+	return Document{
+		Version: 7,
+		Routes: []Route{
+			{Name: "all", Host: "a.example", Prefix: "/", Kind: KindIdempotent, Splits: []Split{{Service: "web", Weight: 1}}},
+			{Name: "deep", Host: "a.example", Prefix: "/x/y/", Kind: KindOnce, Splits: []Split{{Service: "pay", Weight: 1}}},
+			{Name: "mid", Host: "a.example", Prefix: "/x/", Kind: KindStream, Public: true, Splits: []Split{{Service: "llm", Weight: 90}, {Service: "web", Weight: 10}}},
+		},
+		Teams: []Team{{Name: "judges", Keys: []string{"k1", "k2"}, Priority: &rank}},
+	}
+}
+
+func TestMatch(t *testing.T) {
+	table, err := New(document())
+	assert.NilError(t, err)
+	for _, test := range []struct {
+		host, path, want string
+	}{
+		{"a.example", "/x/y/z", "deep"},
+		{"A.Example:8080", "/x/y", "mid"},
+		{"a.example", "/x", "all"},
+		{"a.example", "/x/%79/z", "mid"},
+		{"b.example", "/x/", ""},
+		{"a.example", "", ""},
+	} {
+		r, ok := table.Match(test.host, test.path)
+		assert.Equal(t, ok, test.want != "", test.path)
+		if ok {
+			assert.Equal(t, r.Name, test.want, test.path)
+		}
+	}
+}
+
+func TestKeys(t *testing.T) {
+	table, err := New(document())
+	assert.NilError(t, err)
+	team, ok := table.Team("k2")
+	assert.Assert(t, ok && team.Name == "judges")
+	_, ok = table.Team("")
+	assert.Assert(t, !ok)
+	deep, _ := table.Match("a.example", "/x/y/")
+	mid, _ := table.Match("a.example", "/x/")
+	assert.Assert(t, table.NeedsKey(deep) && !table.NeedsKey(mid))
+	assert.Equal(t, team.Rank(deep), 3)
+	assert.Equal(t, (*Team)(nil).Rank(deep), 0)
+}
+
+func TestChoose(t *testing.T) {
+	table, err := New(document())
+	assert.NilError(t, err)
+	mid, _ := table.Match("a.example", "/x/")
+	assert.Equal(t, string(mid.Choose(0.89)), "llm")
+	assert.Equal(t, string(mid.Choose(0.91)), "web")
+	assert.Equal(t, string(mid.Choose(1)), "web")
+}
+
+func TestRejectsRoutes(t *testing.T) {
+	for name, change := range map[string]func(*Route){
+		"no host":     func(r *Route) { r.Host = "" },
+		"prefix":      func(r *Route) { r.Prefix = "/x" },
+		"kind":        func(r *Route) { r.Kind = "sometimes" },
+		"no service":  func(r *Route) { r.Splits = nil },
+		"bad weight":  func(r *Route) { r.Splits = []Split{{Service: "web", Weight: -1}} },
+		"bad timeout": func(r *Route) { r.Timeout = -1 },
+	} {
+		d := document()
+		change(&d.Routes[0])
+		_, err := New(d)
+		assert.ErrorContains(t, err, "not valid", name)
+	}
+}
+
+func TestRepeatable(t *testing.T) {
+	for _, test := range []struct {
+		route Route
+		want  bool
+	}{
+		{Route{Kind: KindIdempotent}, true},
+		{Route{Kind: KindOnce}, false},
+		{Route{Kind: KindOnce, Resumes: true}, false},
+		{Route{Kind: KindStream}, false},
+		{Route{Kind: KindStream, Resumes: true}, true},
+	} {
+		assert.Equal(t, test.route.Repeatable(), test.want)
+	}
+}
+
+func TestNewer(t *testing.T) {
+	older, err := New(Document{Version: 3})
+	assert.NilError(t, err)
+	newer, err := New(Document{Version: 9})
+	assert.NilError(t, err)
+	assert.Assert(t, newer.Newer(older) && !older.Newer(newer) && older.Newer(nil) && !older.Newer(older))
+}
--- /dev/null
+++ b/core/table/team.go
@@ -0,0 +1,19 @@
+package table
+
+import "gentianwell/core/call"
+
+// Team is a customer and the keys by which its callers are known.
+type Team struct {
+	Name call.Team
+	Keys []string
+	// Priority goes before that of the route where it is not nil.
+	Priority *int
+}
+
+// Rank returns the rank of the team's requests on a route.
+func (t *Team) Rank(r *Route) int {
+	if t != nil && t.Priority != nil {
+		return *t.Priority
+	}
+	return r.Priority
+}
--- a/io/back/attempt.go
+++ b/io/back/attempt.go
@@ -60,23 +60,32 @@
 }
 
 func (a *attempt) run() error {
-	req, err := a.newRequest()
-	if err != nil {
-		return errors.Trace(err)
-	}
-	res, err := a.transport().RoundTrip(req)
+	res, err := a.open()
 	if err != nil {
 		return errors.Trace(err)
 	}
 	defer func() { _ = res.Body.Close() }()
-	a.result.Status = res.StatusCode
-	a.result.Header = endToEnd(res.Header)
 	if isStream(res) && a.sink != nil {
 		return a.readStream(res)
 	}
 	return a.readBody(res)
 }
 
+// open sends the request and reads the answer's head.
+func (a *attempt) open() (*http.Response, error) {
+	req, err := a.newRequest()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	res, err := a.transport().RoundTrip(req)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	a.result.Status = res.StatusCode
+	a.result.Header = endToEnd(res.Header)
+	return res, nil
+}
+
 // transport returns the transport without replay for this request. net/http
 // replays only on a connection that was used before, and only where it can
 // produce the body again: a body without GetBody, or a fresh connection where
@@ -99,9 +108,10 @@
 	}
 	path.Scheme = "http"
 	path.Host = a.target.Address.String()
+	host := cmp.Or(a.request.Host, path.Host)
 	ctx := httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
 	req := (&http.Request{
-		Method: a.request.Method, URL: path, Host: path.Host,
+		Method: a.request.Method, URL: path, Host: host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: endToEnd(a.request.Header),
 	}).WithContext(ctx)
--- a/io/back/types.go
+++ b/io/back/types.go
@@ -18,7 +18,9 @@
 type Request struct {
 	Method string
 	// Path is the path with its query, if any.
-	Path   string
+	Path string
+	// Host is the Host header; empty: the target's address.
+	Host   string
 	Header http.Header
 	Body   []byte
 	// Fresh asks for a connection that was never used before. A request that
--- /dev/null
+++ b/io/entry/budget.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"gentianwell/core/route"
+)
+
+const (
+	// budgetPart is the part of the allowed repeats that is used: other VMs' views
+	// differ, and windows slide.
+	budgetPart = 0.6
+	// assumedVMs is how many VMs share the budget where fewer are known.
+	assumedVMs = 6
+	// least is a rate and a burst near nothing, until the budget is set.
+	least = 0.01
+	// dialTimeout bounds the making of a connection to a backend server. A lost
+	// opening packet is sent again after a second, when another replica has long
+	// answered.
+	dialTimeout = 600 * time.Millisecond
+)
+
+// setBudget gives this VM its share of the repeats that all VMs may send.
+func (e *Entry) setBudget() {
+	c := e.config.Load()
+	vms := float64(max(assumedVMs, e.members.count()))
+	rate := budgetPart * c.RetrySlack / c.RetryWindow.Seconds() / vms
+	e.retry.SetFloor(rate, max(1, rate*c.RetryWindow.Seconds()/2))
+	e.router.SetVMs(int(vms))
+}
+
+func routerConfig(c Config, rng *rand.Rand) route.Config {
+	return route.Config{Self: c.VM, Zone: c.Zone, Rand: rng}
+}
--- /dev/null
+++ b/io/entry/link.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// link is the state of the connection to the platform's store.
+type link struct {
+	now      func() time.Time
+	log      logrus.FieldLogger
+	regained func()
+
+	mu sync.Mutex
+	// down holds the prefixes whose reading fails.
+	down  map[string]bool
+	since time.Time
+}
+
+// set notes whether the reading of a prefix fails.
+func (l *link) set(prefix string, down bool, cause error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down == nil {
+		l.down = map[string]bool{}
+	}
+	if l.down[prefix] == down {
+		return
+	}
+	l.down[prefix] = down
+	entry := l.log.WithFields(logrus.Fields{"event": "store", "prefix": prefix, "down": down})
+	if down {
+		l.since = l.now()
+		entry.WithError(cause).Warn("store lost, what is known stays in use")
+		return
+	}
+	entry.WithField("lostFor", l.now().Sub(l.since).String()).Info("store regained")
+	l.regained()
+}
+
+// up reports whether everything could be read the last time.
+func (l *link) up() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, down := range l.down {
+		if down {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/io/entry/metrics.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"gentianwell/io/proxy"
+)
+
+// latencyBuckets reach from a fast plain service to the longest generation, in
+// seconds.
+var latencyBuckets = []float64{.005, .01, .025, .05, .1, .2, .37, .5, 1, 2, 5, 10, 30}
+
+// maxLabels bounds the routes that have a label of their own; the configuration
+// may hold hundreds.
+const maxLabels = 32
+
+// otherLabel is the label of routes beyond the bound.
+const otherLabel = "other"
+
+// metrics are the counters and histograms of one process.
+type metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	sends    *prometheus.CounterVec
+	onTime   *prometheus.CounterVec
+	first    *prometheus.HistogramVec
+	total    *prometheus.HistogramVec
+
+	mu     sync.Mutex
+	labels map[string]bool
+}
+
+func newMetrics(registry *prometheus.Registry, e *Entry) *metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "gentianwell_" + name, Help: help}, labels)
+	}
+	histogram := func(name, help string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "gentianwell_" + name, Help: help, Buckets: latencyBuckets}, []string{"route"})
+	}
+	m := &metrics{
+		registry: registry, labels: map[string]bool{},
+		requests: counter("proxied_total", "Requests by how they ended; status 0 is a broken connection.", "route", "status", "reason"),
+		sends:    counter("sends_total", "Requests sent to backend servers, repeats included.", "route"),
+		onTime:   counter("on_time_total", "Requests answered within or after the target of their route.", "route", "met"),
+		first:    histogram("first_seconds", "Time to the answer or to the first event of a stream."),
+		total:    histogram("total_seconds", "Time to the end of the answer."),
+	}
+	registry.MustRegister(collectors.NewGoCollector(), m.requests, m.sends, m.onTime, m.first, m.total)
+	gauge := func(name, help string, value func() float64) {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gentianwell_" + name, Help: help}, value))
+	}
+	gauge("in_flight", "Requests in progress.", func() float64 { return float64(e.drain.Status().InFlight) })
+	gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(e.tables.Current().Version()) })
+	gauge("vms", "Entry VMs known, this one included.", func() float64 { return float64(e.members.count()) })
+	gauge("ejected_replicas", "Replicas that get no new work for a time.", func() float64 { return float64(len(e.router.Ejected(e.o.Now()))) })
+	gauge("store_up", "1 while the platform's store can be read.", func() float64 {
+		if e.upstream.up() {
+			return 1
+		}
+		return 0
+	})
+	return m
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// observe counts a request that has ended.
+func (m *metrics) observe(o proxy.Measure) {
+	route := m.label(o.Route)
+	m.requests.WithLabelValues(route, strconv.Itoa(o.Status), string(o.Reason)).Inc()
+	if o.Sends > 0 {
+		m.sends.WithLabelValues(route).Add(float64(o.Sends))
+	}
+	if o.First > 0 {
+		m.first.WithLabelValues(route).Observe(o.First.Seconds())
+		m.total.WithLabelValues(route).Observe(o.Total.Seconds())
+		m.onTime.WithLabelValues(route, strconv.FormatBool(o.First <= o.Target)).Inc()
+	}
+}
+
+// label bounds the label of routes.
+func (m *metrics) label(route string) string {
+	if route == "" {
+		return "none"
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.labels[route] {
+		if len(m.labels) >= maxLabels {
+			return otherLabel
+		}
+		m.labels[route] = true
+	}
+	return route
+}
--- /dev/null
+++ b/io/entry/reload.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"slices"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// Reload puts changed start-up settings in force: seeds, the limit of a stop and
+// the retry budget. Addresses need a new start; a change of one is logged.
+//
+// Errors: NotValid; the old settings stay in force.
+func (e *Entry) Reload(next Config) error {
+	next.Defaults()
+	if err := next.Validate(); err != nil {
+		return errors.Annotate(err, "Entry.Reload")
+	}
+	before := e.config.Load()
+	fields := logrus.Fields{"event": "reload", "seeds": len(next.Seeds), "stopLimit": next.StopLimit.String(), "retryRatio": next.RetryRatio}
+	moved := next.Callers != before.Callers || next.Ready != before.Ready || next.Peers != before.Peers || next.Store != before.Store
+	if moved || next.VM != before.VM || next.Zone != before.Zone {
+		e.log.WithFields(fields).Warn("addresses, name and zone stay until the next start")
+	}
+	changed := !slices.Equal(next.Seeds, before.Seeds) || next.StopLimit != before.StopLimit ||
+		next.RetryRatio != before.RetryRatio || next.RetrySlack != before.RetrySlack || next.RetryWindow != before.RetryWindow
+	kept := *before
+	kept.Seeds, kept.StopLimit = next.Seeds, next.StopLimit
+	kept.RetryRatio, kept.RetrySlack, kept.RetryWindow = next.RetryRatio, next.RetrySlack, next.RetryWindow
+	e.config.Store(&kept)
+	e.drain.SetLimit(kept.StopLimit - stopMargin)
+	e.setBudget()
+	fields["changed"] = changed
+	e.log.WithFields(fields).Info("settings reloaded")
+	return nil
+}
--- /dev/null
+++ b/io/entry/run.go
@@ -0,0 +1,226 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
+
+	"gentianwell/core/drain"
+	"gentianwell/io/dial"
+	"gentianwell/io/kvs"
+	"gentianwell/io/mirror"
+	"gentianwell/io/peer"
+	"gentianwell/io/proxy"
+)
+
+const (
+	// stopPoll is how often a process that stops looks whether it is done.
+	stopPoll = 50 * time.Millisecond
+	// mirrorBackoff is the mean wait between attempts to read the store while it
+	// is down: each call is priced, and a change has to be in force in seconds.
+	mirrorBackoff = 700 * time.Millisecond
+	// mirrorReread is how often everything is read anew.
+	mirrorReread = 2 * time.Minute
+	// refreshEvery is how often entries whose time is over are looked for.
+	refreshEvery = 100 * time.Millisecond
+	// budgetEvery is how often the share of the retry budget is set anew.
+	budgetEvery = time.Second
+	// greetEvery is how often seeds that are not known are called.
+	greetEvery = time.Second
+	// readyHeaderTimeout bounds the reading of a balancer's question.
+	readyHeaderTimeout = 2 * time.Second
+)
+
+// Run serves until ctx ends, then stops as planned: it says that it is not ready,
+// goes on until the balancer has noticed, and ends when every request in progress
+// has its answer, at the latest at Config.StopLimit.
+//
+// Errors: an address that cannot be listened on, a part that failed.
+func (e *Entry) Run(ctx context.Context) error {
+	partCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var g run.Group
+	part := func(fn func(context.Context) error) {
+		g.Add(func() error { return fn(partCtx) }, func(error) { cancel() })
+	}
+	callers, err := e.serveCallers(partCtx, &g)
+	if err != nil {
+		return errors.Annotate(err, "Entry.Run")
+	}
+	g.Add(func() error { return e.stop(ctx, partCtx, callers) }, func(error) { cancel() })
+	if err := e.serveQuestions(partCtx, &g); err != nil {
+		return errors.Annotate(err, "Entry.Run")
+	}
+	if err := e.servePeers(part); err != nil {
+		return errors.Annotate(err, "Entry.Run")
+	}
+	for _, fn := range []func() (*mirror.Mirror, error){e.configMirror, e.replicaMirror} {
+		m, err := fn()
+		if err != nil {
+			return errors.Annotate(err, "Entry.Run")
+		}
+		part(m.Run)
+	}
+	e.subscribe()
+	part(e.timers.Run)
+	c := e.o.Config
+	e.log.WithFields(logrus.Fields{
+		"event": "start", "vm": c.VM, "zone": c.Zone, "callers": c.Callers, "ready": c.Ready, "peers": c.Peers, "store": c.Store,
+		"seeds": len(c.Seeds), "stopLimit": c.StopLimit.String(),
+	}).Info("entry VM started")
+	return errors.Annotate(g.Run(), "Entry.Run")
+}
+
+// subscribe starts what is done at intervals.
+func (e *Entry) subscribe() {
+	e.timers.Every("replicas", refreshEvery, e.replicas.refresh)
+	e.timers.Every("budget", budgetEvery, func(time.Time) { e.setBudget() })
+	e.setBudget()
+	if !e.o.Config.Peers.IsValid() {
+		return
+	}
+	e.members.announce(e.o.Now())
+	e.timers.Every("alive", aliveEvery, e.members.announce)
+	e.timers.Every("greet", greetEvery, e.greet)
+	e.timers.Every("gossip", gossipEvery, e.gossip.Round)
+	e.greet(e.o.Now())
+}
+
+// serveCallers answers callers. Their requests go on while the process stops.
+func (e *Entry) serveCallers(ctx context.Context, g *run.Group) (*http.Server, error) {
+	listener, err := dial.Listen(ctx, dial.Config{}, e.o.Config.Callers)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	srv := e.proxy.HTTP()
+	g.Add(func() error { return served(ctx, srv.Serve(proxy.Listener(listener))) }, func(error) {
+		if err := srv.Close(); err != nil {
+			e.log.WithField("event", "stop").WithError(err).Warn("closing the callers' connections")
+		}
+	})
+	return srv, nil
+}
+
+// served makes a server that was closed on purpose wait for the end of the process:
+// its connections may still be in use.
+func served(ctx context.Context, err error) error {
+	if !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// serveQuestions answers the balancer, and serves the metrics.
+func (e *Entry) serveQuestions(ctx context.Context, g *run.Group) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !e.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.Handle("GET /metrics", e.metrics.handler())
+	addresses := []netip.AddrPort{e.o.Config.Ready}
+	if e.o.Config.Metrics.IsValid() {
+		addresses = append(addresses, e.o.Config.Metrics)
+	}
+	for _, address := range addresses {
+		listener, err := dial.Listen(ctx, dial.Config{}, address)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		srv := &http.Server{Handler: mux, ReadHeaderTimeout: readyHeaderTimeout}
+		g.Add(func() error { return served(ctx, srv.Serve(listener)) }, func(error) {
+			if err := srv.Close(); err != nil {
+				e.log.WithField("event", "stop").WithError(err).Warn("closing the balancer's connections")
+			}
+		})
+	}
+	return nil
+}
+
+// servePeers answers other VMs.
+func (e *Entry) servePeers(part func(func(context.Context) error)) error {
+	if !e.o.Config.Peers.IsValid() {
+		return nil
+	}
+	listener, err := dial.Listen(context.Background(), dial.Config{}, e.o.Config.Peers)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	srv, err := peer.NewServer(peer.ServerConfig{Handler: e.gossip})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	part(func(ctx context.Context) error { return srv.Serve(ctx, listener) })
+	return nil
+}
+
+func (e *Entry) configMirror() (*mirror.Mirror, error) {
+	return e.mirror(e.o.Source.ConfigKey, randMirrors, func(snap kvs.Snapshot) {
+		for _, one := range snap.Entries {
+			if one.Key == e.o.Source.ConfigKey {
+				e.tables.adopt(one.Value, "store")
+			}
+		}
+	})
+}
+
+func (e *Entry) replicaMirror() (*mirror.Mirror, error) {
+	return e.mirror(e.o.Source.ReplicaPrefix, randMirrors+100, e.replicas.set)
+}
+
+func (e *Entry) mirror(prefix string, stream uint64, changed func(kvs.Snapshot)) (*mirror.Mirror, error) {
+	m, err := mirror.New(mirror.Config{
+		Service: e.o.Source.Store, Prefix: prefix, Changed: changed, Rand: e.o.rand(stream), Log: e.log,
+		Reread: mirrorReread, Backoff: mirrorBackoff,
+		Down: func(down bool, cause error) { e.upstream.set(prefix, down, cause) },
+	})
+	return m, errors.Trace(err)
+}
+
+// stop waits for the signal and then for the end of the planned stop.
+func (e *Entry) stop(ctx, partCtx context.Context, callers *http.Server) error {
+	select {
+	case <-ctx.Done():
+	case <-partCtx.Done():
+		return nil
+	}
+	e.drain.Start(e.o.Now())
+	e.logStop("stop began")
+	closing := false
+	for {
+		switch e.drain.Advance(e.o.Now()) {
+		case drain.PhaseStopped:
+			e.logStop("stopped")
+			return nil
+		case drain.PhaseFinish:
+			if !closing {
+				closing = true
+				go e.closeIdle(partCtx, callers)
+			}
+		}
+		select {
+		case <-partCtx.Done():
+			return nil
+		case <-time.After(stopPoll):
+		}
+	}
+}
+
+// closeIdle closes the listener and the connections without a request.
+func (e *Entry) closeIdle(ctx context.Context, callers *http.Server) {
+	if err := callers.Shutdown(ctx); err != nil {
+		e.log.WithField("event", "stop").WithError(err).Info("connections were still in use")
+	}
+}
+
+func (e *Entry) logStop(message string) {
+	status := e.drain.Status()
+	e.log.WithFields(logrus.Fields{"event": "stop", "phase": status.Phase, "ending": status.Ending, "inFlight": status.InFlight}).Info(message)
+}
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -40,6 +40,9 @@
 	Backoff time.Duration
 	// Timeout bounds one read.
 	Timeout time.Duration
+	// Down is told when reading begins to fail and, before the copy that is read
+	// then, when it works again; nil logs both.
+	Down func(down bool, cause error)
 }
 
 // Defaults fills in the fields left zero.
@@ -53,6 +56,13 @@
 	if c.Timeout == 0 {
 		c.Timeout = 3 * time.Second
 	}
+	if c.Down == nil {
+		c.Down = c.logDown
+	}
+}
+
+func (c *Config) logDown(down bool, cause error) {
+	c.Log.WithFields(logrus.Fields{"event": "mirror", "prefix": c.Prefix, "down": down, "cause": cause}).Warn("reading the platform's service")
 }
 
 // Validate checks the configuration.
@@ -73,6 +83,8 @@
 	c    Config
 	copy map[string]kvs.Entry
 	rev  kvs.Revision
+	// down is true while reading fails.
+	down bool
 }
 
 // New returns a mirror that is empty until Run has read it.
@@ -88,23 +100,26 @@
 
 // Run keeps the copy up to date until ctx ends.
 func (m *Mirror) Run(ctx context.Context) error {
-	down := false
 	for ctx.Err() == nil {
 		err := m.round(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
-		if (err != nil) != down {
-			down = err != nil
-			m.c.Log.WithFields(logrus.Fields{"event": "mirror", "prefix": m.c.Prefix, "down": down, "cause": err}).Warn("reading the platform's service")
-		}
 		if err != nil {
+			m.setDown(true, err)
 			m.pause(ctx)
 		}
 	}
 	return nil
 }
 
+func (m *Mirror) setDown(down bool, cause error) {
+	if down != m.down {
+		m.down = down
+		m.c.Down(down, cause)
+	}
+}
+
 // round reads everything and follows the watch until the next reread is due.
 func (m *Mirror) round(ctx context.Context) error {
 	if err := m.list(ctx); err != nil {
@@ -126,6 +141,7 @@
 	if err != nil {
 		return err
 	}
+	m.setDown(false, nil)
 	m.copy = make(map[string]kvs.Entry, len(snap.Entries))
 	for _, e := range snap.Entries {
 		m.copy[e.Key] = e
--- a/io/peer/gossip.go
+++ b/io/peer/gossip.go
@@ -79,6 +79,12 @@
 	}
 }
 
+// Greet begins an exchange with whoever listens at an address, a seed for
+// example, and returns at once.
+func (g *Gossip) Greet(now time.Time, address netip.AddrPort) {
+	go g.exchange(Peer{Address: address}, toMessage(g.c.Store.Batch(now, 1), now))
+}
+
 // maxPushes bounds the exchanges of one Push at the same time.
 const maxPushes = 32
 
@@ -107,7 +113,7 @@
 		return err
 	})
 	now := g.c.Now()
-	if err == nil && reply.Vm != string(to.ID) {
+	if err == nil && to.ID != "" && reply.Vm != string(to.ID) {
 		err = errors.NotFoundf("VM %s at %s, answered by %s", to.ID, to.Address, reply.Vm)
 	}
 	if err != nil {
--- /dev/null
+++ b/io/proxy/config.go
@@ -0,0 +1,109 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"gentianwell/core/call"
+	"gentianwell/core/retry"
+	"gentianwell/core/route"
+	"gentianwell/core/table"
+	"gentianwell/io/back"
+)
+
+// The defaults of Config.
+const (
+	// defaultHeaderBytes and defaultIdleTimeout hold until a table is in force.
+	defaultHeaderBytes = 64 << 10
+	defaultIdleTimeout = time.Minute
+	// defaultReadTimeout bounds the reading of a header before a table is in force.
+	defaultReadTimeout = 10 * time.Second
+	// defaultRetryAfter is the longest that a refused caller is told to wait: the
+	// reasons for a refusal pass within about a second.
+	defaultRetryAfter = time.Second
+	// defaultSends bounds how often one request is sent, refused sends included.
+	defaultSends = 4
+	// defaultRetryShare keeps retries to a tenth of the requests.
+	defaultRetryShare = 0.1
+	// defaultBusyWait is how long a request waits at most for a place on a replica,
+	// as a part of its target.
+	defaultBusyWait = 0.5
+)
+
+// Config configures a Server. Fields without a default are required.
+type Config struct {
+	Wire Wire
+	// VM and Zone name the process in the logs.
+	VM   call.VMID
+	Zone call.Zone
+	// Table returns the routing table in force; nil where there is none yet.
+	Table func() *table.Table
+	// Sure reports whether the table is known to be the newest: only then is a key
+	// or a path that it does not have refused for good.
+	Sure   func() bool
+	Router *route.Router
+	Retry  *retry.Policy
+	// Open sends one attempt.
+	Open func(context.Context, back.Target, back.Request) (*back.Exchange, back.Result, error)
+	// Admit and Finish count the requests in progress; Admit refuses on a VM that
+	// stops. Stopping is true from the beginning of a stop.
+	Admit    func() bool
+	Finish   func()
+	Stopping func() bool
+	// Draw returns a random number from 0 to below 1.
+	Draw func() float64
+	Now  func() time.Time
+	Log  logrus.FieldLogger
+	// Observe gets each request that has ended; nil: nobody.
+	Observe func(Measure)
+	// RetryAfter is the longest that a refused caller is told to wait.
+	RetryAfter time.Duration
+	// Sends bounds how often one request is sent, refused sends included.
+	Sends int
+	// BusyWait is how long a request waits for a place on a replica, as a part of
+	// its target.
+	BusyWait float64
+	// RetryShare returns the part of a retry that each request pays for.
+	RetryShare func() float64
+}
+
+// Defaults fills in the fields left zero.
+func (c *Config) Defaults() {
+	if c.RetryAfter == 0 {
+		c.RetryAfter = defaultRetryAfter
+	}
+	if c.Sends == 0 {
+		c.Sends = defaultSends
+	}
+	if c.BusyWait == 0 {
+		c.BusyWait = defaultBusyWait
+	}
+	if c.Observe == nil {
+		c.Observe = func(Measure) {}
+	}
+	if c.RetryShare == nil {
+		c.RetryShare = func() float64 { return defaultRetryShare }
+	}
+	if c.Sure == nil {
+		c.Sure = func() bool { return true }
+	}
+}
+
+// Validate checks the configuration.
+//
+// Errors: NotValid.
+func (c *Config) Validate() error {
+	switch {
+	case c.Wire.Read == nil, c.Wire.Write == nil, c.Wire.Reply == nil, c.Wire.Clean == nil:
+		return errors.NotValidf("Config.Validate: Wire without a field")
+	case c.Table == nil, c.Router == nil, c.Retry == nil, c.Open == nil, c.Admit == nil, c.Finish == nil,
+		c.Stopping == nil, c.Draw == nil, c.Now == nil, c.Log == nil:
+		return errors.NotValidf("Config.Validate: a needed field is nil")
+	case c.RetryAfter < 0 || c.Sends < 1 || c.BusyWait < 0:
+		return errors.NotValidf("Config.Validate: RetryAfter %s, Sends %d, BusyWait %g", c.RetryAfter, c.Sends, c.BusyWait)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/proxy/reason.go
@@ -0,0 +1,35 @@
+package proxy
+
+// Reason says why a request ended as it did; it goes into logs, metrics and the
+// bodies of refusals.
+type Reason string
+
+// The reasons. All but ReasonDone, ReasonReplica and ReasonCallerGone are answers
+// of the router's own.
+const (
+	ReasonDone Reason = "done"
+	// ReasonReplica: the replica's own failure was passed on.
+	ReasonReplica    Reason = "replicaFailed"
+	ReasonCallerGone Reason = "callerGone"
+
+	ReasonNoTable   Reason = "noConfiguration"
+	ReasonStopping  Reason = "stopping"
+	ReasonMalformed Reason = "malformed"
+	ReasonTooLarge  Reason = "bodyTooLarge"
+	ReasonNoRoute   Reason = "noRoute"
+	ReasonKey       Reason = "unknownKey"
+	// ReasonUnsure: the route or key is not known, but the table may be old.
+	ReasonUnsure Reason = "configurationMayBeOld"
+	// ReasonNoReplica: no replica of the service is known or left.
+	ReasonNoReplica Reason = "noReplica"
+	// ReasonBusy: all replicas stayed full.
+	ReasonBusy Reason = "allReplicasFull"
+	// ReasonShed: the replicas that it was sent to refused it before running it.
+	ReasonShed Reason = "replicasRefused"
+	// ReasonUnreachable: no replica could be connected to.
+	ReasonUnreachable Reason = "replicasUnreachable"
+	// ReasonBroken: a replica may have run it, and its answer did not come whole.
+	ReasonBroken Reason = "answerLost"
+	// ReasonTime: the caller's deadline or the route's timeout is over.
+	ReasonTime Reason = "timeout"
+)
--- /dev/null
+++ b/io/proxy/server.go
@@ -0,0 +1,59 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"gentianwell/io/front"
+)
+
+// Server answers callers.
+type Server struct {
+	c Config
+}
+
+// New returns a server.
+//
+// Errors: NotValid where the configuration lacks something.
+func New(c Config) (*Server, error) {
+	c.Defaults()
+	if err := c.Validate(); err != nil {
+		return nil, errors.Annotate(err, "proxy.New")
+	}
+	return &Server{c: c}, nil
+}
+
+// HTTP returns an HTTP server for a listener made by Listener. The limits of the
+// table in force at its start hold for connections; a body's is read for each
+// request.
+func (s *Server) HTTP() *http.Server {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	srv := &http.Server{
+		Handler: s, Protocols: protocols,
+		ReadHeaderTimeout: defaultReadTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: defaultHeaderBytes,
+		ConnContext: connContext, ConnState: connState, ErrorLog: front.ErrorLog(s.c.Log),
+	}
+	return srv
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p := &pass{s: s, w: w, r: r, arrived: s.c.Now()}
+	if !s.c.Admit() {
+		p.close()
+		p.refuse(http.StatusServiceUnavailable, ReasonStopping)
+		return
+	}
+	defer s.c.Finish()
+	if s.c.Stopping() {
+		// The caller's next request goes to a VM that stays.
+		p.close()
+	}
+	p.serve()
+}
+
+// nothingWithin is the body timeout where neither caller nor route bounds the time.
+const nothingWithin = time.Minute
--- /dev/null
+++ b/io/proxy/wire.go
@@ -0,0 +1,78 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	"gentianwell/core/call"
+	"gentianwell/core/route"
+)
+
+// Part is one part of a prompt that requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Ask is what a caller's header says of its request.
+type Ask struct {
+	// ID names the request; each retry of a caller has another.
+	ID string
+	// Patience is how long the caller waits; zero where it does not say.
+	Patience time.Duration
+	// Key is the caller's key; empty where it sent none.
+	Key string
+	// PromptTokens and MaxTokens are the lengths of a generation; zero where the
+	// request is none.
+	PromptTokens int
+	MaxTokens    int
+	// LengthHint is the caller's guess of the answer's length in tokens.
+	LengthHint int
+	// Parts are the parts of the prompt in order; the last is the request's own.
+	Parts []Part
+	// ResumeAfter is the id of the last event that the caller has of a stream.
+	ResumeAfter string
+}
+
+// Sending is what the router adds to a request for one attempt.
+type Sending struct {
+	Ask Ask
+	// Left is the time until the final answer is due.
+	Left    time.Duration
+	Replica call.ReplicaID
+	// Team is empty where the request needs no key.
+	Team call.Team
+	// Rank is the urgency, 0 first.
+	Rank int
+	// ResumeAfter is the id of the last event that was passed on; empty at the
+	// beginning of a stream.
+	ResumeAfter string
+}
+
+// Reply is what the header of a backend server's answer says.
+type Reply struct {
+	// ID is the id of the request that it answers; empty where it does not say.
+	ID string
+	// Signed is true where the answer carries the backend server's signature.
+	Signed bool
+	// NotRun is true where the backend server declares that it has not run the
+	// request and never will.
+	NotRun bool
+	// Load is its load; nil where it does not say.
+	Load *route.Load
+	// Encoded is true where the body is not in its plain form.
+	Encoded bool
+}
+
+// Wire translates between the deployment's headers and the router's types.
+type Wire struct {
+	// Read returns what a request's header says. NotValid where it cannot be read.
+	Read func(http.Header) (Ask, error)
+	// Write changes the header of a request into that of an attempt: it takes out
+	// what callers may not set and adds what the router says.
+	Write func(http.Header, Sending)
+	// Reply reads the header of an answer.
+	Reply func(status int, header http.Header, now time.Time) Reply
+	// Clean takes out of an answer's header what callers do not get.
+	Clean func(http.Header)
+}
