Send long shared prefixes to one home; find changes that watches do not tell

Ruled out: stale reads (behind by as much), shorter watches on all VMs (each call is priced, and they hear nothing either). Change: core/route ranks replicas by rendezvous hashing of the prefix, with bounded loads, over all zones; two VMs ask for the store's revision every 700 ms, read anew where no watch has got as far, and push the news to the others.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -62,6 +62,9 @@
 	Fingerprint uint64
 	// Prefixes are hashes of the prompt's leading blocks, shortest prefix first.
 	Prefixes []uint64
+	// SharedTokens is the length of the longest of them in tokens; zero where
+	// unknown.
+	SharedTokens int
 	// PromptTokens and MaxTokens are estimates of the prompt's length and the
 	// caller's bound on the answer's; zero where unknown.
 	PromptTokens int
--- a/core/route/config.go
+++ b/core/route/config.go
@@ -22,6 +22,9 @@
 	defaultZonePenalty     = 0.1
 	defaultAffinityWeight  = 0.5
 	defaultAffinityBound   = 1.25
+	defaultHomeTokens      = 1024
+	defaultHomeBound       = 1.5
+	defaultHomeFloor       = 0.25
 	defaultFailuresToEject = 3
 	defaultSlowFactor      = 3
 	defaultSlowFloor       = 200 * time.Millisecond
@@ -66,6 +69,13 @@
 	// AffinityBound is how far, as a factor, a replica's load per slot may be
 	// above the average for its cached prefix to count.
 	AffinityBound float64
+	// HomeTokens is the length of a shared prompt prefix, in tokens, from which on
+	// all VMs send the calls that share it to the same replica, its home. A home
+	// whose load per slot is above HomeFloor and above HomeBound times the mean is
+	// passed over for the next one.
+	HomeTokens int
+	HomeBound  float64
+	HomeFloor  float64
 	// FailuresToEject is how many failures in a row eject a replica.
 	FailuresToEject int
 	// SlowFactor ejects a replica whose usual time to the first token is so many
@@ -102,6 +112,9 @@
 	c.ZonePenalty = cmp.Or(c.ZonePenalty, defaultZonePenalty)
 	c.AffinityWeight = cmp.Or(c.AffinityWeight, defaultAffinityWeight)
 	c.AffinityBound = cmp.Or(c.AffinityBound, defaultAffinityBound)
+	c.HomeTokens = cmp.Or(c.HomeTokens, defaultHomeTokens)
+	c.HomeBound = cmp.Or(c.HomeBound, defaultHomeBound)
+	c.HomeFloor = cmp.Or(c.HomeFloor, defaultHomeFloor)
 	c.SlowFactor = cmp.Or(c.SlowFactor, defaultSlowFactor)
 	c.EjectedShareMax = cmp.Or(c.EjectedShareMax, defaultEjectedShareMax)
 	if c.Penalty == nil {
--- a/core/route/decision.go
+++ b/core/route/decision.go
@@ -22,11 +22,13 @@
 // Reason says why a replica was chosen.
 type Reason string
 
-// The reasons for a choice. ReasonLastResort: only ejected replicas were left.
+// The reasons for a choice. ReasonHome: the replica that all VMs send calls with
+// this prompt prefix to. ReasonLastResort: only ejected replicas were left.
 const (
 	ReasonLeastLoaded  Reason = "leastLoaded"
 	ReasonPrefixCached Reason = "prefixCached"
 	ReasonOtherZone    Reason = "otherZone"
+	ReasonHome         Reason = "home"
 	ReasonAlone        Reason = "alone"
 	ReasonLastResort   Reason = "lastResort"
 )
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -36,7 +36,10 @@
 	if f.usable() == 0 {
 		return d, errors.Annotatef(f.err(), "Router.Pick: %s", c.Model)
 	}
-	best := r.best(now, c, f, &d)
+	best, home := r.home(now, c, p, exclude, f)
+	if !home {
+		best = r.best(now, c, f, &d)
+	}
 	d.Replica = best.s.Replica
 	d.Load = best.load
 	if !best.s.reported.IsZero() {
@@ -45,6 +48,9 @@
 	d.CachedPrefixes = best.cached
 	d.Usable = f.usable()
 	d.Reason = r.reason(now, best, f)
+	if home {
+		d.Reason = ReasonHome
+	}
 	return d, nil
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -32,6 +32,7 @@
 	"gentianwell/core/timer"
 	"gentianwell/io/back"
 	"gentianwell/io/dial"
+	"gentianwell/io/kvs"
 	"gentianwell/io/peer"
 	"gentianwell/io/proxy"
 )
@@ -80,6 +81,7 @@
 	replicas *replicas
 	members  *members
 	upstream *link
+	probe    *probe
 	proxy    *proxy.Server
 	metrics  *metrics
 
@@ -138,6 +140,7 @@
 		SettingsVersion: func() int64 { return e.tables.Current().Version() },
 		Heard:           e.heard, Contacted: e.members.contact, Behind: e.behind, Settings: e.answer,
 	})
+	e.probe = &probe{list: e.o.Source.Store.List, members: e.members, push: e.push, log: e.log}
 	e.metrics = newMetrics(prometheus.NewRegistry(), e)
 	e.proxy, err = proxy.New(e.proxyConfig())
 	return errors.Trace(err)
@@ -179,6 +182,19 @@
 	}
 }
 
+// push tells all VMs what is newer than a revision: the version of the
+// configuration goes with every exchange.
+func (e *Entry) push(than kvs.Revision) {
+	now := e.o.Now()
+	var items spread.Items
+	for _, item := range e.news.All(now, kindReplica) {
+		if item.Version > uint64(than) {
+			items = append(items, item)
+		}
+	}
+	e.gossip.Push(now, items)
+}
+
 // greet calls the seeds that are not known yet, and asks for a bundle where the
 // store has given none.
 func (e *Entry) greet(now time.Time) {
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -65,6 +65,7 @@
 			return errors.Annotate(err, "Entry.Run")
 		}
 		part(m.Run)
+		e.probe.mirrors = append(e.probe.mirrors, m)
 	}
 	e.subscribe()
 	part(e.timers.Run)
@@ -81,6 +82,7 @@
 	e.timers.Every("replicas", refreshEvery, e.replicas.refresh)
 	e.timers.Every("budget", budgetEvery, func(time.Time) { e.setBudget() })
 	e.setBudget()
+	e.timers.Every("probe", probeEvery, e.probe.round)
 	if !e.o.Config.Peers.IsValid() {
 		return
 	}
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -17,6 +17,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -83,8 +84,12 @@
 	c    Config
 	copy map[string]kvs.Entry
 	rev  kvs.Revision
+	// seen is rev for other goroutines.
+	seen atomic.Int64
 	// down is true while reading fails.
 	down bool
+	// again asks for everything to be read anew.
+	again chan struct{}
 }
 
 // New returns a mirror that is empty until Run has read it.
@@ -95,7 +100,16 @@
 	if err := c.Validate(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &Mirror{c: c}, nil
+	return &Mirror{c: c, again: make(chan struct{}, 1)}, nil
+}
+
+// Again ends the watch, so that everything is read anew at once. It is for whoever
+// learns by other means that the copy is behind.
+func (m *Mirror) Again() {
+	select {
+	case m.again <- struct{}{}:
+	default:
+	}
 }
 
 // Run keeps the copy up to date until ctx ends.
@@ -127,8 +141,16 @@
 	}
 	watchCtx, cancel := context.WithTimeout(ctx, m.c.Reread)
 	defer cancel()
+	go func() {
+		select {
+		case <-m.again:
+			cancel()
+		case <-watchCtx.Done():
+		}
+	}()
 	err := m.c.Service.Watch(watchCtx, m.c.Prefix, m.rev+1, m.apply)
 	if watchCtx.Err() != nil || errors.Is(err, kvs.ErrCompacted) {
+		m.c.Log.WithFields(logrus.Fields{"event": "mirrorEnd", "prefix": m.c.Prefix, "revision": m.rev, "cause": err}).Info("watch ended, all keys are read anew")
 		return nil
 	}
 	return errors.Annotate(err, "Mirror.round")
@@ -147,6 +169,8 @@
 		m.copy[e.Key] = e
 	}
 	m.rev = snap.Revision
+	m.seen.Store(int64(m.rev))
+	m.c.Log.WithFields(logrus.Fields{"event": "mirrorRead", "prefix": m.c.Prefix, "revision": m.rev, "entries": len(snap.Entries)}).Info("all keys read")
 	m.publish()
 	return nil
 }
@@ -160,12 +184,16 @@
 		}
 	}
 	m.rev = max(m.rev, b.Revision)
+	m.seen.Store(int64(m.rev))
 	if len(b.Events) > 0 {
 		m.publish()
 	}
 	return nil
 }
 
+// Revision returns the revision that the copy has got to.
+func (m *Mirror) Revision() kvs.Revision { return kvs.Revision(m.seen.Load()) }
+
 func (m *Mirror) publish() {
 	snap := kvs.Snapshot{Revision: m.rev, Entries: make(kvs.Entries, 0, len(m.copy))}
 	for _, e := range m.copy {
--- a/io/proxy/pass.go
+++ b/io/proxy/pass.go
@@ -187,7 +187,8 @@
 	p.call = call.Call{
 		ID: p.ask.ID, Class: call.Class(p.route.Name), Tier: tier(rank), Model: p.route.Choose(p.s.c.Draw()),
 		Zone: p.s.c.Zone, Idempotent: p.route.Repeatable(), Prefixes: prefixes(p.ask.Parts),
-		PromptTokens: p.ask.PromptTokens, MaxTokens: p.ask.MaxTokens, Arrived: p.arrived, Deadline: p.until,
+		SharedTokens: shared(p.ask.Parts), PromptTokens: p.ask.PromptTokens, MaxTokens: p.ask.MaxTokens,
+		Arrived: p.arrived, Deadline: p.until,
 	}
 	if p.team != nil {
 		p.call.Team = p.team.Name
@@ -213,3 +214,12 @@
 	}
 	return out
 }
+
+// shared returns the tokens of the parts that other requests may have as well.
+func shared(parts []Part) int {
+	sum := 0
+	for _, part := range parts[:max(0, len(parts)-1)] {
+		sum += part.Tokens
+	}
+	return sum
+}
