Divide a model's replicas between long prompts and the others

Ruled out: more attempts elsewhere (the work is only done twice). Change: core/route/lane.go assigns classes by size to two lanes, sized by work; the rank is the team's priority first, then the route's.

--- a/core/route/home.go
+++ b/core/route/home.go
@@ -21,6 +21,7 @@
 		return candidate{}, false
 	}
 	bound := max(r.c.HomeFloor, r.c.HomeBound*f.mean)
+	from, to, laned := r.laneOf(now, c, p)
 	prefix := c.Prefixes[len(c.Prefixes)-1]
 	var first *state
 	var least uint64
@@ -28,6 +29,9 @@
 		if slices.Contains(exclude, s.ID) || s.ejected(now) || s.reserved(now) || r.full(now, s, f.warm) {
 			continue
 		}
+		if laned && (s.lane < from || s.lane >= to) {
+			continue
+		}
 		if s.load(now, r.c.ReportMaxAge)/float64(s.Slots) > bound {
 			continue
 		}
--- /dev/null
+++ b/core/route/lane_test.go
@@ -0,0 +1,86 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianwell/core/call"
+)
+
+// mixed offers the load of a site with long summaries beside short questions, as
+// one VM of nine sees it, and returns how many of each class every replica got.
+func mixed(t *testing.T, r *Router, seconds int, summaries, questions float64) map[call.ReplicaID]map[call.Class]int {
+	t.Helper()
+	got := map[call.ReplicaID]map[call.Class]int{}
+	start := time.Unix(1000, 0)
+	var dueSummary, dueQuestion float64
+	n := uint64(0)
+	for tick := range seconds * 100 {
+		now := start.Add(time.Duration(tick) * 10 * time.Millisecond)
+		dueSummary += summaries / 100
+		dueQuestion += questions / 100
+		send := func(c call.Call) {
+			d, err := r.Pick(now, c, nil)
+			assert.NilError(t, err)
+			if got[d.Replica.ID] == nil {
+				got[d.Replica.ID] = map[call.Class]int{}
+			}
+			if tick > 500 {
+				got[d.Replica.ID][c.Class]++
+			}
+		}
+		for ; dueSummary >= 1; dueSummary-- {
+			n++
+			c := longCall(n % 40)
+			c.Class = "summary"
+			send(c)
+		}
+		for ; dueQuestion >= 1; dueQuestion-- {
+			send(call.Call{Model: "m", Class: "question", PromptTokens: 900, SharedTokens: 200, Prefixes: []uint64{5}})
+		}
+	}
+	return got
+}
+
+// Task assignment by size: where a class with long prompts shares a model with one
+// of short ones, no replica serves both, and each class has replicas by its work.
+func TestLongPromptsKeepToTheirLane(t *testing.T) {
+	got := mixed(t, homeFleet(t, "vm-1", 18), 20, 3.4, 14)
+	var long, short, both int
+	for _, classes := range got {
+		switch {
+		case classes["summary"] > 0 && classes["question"] > 0:
+			both++
+		case classes["summary"] > 0:
+			long++
+		case classes["question"] > 0:
+			short++
+		}
+	}
+	assert.Assert(t, both <= 2, "%d replicas serve both", both)
+	assert.Assert(t, long >= 8 && short >= 1, "%d long, %d short", long, short)
+}
+
+// With one class only there are no lanes.
+func TestOneClassHasAllReplicas(t *testing.T) {
+	got := mixed(t, homeFleet(t, "vm-1", 18), 20, 10, 0)
+	assert.Assert(t, len(got) >= 16, "%d replicas of 18 are the homes of 40 prefixes", len(got))
+}
+
+// A full lane does not refuse what the other has room for.
+func TestFullLaneSpills(t *testing.T) {
+	r := homeFleet(t, "vm-1", 8)
+	mixed(t, r, 20, 3.4, 14)
+	now := time.Unix(1020, 0)
+	question := call.Call{Model: "m", Class: "question", PromptTokens: 900}
+	used := map[call.ReplicaID]bool{}
+	for range 8 * 40 {
+		d, err := r.Pick(now, question, nil)
+		assert.NilError(t, err)
+		r.Started(now, d.Replica.ID, 1)
+		used[d.Replica.ID] = true
+	}
+	assert.Equal(t, len(used), 8)
+}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -36,6 +36,11 @@
 	if f.usable() == 0 {
 		return d, errors.Annotatef(f.err(), "Router.Pick: %s", c.Model)
 	}
+	p.classes.learn(now, c, r.c.HomeTokens)
+	from, to, laned := r.laneOf(now, c, p)
+	if laned {
+		f = r.narrow(now, f, from, to)
+	}
 	best, home := r.home(now, c, p, exclude, f)
 	if !home {
 		best = r.best(now, c, f, &d)
--- a/core/route/pool.go
+++ b/core/route/pool.go
@@ -17,6 +17,8 @@
 // pool is the replicas of one model, each part in the order of their rank.
 type pool struct {
 	all []*state
+	// classes is what was learned of the model's classes, for its lanes.
+	classes classes
 	// local and remote are the subset: own zone and other zones.
 	local  []*state
 	remote []*state
@@ -24,6 +26,7 @@
 
 // rebuild makes the pools from the listed replicas.
 func (r *Router) rebuild() {
+	before := r.pools
 	r.pools = map[call.Model]*pool{}
 	for _, s := range r.byID {
 		if s.listed {
@@ -31,6 +34,9 @@
 		}
 	}
 	for model, p := range r.pools {
+		if old := before[model]; old != nil {
+			p.classes = old.classes
+		}
 		r.chooseSubset(model, p)
 	}
 }
@@ -52,6 +58,7 @@
 func (r *Router) chooseSubset(model call.Model, p *pool) {
 	ranked := rank(r.c.Self, model, p.all)
 	p.all = ranked
+	fillLanes(model, ranked)
 	size := r.subsetSize(len(ranked))
 	if len(ranked) <= size {
 		p.local, p.remote = r.split(ranked)
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -14,6 +14,8 @@
 type state struct {
 	Replica
 	listed bool
+	// lane is its place in the order by which lanes are filled.
+	lane int
 	// freshSince is the start of its slow start; zero: none.
 	freshSince time.Time
 	own        int
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -16,6 +16,8 @@
 	hosts    map[string][]*Route
 	services map[call.Model]*Service
 	keys     map[string]*Team
+	// ranks is one more than the greatest priority of a route.
+	ranks int
 }
 
 // New returns the table of a document, which is not changed afterwards.
@@ -32,6 +34,7 @@
 			return nil, errors.Annotatef(err, "table.New: version %d", d.Version)
 		}
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+		t.ranks = max(t.ranks, r.Priority+1)
 	}
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, longer)
@@ -91,3 +94,13 @@
 	team, ok := t.keys[key]
 	return team, ok
 }
+
+// Rank returns the urgency of a team's requests on a route, 0 first: by the team's
+// priority where it has one, else the route's; among equals the route's decides.
+func (t *Table) Rank(team *Team, r *Route) int {
+	first := r.Priority
+	if team != nil && team.Priority != nil {
+		first = *team.Priority
+	}
+	return first*t.ranks + r.Priority
+}
--- a/core/table/table_test.go
+++ b/core/table/table_test.go
@@ -52,8 +52,27 @@
 	deep, _ := table.Match("a.example", "/x/y/")
 	mid, _ := table.Match("a.example", "/x/")
 	assert.Assert(t, table.NeedsKey(deep) && !table.NeedsKey(mid))
-	assert.Equal(t, team.Rank(deep), 3)
-	assert.Equal(t, (*Team)(nil).Rank(deep), 0)
+}
+
+// A team's priority goes first, and among its own requests the route's decides:
+// an engine that has to preempt takes the least urgent of them.
+func TestRank(t *testing.T) {
+	zero, one := 0, 1
+	d := document()
+	d.Routes[0].Priority, d.Routes[1].Priority, d.Routes[2].Priority = 0, 1, 2
+	table, err := New(d)
+	assert.NilError(t, err)
+	urgent, calm := &table.document.Routes[0], &table.document.Routes[2]
+	first, second, plain := &Team{Priority: &zero}, &Team{Priority: &one}, &Team{}
+	for i, pair := range [][2]int{
+		{table.Rank(first, urgent), table.Rank(first, calm)},
+		{table.Rank(first, calm), table.Rank(second, urgent)},
+		{table.Rank(second, urgent), table.Rank(second, calm)},
+		{table.Rank(plain, urgent), table.Rank(plain, calm)},
+		{table.Rank(nil, urgent), table.Rank(second, urgent)},
+	} {
+		assert.Assert(t, pair[0] < pair[1], "pair %d: %v", i, pair)
+	}
 }
 
 func TestChoose(t *testing.T) {
--- a/core/table/team.go
+++ b/core/table/team.go
@@ -9,11 +9,3 @@
 	// Priority goes before that of the route where it is not nil.
 	Priority *int
 }
-
-// Rank returns the rank of the team's requests on a route.
-func (t *Team) Rank(r *Route) int {
-	if t != nil && t.Priority != nil {
-		return *t.Priority
-	}
-	return r.Priority
-}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -75,7 +75,7 @@
 	}
 	p.s.c.Wire.Write(header, Sending{
 		Ask: p.ask, Left: p.until.Sub(p.s.c.Now()), Replica: replica, Team: p.call.Team,
-		Rank: p.team.Rank(p.route), ResumeAfter: p.lastEvent,
+		Rank: p.table.Rank(p.team, p.route), ResumeAfter: p.lastEvent,
 	})
 	left := p.until.Sub(p.s.c.Now())
 	r := back.Request{
--- a/io/proxy/pass.go
+++ b/io/proxy/pass.go
@@ -183,7 +183,7 @@
 
 // describe makes the call that the decisions are about.
 func (p *pass) describe() {
-	rank := p.team.Rank(p.route)
+	rank := p.table.Rank(p.team, p.route)
 	p.call = call.Call{
 		ID: p.ask.ID, Class: call.Class(p.route.Name), Tier: tier(rank), Model: p.route.Choose(p.s.c.Draw()),
 		Zone: p.s.c.Zone, Idempotent: p.route.Repeatable(), Prefixes: prefixes(p.ask.Parts),
