--- a/core/event/event.go
+++ b/core/event/event.go
@@ -4,9 +4,9 @@
 //
 // # Usage
 //
-//	cut := event.Scan(buffered)
+//	cut := event.Scan(buffered, last)
 //	pass(buffered[:cut.Bytes]) // whole events; the rest waits for more bytes
-//	last = cmp.Or(cut.LastID, last)
+//	last = cut.LastID
 package event
 
 import (
@@ -20,13 +20,17 @@
 	Bytes int
 	// Events is how many events it holds.
 	Events int
-	// FirstID and LastID are the ids of its first and last event that has one.
-	FirstID, LastID string
+	// LastID is the id of its last event that has one, else the one before.
+	LastID string
+	// Disorder is true where the part ends before an event whose id may not come
+	// next.
+	Disorder bool
 }
 
-// Scan returns the part of data that is whole events. Lines end in LF or CRLF.
-func Scan(data []byte) Cut {
-	var cut Cut
+// Scan returns the part of data that is whole events in order, where last is the
+// id of the event before. Lines end in LF or CRLF.
+func Scan(data []byte, last string) Cut {
+	cut := Cut{LastID: last}
 	id, lines := "", 0
 	for start := 0; ; {
 		n := bytes.IndexByte(data[start:], '\n')
@@ -42,16 +46,17 @@
 			}
 			continue
 		}
+		if id != "" {
+			if !follows(cut.LastID, id) {
+				cut.Disorder = true
+				return cut
+			}
+			cut.LastID = id
+		}
 		cut.Bytes = start
 		if lines > 0 {
 			cut.Events++
 		}
-		if id != "" {
-			cut.LastID = id
-			if cut.FirstID == "" {
-				cut.FirstID = id
-			}
-		}
 		id, lines = "", 0
 	}
 }
@@ -64,9 +69,9 @@
 	return string(bytes.TrimPrefix(value, []byte(" "))), true
 }
 
-// Follows reports whether an event with the id may come after one with the id
+// follows reports whether an event with the id may come after one with the id
 // last. Ids that are numbers have to grow; others are not compared.
-func Follows(last, id string) bool {
+func follows(last, id string) bool {
 	a, errA := strconv.ParseUint(last, 10, 64)
 	b, errB := strconv.ParseUint(id, 10, 64)
 	return errA != nil || errB != nil || b > a
--- a/core/event/event_test.go
+++ b/core/event/event_test.go
@@ -15,21 +15,22 @@
 	}{
 		{"nothing", "", Cut{}},
 		{"a part", "id: 1\ndata: x\n", Cut{}},
-		{"one", "id: 1\ndata: x\n\n", Cut{Bytes: 15, Events: 1, FirstID: "1", LastID: "1"}},
-		{"one and a part", "id: 1\ndata: x\n\nid: 2\nda", Cut{Bytes: 15, Events: 1, FirstID: "1", LastID: "1"}},
-		{"two", "id:1\n\nid:2\r\n\r\n", Cut{Bytes: 14, Events: 2, FirstID: "1", LastID: "2"}},
-		{"header line first", "weights: 3\nid: 4\ndata: y\n\n", Cut{Bytes: 26, Events: 1, FirstID: "4", LastID: "4"}},
+		{"one", "id: 1\ndata: x\n\n", Cut{Bytes: 15, Events: 1, LastID: "1"}},
+		{"one and a part", "id: 1\ndata: x\n\nid: 2\nda", Cut{Bytes: 15, Events: 1, LastID: "1"}},
+		{"two", "id:1\n\nid:2\r\n\r\n", Cut{Bytes: 14, Events: 2, LastID: "2"}},
+		{"header line first", "weights: 3\nid: 4\ndata: y\n\n", Cut{Bytes: 26, Events: 1, LastID: "4"}},
 		{"no id", "data: x\n\n", Cut{Bytes: 9, Events: 1}},
+		{"again", "id: 1\n\nid: 2\n\nid: 2\n\nid: 3\n\n", Cut{Bytes: 14, Events: 2, LastID: "2", Disorder: true}},
 		{"empty lines", "\n\n", Cut{Bytes: 2}},
 	} {
-		assert.Equal(t, Scan([]byte(test.data)), test.want, test.name)
+		assert.Equal(t, Scan([]byte(test.data), ""), test.want, test.name)
 	}
 }
 
 func TestFollows(t *testing.T) {
-	assert.Assert(t, Follows("9", "10"))
-	assert.Assert(t, !Follows("10", "10"))
-	assert.Assert(t, !Follows("10", "9"))
-	assert.Assert(t, Follows("", "1"))
-	assert.Assert(t, Follows("a", "b"))
+	assert.Assert(t, follows("9", "10"))
+	assert.Assert(t, !follows("10", "10"))
+	assert.Assert(t, !follows("10", "9"))
+	assert.Assert(t, follows("", "1"))
+	assert.Assert(t, follows("a", "b"))
 }
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -19,6 +19,9 @@
 const (
 	// defaultStopLimit is how long a planned stop may take where nobody says.
 	defaultStopLimit = 8 * time.Second
+	// defaultNotice is what a balancer needs that asks once a second and wants two
+	// refusals, of which the second may come late.
+	defaultNotice = 3 * time.Second
 	// defaultRetryRatio and the next two are a careful budget where nobody says.
 	defaultRetryRatio  = 0.1
 	defaultRetrySlack  = 20
@@ -45,6 +48,8 @@
 	MemoryBytes int64
 	// StopLimit is the time between the signal to stop and the kill.
 	StopLimit time.Duration
+	// Notice is how long a VM that stops goes on taking requests.
+	Notice time.Duration
 	// RetryRatio is how many repeats all VMs together may send to a service for
 	// each request, and RetrySlack how many more, in a RetryWindow.
 	RetryRatio  float64
@@ -57,6 +62,9 @@
 	if c.StopLimit == 0 {
 		c.StopLimit = defaultStopLimit
 	}
+	if c.Notice == 0 {
+		c.Notice = defaultNotice
+	}
 	if c.RetryWindow == 0 {
 		c.RetryRatio, c.RetrySlack, c.RetryWindow = defaultRetryRatio, defaultRetrySlack, defaultRetryWindow
 	}
@@ -71,7 +79,7 @@
 		return errors.NotValidf("no name of the VM")
 	case !c.Callers.IsValid() || !c.Ready.IsValid() || !c.Store.IsValid():
 		return errors.NotValidf("addresses: callers %s, ready %s, store %s", c.Callers, c.Ready, c.Store)
-	case c.StopLimit < 0 || c.RetryRatio < 0 || c.RetrySlack < 0 || c.RetryWindow < 0:
+	case c.StopLimit < 0 || c.Notice < 0 || c.RetryRatio < 0 || c.RetrySlack < 0 || c.RetryWindow < 0:
 		return errors.NotValidf("negative bound")
 	}
 	return nil
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -38,9 +38,6 @@
 )
 
 const (
-	// noticeTime is how long a VM that stops takes requests: the balancer asks once
-	// a second and needs two refusals, and the second may come late.
-	noticeTime = 3 * time.Second
 	// stopMargin is the time between the end of a stop and the kill.
 	stopMargin = 500 * time.Millisecond
 	// gossipEvery is the time between rounds of gossip.
@@ -104,7 +101,7 @@
 	}
 	e := &Entry{o: o, log: o.Log, timers: timer.New(timer.Config{Now: o.Now}), draw: o.rand(randDraw)}
 	e.config.Store(&o.Config)
-	e.drain = drain.New(drain.Config{Notice: noticeTime, Limit: o.Config.StopLimit - stopMargin})
+	e.drain = drain.New(drain.Config{Notice: o.Config.Notice, Limit: o.Config.StopLimit - stopMargin})
 	if err := e.makeParts(); err != nil {
 		return nil, errors.Annotate(err, "entry.New")
 	}
@@ -169,6 +166,15 @@
 	return e.drain.Ready() && e.tables.Current() != nil && e.replicas.known()
 }
 
+// Replicas returns how many replicas may get new work.
+func (e *Entry) Replicas() int { return e.replicas.usable() }
+
+// VMs returns how many entry VMs are known, this one included.
+func (e *Entry) VMs() int { return e.members.count() }
+
+// StoreUp reports whether the platform's store could be read the last time.
+func (e *Entry) StoreUp() bool { return e.upstream.up() }
+
 // sure reports whether the configuration in force is the newest as far as can be
 // known.
 func (e *Entry) sure() bool { return e.upstream.up() || e.members.inTouch(e.o.Now(), sureFor) }
--- a/io/entry/link.go
+++ b/io/entry/link.go
@@ -30,13 +30,12 @@
 		return
 	}
 	l.down[prefix] = down
-	entry := l.log.WithFields(logrus.Fields{"event": "store", "prefix": prefix, "down": down})
 	if down {
 		l.since = l.now()
-		entry.WithError(cause).Warn("store lost, what is known stays in use")
+		l.log.WithFields(logrus.Fields{"event": "storeLost", "prefix": prefix}).WithError(cause).Warn("store lost, what is known stays in use")
 		return
 	}
-	entry.WithField("lostFor", l.now().Sub(l.since).String()).Info("store regained")
+	l.log.WithFields(logrus.Fields{"event": "storeRegained", "prefix": prefix, "lostFor": l.now().Sub(l.since).String()}).Info("store regained")
 	l.regained()
 }
 
--- a/io/entry/replicas.go
+++ b/io/entry/replicas.go
@@ -45,6 +45,13 @@
 	return r.listed
 }
 
+// usable returns how many replicas may get new work.
+func (r *replicas) usable() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.registry.Usable(r.now()))
+}
+
 // regained tells that the store answers again.
 func (r *replicas) regained() {
 	r.mu.Lock()
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -46,13 +46,16 @@
 		}
 		n, err := x.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
-		cut := event.Scan(buf)
+		cut := event.Scan(buf, p.lastEvent)
 		if cut.Bytes > 0 {
 			if err := p.passEvents(x, e, buf[:cut.Bytes], cut); err != nil {
 				return err
 			}
 			buf = buf[:copy(buf, buf[cut.Bytes:])]
 		}
+		if cut.Disorder {
+			return errors.Annotatef(errOrder, "after %q", p.lastEvent)
+		}
 		if errors.Is(err, io.EOF) {
 			if len(buf) > 0 {
 				return errTorn
@@ -67,16 +70,11 @@
 
 // passEvents passes some whole events on.
 func (p *pass) passEvents(x *back.Exchange, e *attemptEnd, data []byte, cut event.Cut) error {
-	if cut.FirstID != "" && !event.Follows(p.lastEvent, cut.FirstID) {
-		return errors.Annotatef(errOrder, "%s after %s", cut.FirstID, p.lastEvent)
-	}
 	p.startStream(x)
 	x.Pause()
 	defer x.Resume()
 	p.events += cut.Events
-	if cut.LastID != "" {
-		p.lastEvent = cut.LastID
-	}
+	p.lastEvent = cut.LastID
 	if _, err := p.w.Write(data); err != nil {
 		e.callerGone = true
 		return errors.Annotate(err, "writing to the caller")
