--- a/core/route/config.go
+++ b/core/route/config.go
@@ -22,7 +22,7 @@
 	defaultZonePenalty     = 0.1
 	defaultAffinityWeight  = 0.5
 	defaultAffinityBound   = 1.25
-	defaultHomeTokens      = 1024
+	defaultHomeTokens      = 256
 	defaultHomeBound       = 1.5
 	defaultHomeFloor       = 0.25
 	defaultFailuresToEject = 3
--- a/core/route/lane.go
+++ b/core/route/lane.go
@@ -29,6 +29,9 @@
 	laneSamples = 50
 	// tokensWeight is the weight of a new call in the mean length of its class.
 	tokensWeight = 0.05
+	// shortWeight is how much more room the short lane gets for its work: its
+	// answers are the urgent ones, and stay quick only far below full use.
+	shortWeight = 2
 	// laneShareMin and laneShareMax bound the long lane's part of the replicas.
 	laneShareMin, laneShareMax = 0.25, 0.75
 	// laneMin is how many replicas a model needs for lanes.
@@ -106,10 +109,12 @@
 	var long, all float64
 	for name, one := range s.byName {
 		work := one.rate(now) * one.work
-		all += work
 		if s.isLong(name, mean) {
 			long += work
+			all += work
+			continue
 		}
+		all += shortWeight * work
 	}
 	if long == 0 || long == all {
 		return 0
