Give the long lane room for what attention costs

Cause: the work of a long prompt grows faster than its tokens, so that shares by tokens left the long lane short: domar-summa came late and homes overflowed.

--- a/core/route/lane.go
+++ b/core/route/lane.go
@@ -31,7 +31,7 @@
 	tokensWeight = 0.05
 	// shortWeight is how much more room the short lane gets for its work: its
 	// answers are the urgent ones, and stay quick only far below full use.
-	shortWeight = 2
+	shortWeight = 0.6
 	// laneShareMin and laneShareMax bound the long lane's part of the replicas.
 	laneShareMin, laneShareMax = 0.25, 0.75
 	// laneMin is how many replicas a model needs for lanes.
