Keep room for urgent calls; keep long prompts out of a busy short lane

Change: trunk reservation by the share of more urgent calls in the lane; long prompts use the short lane only while it is half idle.

--- a/core/route/home.go
+++ b/core/route/home.go
@@ -26,13 +26,13 @@
 	var first *state
 	var least uint64
 	for _, s := range p.all {
-		if slices.Contains(exclude, s.ID) || s.ejected(now) || s.reserved(now) || r.full(now, s, f.warm) {
+		if slices.Contains(exclude, s.ID) || s.ejected(now) || s.reserved(now) || r.full(now, s, &f) {
 			continue
 		}
 		if laned && (s.lane < from || s.lane >= to) {
 			continue
 		}
-		if s.load(now, r.c.ReportMaxAge)/float64(s.Slots) > bound {
+		if r.perSlot(now, s) > bound {
 			continue
 		}
 		if hash := homeHash(prefix, s.ID); first == nil || hash < least {
--- a/core/route/lane.go
+++ b/core/route/lane.go
@@ -29,15 +29,16 @@
 	laneSamples = 50
 	// tokensWeight is the weight of a new call in the mean length of its class.
 	tokensWeight = 0.05
-	// shortWeight is how much more room the short lane gets for its work: its
-	// answers are the urgent ones, and stay quick only far below full use.
+	// shortWeight is what a token of the short lane counts against one of the long:
+	// attention makes the work of a long prompt grow faster than its length.
 	shortWeight = 0.6
 	// laneShareMin and laneShareMax bound the long lane's part of the replicas.
 	laneShareMin, laneShareMax = 0.25, 0.75
 	// laneMin is how many replicas a model needs for lanes.
 	laneMin = 4
-	// laneSpill is the load per slot at which a lane's calls go to the other too.
-	laneSpill = 0.85
+	// spillRoom is the load per slot up to which the short lane takes long prompts
+	// for which their own has no room: beyond it they would delay the urgent.
+	spillRoom = 0.5
 )
 
 // class is what was learned of one class of calls.
@@ -58,6 +59,8 @@
 type classes struct {
 	byName  map[call.Class]*class
 	samples int
+	// tiers counts the calls of each tier in the short and the long lane.
+	tiers [2][int(call.MaxTier) + 1]class
 }
 
 // learn counts a call.
@@ -80,10 +83,43 @@
 	if c.SharedTokens >= homeTokens {
 		work -= float64(c.SharedTokens)
 	}
+	tier := &s.tiers[s.laneIndex(c.Class, s.mean(now))][c.Tier]
+	tier.seen = tier.rate(now) + 1
+	tier.at = now
 	one.prompt += tokensWeight * (float64(c.PromptTokens) - one.prompt)
 	one.work += tokensWeight * (max(1, work) - one.work)
 }
 
+// laneIndex is 1 for the long lane.
+func (s *classes) laneIndex(name call.Class, mean float64) int {
+	if s.isLong(name, mean) {
+		return 1
+	}
+	return 0
+}
+
+// reserve is the part of the slots that is kept from a call where all other calls
+// of its lane are more urgent.
+const reserve = 0.3
+
+// room is the part of a replica's slots that a call may use: trunk reservation. The
+// more of the calls of its lane are more urgent than it, the less, so that in an
+// overload the least urgent are refused first and the others find slots free.
+func (s *classes) room(now time.Time, c call.Call) float64 {
+	var urgent, all float64
+	for tier := range s.tiers[0] {
+		rate := s.tiers[s.laneIndex(c.Class, s.mean(now))][tier].rate(now)
+		all += rate
+		if call.Tier(tier) < c.Tier {
+			urgent += rate
+		}
+	}
+	if all == 0 {
+		return 1
+	}
+	return 1 - reserve*urgent/all
+}
+
 // isLong reports whether the calls of the class belong to the long lane.
 func (s *classes) isLong(name call.Class, mean float64) bool {
 	one := s.byName[name]
@@ -141,33 +177,43 @@
 	return border, len(p.all), true
 }
 
-// narrow leaves only the replicas of a lane, unless all of those are near full.
+// narrow leaves only the replicas of a lane. Where those have no room left, calls
+// of the short lane may use all, and long ones the idler half of the others.
 func (r *Router) narrow(now time.Time, f filtered, from, to int) filtered {
 	out := f
-	least := math.Inf(1)
-	keep := func(part []*state) []*state {
-		var kept []*state
-		for _, s := range part {
-			if s.lane >= from && s.lane < to {
-				kept = append(kept, s)
-				least = min(least, s.load(now, r.c.ReportMaxAge)/float64(s.Slots))
+	out.local, out.remote = nil, nil
+	keep := func(keep func(s *state) bool) {
+		for _, s := range f.local {
+			if keep(s) {
+				out.local = append(out.local, s)
+			}
+		}
+		for _, s := range f.remote {
+			if keep(s) {
+				out.remote = append(out.remote, s)
 			}
 		}
-		return kept
 	}
-	out.local, out.remote = keep(f.local), keep(f.remote)
-	if least >= laneSpill {
-		return f
+	keep(func(s *state) bool { return s.lane >= from && s.lane < to })
+	if out.usable() == 0 {
+		long := from == 0
+		keep(func(s *state) bool { return !long || r.perSlot(now, s) < spillRoom })
 	}
+	out.full += f.usable() - out.usable()
 	out.mean = 0
 	for _, part := range [2][]*state{out.local, out.remote} {
 		for _, s := range part {
-			out.mean += s.load(now, r.c.ReportMaxAge) / float64(s.Slots) / float64(out.usable())
+			out.mean += r.perSlot(now, s) / float64(out.usable())
 		}
 	}
 	return out
 }
 
+// perSlot is a replica's load per slot.
+func (r *Router) perSlot(now time.Time, s *state) float64 {
+	return s.load(now, r.c.ReportMaxAge) / float64(s.Slots)
+}
+
 // fillLanes gives each replica its place in the order of lanes, the same on all VMs.
 func fillLanes(model call.Model, all []*state) {
 	order := slices.Clone(all)
--- a/core/route/lane_test.go
+++ b/core/route/lane_test.go
@@ -84,3 +84,57 @@
 	}
 	assert.Equal(t, len(used), 8)
 }
+
+// Trunk reservation: in an overload the least urgent calls are refused first, and
+// the most urgent still find slots.
+func TestUrgentCallsFindRoom(t *testing.T) {
+	r := homeFleet(t, "vm-1", 6)
+	start := time.Unix(1000, 0)
+	calls := []call.Call{
+		{Model: "m", Class: "urgent", Tier: 0, PromptTokens: 900},
+		{Model: "m", Class: "calm", Tier: 2, PromptTokens: 900},
+	}
+	refused := map[call.Class]int{}
+	for i := range 600 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		c := calls[i%2]
+		d, err := r.Pick(now, c, nil)
+		if err != nil {
+			refused[c.Class]++
+			continue
+		}
+		r.Started(now, d.Replica.ID, 1)
+	}
+	assert.Assert(t, refused["calm"] > refused["urgent"], "%v", refused)
+	now := start.Add(600 * time.Millisecond)
+	_, err := r.Pick(now, calls[1], nil)
+	assert.ErrorIs(t, err, ErrBusy)
+}
+
+// Long prompts do not flood the short lane: they wait for their own, unless the
+// others are half idle.
+func TestLongPromptsStayOutOfABusyShortLane(t *testing.T) {
+	r := homeFleet(t, "vm-1", 18)
+	mixed(t, r, 20, 3.4, 14)
+	now := time.Unix(1020, 0)
+	long := longCall(3)
+	long.Class = "summary"
+	long.SharedTokens = 0
+	question := call.Call{Model: "m", Class: "question", PromptTokens: 900}
+	for range 6 * 8 {
+		d, err := r.Pick(now, question, nil)
+		assert.NilError(t, err)
+		r.Started(now, d.Replica.ID, 1)
+	}
+	var last error
+	for range 18 * 48 {
+		var d Decision
+		if d, last = r.Pick(now, long, nil); last != nil {
+			break
+		}
+		r.Started(now, d.Replica.ID, 1)
+	}
+	assert.ErrorIs(t, last, ErrBusy)
+	_, err := r.Pick(now, question, nil)
+	assert.NilError(t, err)
+}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -32,15 +32,16 @@
 		return Decision{}, errors.Annotatef(ErrNoReplica, "Router.Pick: %s", c.Model)
 	}
 	var d Decision
-	f := r.filter(now, p, exclude, &d)
-	if f.usable() == 0 {
-		return d, errors.Annotatef(f.err(), "Router.Pick: %s", c.Model)
-	}
 	p.classes.learn(now, c, r.c.HomeTokens)
+	room := p.classes.room(now, c)
+	f := r.filter(now, p, exclude, &d, room)
 	from, to, laned := r.laneOf(now, c, p)
-	if laned {
+	if laned && f.usable() > 0 {
 		f = r.narrow(now, f, from, to)
 	}
+	if f.usable() == 0 {
+		return d, errors.Annotatef(f.err(), "Router.Pick: %s", c.Model)
+	}
 	best, home := r.home(now, c, p, exclude, f)
 	if !home {
 		best = r.best(now, c, f, &d)
@@ -80,7 +81,7 @@
 		return false
 	}
 	var d Decision
-	f := r.filter(now, p, nil, &d)
+	f := r.filter(now, p, nil, &d, 1)
 	return f.usable() > 0
 }
 
@@ -91,6 +92,8 @@
 	hadLocal bool
 	// warm is true where a usable replica has no slow start.
 	warm bool
+	// room is the part of the slots that the call may use.
+	room float64
 	// full counts replicas that would be usable but for their load.
 	full int
 	// mean is the mean load per slot of the usable.
@@ -108,9 +111,9 @@
 
 // filter leaves out the excluded, the ejected, the reserved and the full. Where
 // nothing but ejected replicas is left they are taken after all.
-func (r *Router) filter(now time.Time, p *pool, exclude []call.ReplicaID, d *Decision) filtered {
+func (r *Router) filter(now time.Time, p *pool, exclude []call.ReplicaID, d *Decision, room float64) filtered {
 	r.scratch = r.scratch[:0]
-	f := filtered{hadLocal: len(p.local) > 0, warm: r.anyWarm(now, p)}
+	f := filtered{room: room, hadLocal: len(p.local) > 0, warm: r.anyWarm(now, p)}
 	f.local = r.usable(now, p.local, exclude, &f, d, false)
 	f.remote = r.usable(now, p.remote, exclude, &f, d, false)
 	if f.usable() == 0 && f.full == 0 {
@@ -134,7 +137,7 @@
 		case s.reserved(now):
 			f.full++
 			d.pass(s.ID, PassedReserved)
-		case r.full(now, s, f.warm):
+		case r.full(now, s, f):
 			f.full++
 			d.pass(s.ID, PassedFull)
 		default:
@@ -177,8 +180,8 @@
 	return max(1, float64(s.Slots)*r.ramp(now, s))
 }
 
-func (r *Router) full(now time.Time, s *state, warm bool) bool {
-	return s.load(now, r.c.ReportMaxAge)+1 > r.slots(now, s, warm)
+func (r *Router) full(now time.Time, s *state, f *filtered) bool {
+	return s.load(now, r.c.ReportMaxAge)+1 > max(1, r.slots(now, s, f.warm)*f.room)
 }
 
 // best compares random candidates of both parts and those with a cached prefix.
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -71,7 +71,7 @@
 	h := p.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		h.Set("Retry-After", strconv.FormatFloat(p.retryAfter().Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", strconv.FormatFloat(p.retryAfter(reason).Seconds(), 'f', 3, 64))
 	}
 	p.written = status
 	p.w.WriteHeader(status)
@@ -92,9 +92,13 @@
 
 // retryAfter returns when a refused caller may come back: spread, so that callers
 // who were refused together do not return together, and early enough for each to
-// wait for it.
-func (p *pass) retryAfter() time.Duration {
+// wait for it. A caller refused for want of room comes back later than one refused
+// for a reason that passes quickly.
+func (p *pass) retryAfter(reason Reason) time.Duration {
 	longest := p.s.c.RetryAfter
+	if reason == ReasonBusy || reason == ReasonShed {
+		longest = p.s.c.BusyRetryAfter
+	}
 	if !p.until.IsZero() {
 		left := time.Duration(patienceShare * float64(p.until.Sub(p.s.c.Now())))
 		longest = max(0, min(longest, left))
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -24,6 +24,8 @@
 	// defaultRetryAfter is the longest that a refused caller is told to wait: the
 	// reasons for a refusal pass within about a second.
 	defaultRetryAfter = time.Second
+	// defaultBusyRetryAfter is about half of a usual burst.
+	defaultBusyRetryAfter = 3 * time.Second
 	// defaultSends bounds how often one request is sent, refused sends included.
 	defaultSends = 4
 	// defaultRetryShare keeps retries to a tenth of the requests.
@@ -59,8 +61,10 @@
 	Log  logrus.FieldLogger
 	// Observe gets each request that has ended; nil: nobody.
 	Observe func(Measure)
-	// RetryAfter is the longest that a refused caller is told to wait.
-	RetryAfter time.Duration
+	// RetryAfter is the longest that a refused caller is told to wait,
+	// BusyRetryAfter where all replicas are full.
+	RetryAfter     time.Duration
+	BusyRetryAfter time.Duration
 	// Sends bounds how often one request is sent, refused sends included.
 	Sends int
 	// BusyWait is how long a request waits for a place on a replica, as a part of
@@ -75,6 +79,9 @@
 	if c.RetryAfter == 0 {
 		c.RetryAfter = defaultRetryAfter
 	}
+	if c.BusyRetryAfter == 0 {
+		c.BusyRetryAfter = defaultBusyRetryAfter
+	}
 	if c.Sends == 0 {
 		c.Sends = defaultSends
 	}
