Set the border between lanes by the lengths of prompts alone

Cause: in a burst of long prompts their mean rose so far that none counted as long, and the lanes vanished when they were needed most (found by a test of a flood of long prompts, failing first).

--- a/core/route/lane.go
+++ b/core/route/lane.go
@@ -21,9 +21,10 @@
 const (
 	// laneMemory is the time over which the rate of a class is averaged.
 	laneMemory = 5 * time.Second
-	// laneFactor is how many times longer than the mean the prompts of a class are
-	// that goes to the long lane, laneTokens how long they are at least.
-	laneFactor = 2
+	// laneSpread is how many times longer than those of the shortest class the
+	// prompts of the longest are where there are lanes, laneTokens how long the
+	// prompts of a class in the long lane are at least.
+	laneSpread = 4
 	laneTokens = 2048
 	// laneSamples is how many calls are seen before there are lanes.
 	laneSamples = 50
@@ -83,7 +84,7 @@
 	if c.SharedTokens >= homeTokens {
 		work -= float64(c.SharedTokens)
 	}
-	tier := &s.tiers[s.laneIndex(c.Class, s.mean(now))][c.Tier]
+	tier := &s.tiers[s.laneIndex(c.Class, s.border(now))][c.Tier]
 	tier.seen = tier.rate(now) + 1
 	tier.at = now
 	one.prompt += tokensWeight * (float64(c.PromptTokens) - one.prompt)
@@ -91,8 +92,8 @@
 }
 
 // laneIndex is 1 for the long lane.
-func (s *classes) laneIndex(name call.Class, mean float64) int {
-	if s.isLong(name, mean) {
+func (s *classes) laneIndex(name call.Class, border float64) int {
+	if s.isLong(name, border) {
 		return 1
 	}
 	return 0
@@ -108,7 +109,7 @@
 func (s *classes) room(now time.Time, c call.Call) float64 {
 	var urgent, all float64
 	for tier := range s.tiers[0] {
-		rate := s.tiers[s.laneIndex(c.Class, s.mean(now))][tier].rate(now)
+		rate := s.tiers[s.laneIndex(c.Class, s.border(now))][tier].rate(now)
 		all += rate
 		if call.Tier(tier) < c.Tier {
 			urgent += rate
@@ -121,31 +122,33 @@
 }
 
 // isLong reports whether the calls of the class belong to the long lane.
-func (s *classes) isLong(name call.Class, mean float64) bool {
+func (s *classes) isLong(name call.Class, border float64) bool {
 	one := s.byName[name]
-	return one != nil && one.prompt >= laneTokens && one.prompt >= laneFactor*mean
+	return one != nil && one.prompt >= border
 }
 
-// mean returns the mean length of all prompts.
-func (s *classes) mean(now time.Time) float64 {
-	var calls, tokens float64
+// border returns the length of prompts from which on a class is a long one: halfway
+// between the shortest and the longest class by ratio, whatever their rates, so that
+// a burst of either does not move it. It is infinite where the lengths are alike.
+func (s *classes) border(now time.Time) float64 {
+	least, most := math.Inf(1), 0.0
 	for _, one := range s.byName {
-		rate := one.rate(now)
-		calls += rate
-		tokens += rate * one.prompt
+		if one.rate(now) >= 1 {
+			least, most = min(least, one.prompt), max(most, one.prompt)
+		}
 	}
-	if calls == 0 {
-		return 0
+	if most < laneSpread*least {
+		return math.Inf(1)
 	}
-	return tokens / calls
+	return max(laneTokens, math.Sqrt(least*most))
 }
 
 // longShare returns the long lane's part of the work; zero where there is no lane.
-func (s *classes) longShare(now time.Time, mean float64) float64 {
+func (s *classes) longShare(now time.Time, border float64) float64 {
 	var long, all float64
 	for name, one := range s.byName {
 		work := one.rate(now) * one.work
-		if s.isLong(name, mean) {
+		if s.isLong(name, border) {
 			long += work
 			all += work
 			continue
@@ -164,14 +167,14 @@
 	if len(p.all) < laneMin || p.classes.samples < laneSamples || c.PromptTokens == 0 {
 		return 0, 0, false
 	}
-	mean := p.classes.mean(now)
-	share := p.classes.longShare(now, mean)
+	border := p.classes.border(now)
+	share := p.classes.longShare(now, border)
 	if share == 0 {
 		return 0, 0, false
 	}
 	border := int(math.Round(share * float64(len(p.all))))
 	border = min(max(1, border), len(p.all)-1)
-	if p.classes.isLong(c.Class, mean) {
+	if p.classes.isLong(c.Class, border) {
 		return 0, border, true
 	}
 	return border, len(p.all), true
