--- a/core/route/config.go
+++ b/core/route/config.go
@@ -23,8 +23,8 @@
 	defaultAffinityWeight  = 0.5
 	defaultAffinityBound   = 1.25
 	defaultHomeTokens      = 256
-	defaultHomeBound       = 1.5
-	defaultHomeFloor       = 0.25
+	defaultHomeBound       = 2
+	defaultHomeFloor       = 0.7
 	defaultFailuresToEject = 3
 	defaultSlowFactor      = 3
 	defaultSlowFloor       = 200 * time.Millisecond
--- a/core/route/lane.go
+++ b/core/route/lane.go
@@ -172,12 +172,12 @@
 	if share == 0 {
 		return 0, 0, false
 	}
-	border := int(math.Round(share * float64(len(p.all))))
-	border = min(max(1, border), len(p.all)-1)
+	place := int(math.Round(share * float64(len(p.all))))
+	place = min(max(1, place), len(p.all)-1)
 	if p.classes.isLong(c.Class, border) {
-		return 0, border, true
+		return 0, place, true
 	}
-	return border, len(p.all), true
+	return place, len(p.all), true
 }
 
 // narrow leaves only the replicas of a lane. Where those have no room left, calls
