Leave out unreachable replicas at once, and a cut zone as a whole

Two processes outlived their grace time by a part that did not end. Change: one failed connection (300 ms) leaves a replica out for 2 s, two in another zone leave out the zone for 1 s; a process that has answered everything ends within 200 ms.

--- a/core/route/config.go
+++ b/core/route/config.go
@@ -76,8 +76,13 @@
 	HomeTokens int
 	HomeBound  float64
 	HomeFloor  float64
-	// FailuresToEject is how many failures in a row eject a replica.
-	FailuresToEject int
+	// FailuresToEject is how many failures in a row eject a replica,
+	// UnreachableToEject how many connections that could not be made.
+	FailuresToEject    int
+	UnreachableToEject int
+	// UnreachableTime is how long an unreachable replica is ejected for the first
+	// time; EjectTime where it is zero.
+	UnreachableTime time.Duration
 	// SlowFactor ejects a replica whose usual time to the first token is so many
 	// times the model's median, and above SlowFloor, after SlowSamples answers.
 	// So many good answers in a row also end the doubling of EjectTime.
@@ -102,6 +107,8 @@
 	c.SubsetMin = cmp.Or(c.SubsetMin, defaultSubsetMin)
 	c.SubsetCover = cmp.Or(c.SubsetCover, defaultSubsetCover)
 	c.FailuresToEject = cmp.Or(c.FailuresToEject, defaultFailuresToEject)
+	c.UnreachableToEject = cmp.Or(c.UnreachableToEject, c.FailuresToEject)
+	c.UnreachableTime = cmp.Or(c.UnreachableTime, c.EjectTime, defaultEjectTime)
 	c.SlowSamples = cmp.Or(c.SlowSamples, defaultSlowSamples)
 	c.ReportMaxAge = cmp.Or(c.ReportMaxAge, defaultReportMaxAge)
 	c.SlowStart = cmp.Or(c.SlowStart, defaultSlowStart)
--- a/core/route/eject.go
+++ b/core/route/eject.go
@@ -60,18 +60,23 @@
 	s.failures++
 	s.failed = now
 	s.good = 0
-	if s.failures < r.c.FailuresToEject {
-		return ""
-	}
 	if result.Status == StatusUnreachable {
+		s.unreachable++
+		r.noteUnreachable(now, s)
+	}
+	switch {
+	case s.unreachable >= r.c.UnreachableToEject:
 		return r.eject(now, s, EjectUnreachable)
+	case s.failures >= r.c.FailuresToEject:
+		return r.eject(now, s, EjectFailing)
 	}
-	return r.eject(now, s, EjectFailing)
+	return ""
 }
 
 func (r *Router) judgeOK(now time.Time, s *state, result Result) EjectReason {
-	s.failures = 0
+	s.failures, s.unreachable = 0, 0
 	s.good++
+	delete(r.outZones, s.Zone)
 	if result.FirstToken > 0 {
 		s.sample(result.FirstToken)
 	}
@@ -125,19 +130,22 @@
 	if s.ejected(now) || !r.mayEject(now, s, reason) {
 		return ""
 	}
-	s.ejectedUntil = now.Add(r.ejectTime(s.ejections))
+	s.ejectedUntil = now.Add(r.ejectTime(s.ejections, reason))
 	s.ejectedFor = reason
 	s.ejections++
 	// It starts anew when it comes back: one more failure ejects it again.
 	s.freshSince = s.ejectedUntil
-	s.failures = r.c.FailuresToEject - 1
+	s.failures, s.unreachable = r.c.FailuresToEject-1, r.c.UnreachableToEject-1
 	s.good = 0
 	s.samples = 0
 	return reason
 }
 
-func (r *Router) ejectTime(before int) time.Duration {
+func (r *Router) ejectTime(before int, reason EjectReason) time.Duration {
 	d := r.c.EjectTime
+	if reason == EjectUnreachable {
+		d = r.c.UnreachableTime
+	}
 	for range before {
 		if d *= 2; d >= r.c.EjectTimeMax {
 			return r.c.EjectTimeMax
@@ -155,6 +163,11 @@
 		if p == nil {
 			continue
 		}
+		if reason == EjectUnreachable && r.c.UnreachableToEject < r.c.FailuresToEject {
+			// No work is lost with a replica that cannot be reached, and where only
+			// ejected ones are left they are tried after all.
+			continue
+		}
 		if r.farUnreachable(s, reason) && p.usableIn(now, r.c.Zone) {
 			continue
 		}
--- a/core/route/home.go
+++ b/core/route/home.go
@@ -26,7 +26,7 @@
 	var first *state
 	var least uint64
 	for _, s := range p.all {
-		if slices.Contains(exclude, s.ID) || s.ejected(now) || s.reserved(now) || r.full(now, s, &f) {
+		if slices.Contains(exclude, s.ID) || s.ejected(now) || r.zoneOut(now, s.Zone) || s.reserved(now) || r.full(now, s, &f) {
 			continue
 		}
 		if laned && (s.lane < from || s.lane >= to) {
--- a/core/route/home_test.go
+++ b/core/route/home_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -64,7 +65,7 @@
 		r.Started(now, d.Replica.ID, 1)
 		sent[d.Replica.ID]++
 	}
-	most := int(defaultHomeFloor*48) + 1
+	most := int(math.Floor(r.c.HomeFloor*48)) + 1
 	needed := (60 + most - 1) / most
 	assert.Assert(t, len(sent) >= needed && len(sent) <= needed+1, "60 calls of one prefix went to %d replicas", len(sent))
 	for id, n := range sent {
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -132,7 +132,7 @@
 		switch {
 		case slices.Contains(exclude, s.ID):
 			d.pass(s.ID, PassedExcluded)
-		case s.ejected(now) && !ejectedToo:
+		case (s.ejected(now) || r.zoneOut(now, s.Zone)) && !ejectedToo:
 			d.pass(s.ID, PassedEjected)
 		case s.reserved(now):
 			f.full++
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -27,6 +27,9 @@
 	started  bool
 	meanCost float64
 	scratch  []*state
+	// outZones holds the zones in which replicas were found unreachable and none
+	// has answered since.
+	outZones map[call.Zone]*outZone
 }
 
 // New returns a Router without replicas. Unset fields of the config get their
@@ -41,7 +44,7 @@
 	if c.Hints == nil {
 		c.Hints = hint.New(hint.Config{})
 	}
-	return &Router{c: c, vms: 1, byID: map[call.ReplicaID]*state{}, pools: map[call.Model]*pool{}}, nil
+	return &Router{c: c, vms: 1, byID: map[call.ReplicaID]*state{}, pools: map[call.Model]*pool{}, outZones: map[call.Zone]*outZone{}}, nil
 }
 
 // Hints returns the table of prefix hints, which Pick reads.
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -35,8 +35,10 @@
 	// failures counts failures in a row, the last of them at failed; good
 	// counts successes in a row.
 	failures int
-	failed   time.Time
-	good     int
+	// unreachable counts the connections in a row that could not be made.
+	unreachable int
+	failed      time.Time
+	good        int
 	// firstToken is the usual time to the first token in seconds.
 	firstToken   float64
 	samples      int
--- a/io/entry/budget.go
+++ b/io/entry/budget.go
@@ -18,7 +18,10 @@
 	// dialTimeout bounds the making of a connection to a backend server. A lost
 	// opening packet is sent again after a second, when another replica has long
 	// answered.
-	dialTimeout = 600 * time.Millisecond
+	dialTimeout = 300 * time.Millisecond
+	// unreachableTime is how long a replica is left out after a connection to it
+	// could not be made; it is about as long as a replica takes to come back.
+	unreachableTime = 2 * time.Second
 )
 
 // setBudget gives this VM its share of the repeats that all VMs may send.
@@ -31,5 +34,5 @@
 }
 
 func routerConfig(c Config, rng *rand.Rand) route.Config {
-	return route.Config{Self: c.VM, Zone: c.Zone, Rand: rng}
+	return route.Config{Self: c.VM, Zone: c.Zone, Rand: rng, UnreachableToEject: 1, UnreachableTime: unreachableTime}
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -84,6 +84,8 @@
 
 	drawMu sync.Mutex
 	draw   *rand.Rand
+	// stopped is closed when a planned stop is over.
+	stopped chan struct{}
 	// fetching is true while a peer's bundle is being fetched.
 	fetching atomic.Bool
 }
@@ -99,7 +101,7 @@
 	if o.Dial == nil {
 		o.Dial = dial.TCP(dial.Config{})
 	}
-	e := &Entry{o: o, log: o.Log, timers: timer.New(timer.Config{Now: o.Now}), draw: o.rand(randDraw)}
+	e := &Entry{o: o, log: o.Log, timers: timer.New(timer.Config{Now: o.Now}), draw: o.rand(randDraw), stopped: make(chan struct{})}
 	e.config.Store(&o.Config)
 	e.drain = drain.New(drain.Config{Notice: o.Config.Notice, Limit: o.Config.StopLimit - stopMargin})
 	if err := e.makeParts(); err != nil {
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -19,6 +19,8 @@
 )
 
 const (
+	// endTimeout bounds the end of all parts after the last answer.
+	endTimeout = 200 * time.Millisecond
 	// stopPoll is how often a process that stops looks whether it is done.
 	stopPoll = 50 * time.Millisecond
 	// mirrorBackoff is the mean wait between attempts to read the store while it
@@ -74,7 +76,22 @@
 		"event": "start", "vm": c.VM, "zone": c.Zone, "callers": c.Callers, "ready": c.Ready, "peers": c.Peers, "store": c.Store,
 		"seeds": len(c.Seeds), "stopLimit": c.StopLimit.String(),
 	}).Info("entry VM started")
-	return errors.Annotate(g.Run(), "Entry.Run")
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run() }()
+	select {
+	case err := <-ended:
+		return errors.Annotate(err, "Entry.Run")
+	case <-e.stopped:
+	}
+	// Every request has its answer: a part that does not end must not hold the
+	// process up until it is killed.
+	select {
+	case err := <-ended:
+		return errors.Annotate(err, "Entry.Run")
+	case <-time.After(endTimeout):
+		e.log.WithField("event", "stop").Warn("a part has not ended, the process ends without it")
+		return nil
+	}
 }
 
 // subscribe starts what is done at intervals.
@@ -200,6 +217,7 @@
 		switch e.drain.Advance(e.o.Now()) {
 		case drain.PhaseStopped:
 			e.logStop("stopped")
+			close(e.stopped)
 			return nil
 		case drain.PhaseFinish:
 			if !closing {
