Pass load reports between VMs; one VM probes the store; page for entry VMs

Cause: with 65 VMs each hears from a replica every six seconds only (reportAge in the logs), so that bounded loads of homes were guesses.

--- a/cmd/gentianwell/pages_test.go
+++ b/cmd/gentianwell/pages_test.go
@@ -5,6 +5,7 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -12,12 +13,16 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 
+	"gentianwell/io/entry"
 	"gentianwell/io/metric"
 	"gentianwell/io/node"
+	"gentianwell/platform"
 )
 
 const (
@@ -107,8 +112,8 @@
 	ast.Inspect(part, func(n ast.Node) bool {
 		switch n := n.(type) {
 		case *ast.KeyValueExpr:
-			if literal(n.Key) == "event" {
-				names = append(names, literal(n.Value))
+			if name := literal(n.Value); literal(n.Key) == "event" && name != "" {
+				names = append(names, name)
 			}
 		case *ast.CallExpr:
 			fun, ok := n.Fun.(*ast.SelectorExpr)
@@ -116,6 +121,10 @@
 				return true
 			}
 			switch fun.Sel.Name {
+			case "log":
+				if name := literal(n.Args[0]); name != "" {
+					names = append(names, name)
+				}
 			case "WithField":
 				if literal(n.Args[0]) == "event" {
 					names = append(names, literal(n.Args[1]))
@@ -156,6 +165,10 @@
 func metrics() []string {
 	registry := prometheus.NewRegistry()
 	metric.New(metric.Config{Registry: registry})
+	return described(registry)
+}
+
+func described(registry *prometheus.Registry) []string {
 	descs := make(chan *prometheus.Desc)
 	go func() {
 		registry.Describe(descs)
@@ -191,6 +204,28 @@
 	return out
 }
 
+func entryFlags() []string {
+	var out []string
+	for _, flag := range entryCommand().Flags {
+		out = append(out, "--"+flag.Names()[0])
+	}
+	return out
+}
+
+// entryMetrics returns the names of the metrics of an entry VM as they are served.
+func entryMetrics(t *testing.T) []string {
+	t.Helper()
+	local := netip.MustParseAddrPort("127.0.0.1:1")
+	log, _ := logtest.NewNullLogger()
+	e, err := entry.New(entry.Options{
+		Config: entry.Config{VM: "vm-1", Callers: local, Ready: local, Store: local},
+		Source: platform.Source(platform.NewStore(platform.StoreConfig{Address: local}).Service()), Wire: platform.Wire(),
+		Log: log, Now: time.Now, Seed: 1,
+	})
+	assert.NilError(t, err)
+	return described(e.Registry())
+}
+
 // The operators' page names everything that an operator may meet.
 func TestOperationsPageIsComplete(t *testing.T) {
 	raw, err := os.ReadFile(operationsPage)
@@ -215,6 +250,9 @@
 		{"error types", constants(t, "io/front", "FaultType", "Fault"), 5},
 		{"headers", constants(t, "io/front", "", "Header"), 8},
 		{"failures of operators' requests", constants(t, "io/oper", "FailureKind", "Failure"), 7},
+		{"reasons of the proxy", constants(t, "io/proxy", "Reason", "Reason"), 16},
+		{"flags of entry", entryFlags(), 3},
+		{"metrics of entry", entryMetrics(t), 10},
 		{"log events", daemonEvents(t), 20},
 		{"metrics", metrics(), 11},
 		{"start-up settings", startKeys(), 13},
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -172,3 +172,18 @@
 	s := r.byID[id]
 	return s != nil && s.report(now, l)
 }
+
+// Reports returns the load reports that are younger than an age, those of replicas
+// that are not listed left out, for other VMs: each sees only some of the answers
+// that carry them.
+func (r *Router) Reports(now time.Time, younger time.Duration) map[call.ReplicaID]Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[call.ReplicaID]Load{}
+	for id, s := range r.byID {
+		if s.listed && !s.last.Taken.IsZero() && now.Sub(s.last.Taken) < younger {
+			out[id] = s.last
+		}
+	}
+	return out
+}
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -25,6 +25,8 @@
 	// foreign is the other VMs' load by the last report, taken at reported.
 	foreign  float64
 	reported time.Time
+	// last is the last report.
+	last Load
 	// saidSlots are the slots by its own report; zero: it has not said.
 	saidSlots int
 	// alone counts own calls in flight that have to be alone, keptUntil is how
@@ -85,6 +87,8 @@
 		return false
 	}
 	s.reported = taken
+	s.last = l
+	s.last.Taken = taken
 	if l.Slots > 0 {
 		s.Slots = l.Slots
 		s.saidSlots = l.Slots
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -76,6 +76,7 @@
 
 	tables   *tables
 	replicas *replicas
+	loads    *loads
 	members  *members
 	upstream *link
 	probe    *probe
@@ -127,17 +128,21 @@
 	}
 	e.news = spread.New(spread.Config{Self: c.VM, Rand: e.o.rand(randGossip)})
 	e.tables = &tables{read: e.o.Source.Document, log: e.log}
+	e.loads = &loads{router: e.router}
 	e.replicas = &replicas{
+		know:   e.loads.know,
 		prefix: e.o.Source.ReplicaPrefix, record: e.o.Source.Record, router: e.router, news: e.news, now: e.o.Now, log: e.log,
 		registry: fleet.New(fleet.Config{}), values: map[call.ReplicaID][]byte{},
 	}
 	e.members = &members{self: c.VM, address: c.Peers, store: e.news, now: e.o.Now, log: e.log, silent: map[call.VMID]bool{}}
-	e.upstream = &link{now: e.o.Now, log: e.log, regained: e.replicas.regained}
+	e.upstream = &link{now: e.o.Now, log: e.log, regained: e.replicas.regained, changed: func() { e.members.announce(e.o.Now()) }}
+	e.members.storeUp = e.upstream.up
 	e.pool = peer.NewPool(peer.PoolConfig{Dial: e.o.Dial})
 	e.gossip = peer.NewGossip(peer.GossipConfig{
 		Self: c.VM, Zone: c.Zone, Pool: e.pool, Store: e.news, Peers: e.members.peers, Now: e.o.Now,
 		SettingsVersion: func() int64 { return e.tables.Current().Version() },
 		Heard:           e.heard, Contacted: e.members.contact, Behind: e.behind, Settings: e.answer,
+		Loads: e.loads.message, HeardLoads: e.loads.heard,
 	})
 	e.probe = &probe{list: e.o.Source.Store.List, members: e.members, push: e.push, log: e.log}
 	e.metrics = newMetrics(prometheus.NewRegistry(), e)
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -1,9 +1,8 @@
 package entry
 
 import (
-	"cmp"
+	"encoding/json"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -14,10 +13,23 @@
 	"gentianwell/io/peer"
 )
 
-// kindVM is the kind of gossip items by which entry VMs make themselves known: the
-// address for other VMs.
+// kindVM is the kind of gossip items by which entry VMs make themselves known.
 const kindVM spread.Kind = "vm"
 
+// vmItem is what a VM tells of itself.
+type vmItem struct {
+	// Address is where other VMs connect.
+	Address netip.AddrPort `json:"address"`
+	// StoreLost is true while it cannot read the platform's store.
+	StoreLost bool `json:"storeLost,omitempty"`
+}
+
+// member is another entry VM.
+type member struct {
+	peer.Peer
+	storeLost bool
+}
+
 // aliveFor is how long a VM counts after its last word, aliveEvery how often it
 // renews it.
 const (
@@ -32,6 +44,8 @@
 	store   *spread.Store
 	now     func() time.Time
 	log     logrus.FieldLogger
+	// storeUp reports whether this VM can read the store.
+	storeUp func() bool
 
 	mu sync.Mutex
 	// silent is true for peers whose last call failed.
@@ -42,26 +56,40 @@
 
 // announce renews this VM's own item.
 func (m *members) announce(now time.Time) {
+	value, err := json.Marshal(vmItem{Address: m.address, StoreLost: !m.storeUp()})
+	if err != nil {
+		m.log.WithFields(logrus.Fields{"event": "announce"}).WithError(err).Error("this VM cannot make itself known")
+		return
+	}
 	m.store.Put(now, spread.Item{
-		ID: spread.ID{Kind: kindVM, Key: string(m.self)}, Version: uint64(now.UnixMilli()),
-		Value: []byte(m.address.String()), Expires: now.Add(aliveFor),
+		ID: spread.ID{Kind: kindVM, Key: string(m.self)}, Version: uint64(now.UnixMilli()), Value: value, Expires: now.Add(aliveFor),
 	})
 }
 
-// peers returns the other VMs.
-func (m *members) peers() []peer.Peer {
-	var out []peer.Peer
+// others returns the other VMs in the order of their ids.
+func (m *members) others() []member {
+	var out []member
 	for _, item := range m.store.All(m.now(), kindVM) {
-		address, err := netip.ParseAddrPort(string(item.Value))
-		if err != nil {
-			m.log.WithFields(logrus.Fields{"event": "peer", "peer": item.Key}).WithError(err).Warn("address of a VM cannot be read")
+		if item.Key == string(m.self) {
 			continue
 		}
-		if id := call.VMID(item.Key); id != m.self {
-			out = append(out, peer.Peer{ID: id, Address: address})
+		var said vmItem
+		if err := json.Unmarshal(item.Value, &said); err != nil {
+			m.log.WithFields(logrus.Fields{"event": "peerItem", "peer": item.Key}).WithError(err).Warn("word of a VM cannot be read")
+			continue
 		}
+		out = append(out, member{Peer: peer.Peer{ID: call.VMID(item.Key), Address: said.Address}, storeLost: said.StoreLost})
+	}
+	return out
+}
+
+// peers returns the other VMs as gossip knows them.
+func (m *members) peers() []peer.Peer {
+	others := m.others()
+	out := make([]peer.Peer, 0, len(others))
+	for _, other := range others {
+		out = append(out, other.Peer)
 	}
-	slices.SortFunc(out, func(a, b peer.Peer) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
@@ -90,15 +118,15 @@
 	if c.Err == nil {
 		m.contacted = now
 	}
-	if was := m.silent[c.Peer.ID]; was != (c.Err != nil) && c.Peer.ID != "" {
-		m.silent[c.Peer.ID] = c.Err != nil
-		entry := m.log.WithFields(logrus.Fields{"event": "peer", "peer": c.Peer.ID, "address": c.Peer.Address})
-		if c.Err != nil {
-			entry.WithError(c.Err).Warn("VM does not answer")
-		} else {
-			entry.Info("VM answers again")
-		}
+	if was := m.silent[c.Peer.ID]; was == (c.Err != nil) || c.Peer.ID == "" {
+		return
+	}
+	m.silent[c.Peer.ID] = c.Err != nil
+	if c.Err != nil {
+		m.log.WithFields(logrus.Fields{"event": "peerLost", "peer": c.Peer.ID, "address": c.Peer.Address}).WithError(c.Err).Warn("VM does not answer")
+		return
 	}
+	m.log.WithFields(logrus.Fields{"event": "peerRegained", "peer": c.Peer.ID, "address": c.Peer.Address}).Info("VM answers again")
 }
 
 // inTouch reports whether a peer has answered within a time.
@@ -107,3 +135,10 @@
 	defer m.mu.Unlock()
 	return !m.contacted.IsZero() && now.Sub(m.contacted) < within
 }
+
+// isSilent reports whether the last call of a VM failed.
+func (m *members) isSilent(vm call.VMID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.silent[vm]
+}
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -68,6 +68,9 @@
 	return m
 }
 
+// Registry returns the registry of the process's metrics.
+func (e *Entry) Registry() *prometheus.Registry { return e.metrics.registry }
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -2,17 +2,13 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"gentianwell/core/call"
 	"gentianwell/io/kvs"
 	"gentianwell/io/mirror"
-	"gentianwell/io/peer"
 )
 
 const (
@@ -21,9 +17,6 @@
 	probeEvery = 700 * time.Millisecond
 	// probeTimeout bounds one question.
 	probeTimeout = time.Second
-	// probeVMs is how many VMs of the fleet ask. One would do; the second goes on
-	// where the first is lost without a word.
-	probeVMs = 2
 	// probeKey is a prefix below which nothing lies: the answer is the revision.
 	probeKey = "gentianwell/none/"
 	// aloneAfter is how long after the last word of another VM this one asks too.
@@ -31,7 +24,7 @@
 )
 
 // probe compares the store's revision with that of the copies, since a watch may
-// fall silent without an error. A few VMs do so for all.
+// fall silent without an error. One VM does so for all.
 type probe struct {
 	list    func(ctx context.Context, prefix string) (kvs.Snapshot, error)
 	members *members
@@ -53,19 +46,21 @@
 	}()
 }
 
-// mine reports whether this VM is one of those that ask.
+// mine reports whether this VM is the one that asks: the first in the order of ids
+// that answers and can read the store. A VM without others asks for itself.
 func (p *probe) mine(now time.Time) bool {
 	if !p.members.inTouch(now, aloneAfter) {
 		return true
 	}
-	ids := []call.VMID{p.members.self}
-	for _, other := range p.members.peers() {
-		if !p.members.isSilent(other) {
-			ids = append(ids, other.ID)
+	if !p.members.storeUp() {
+		return false
+	}
+	for _, other := range p.members.others() {
+		if other.ID < p.members.self && !other.storeLost && !p.members.isSilent(other.ID) {
+			return false
 		}
 	}
-	slices.SortFunc(ids, func(a, b call.VMID) int { return strings.Compare(string(a), string(b)) })
-	return slices.Index(ids, p.members.self) < probeVMs
+	return true
 }
 
 func (p *probe) ask() {
@@ -111,10 +106,3 @@
 	}
 	time.AfterFunc(readTime, func() { p.push(known) })
 }
-
-// isSilent reports whether the last call of a peer failed.
-func (m *members) isSilent(p peer.Peer) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.silent[p.ID]
-}
--- a/io/entry/reload.go
+++ b/io/entry/reload.go
@@ -17,10 +17,9 @@
 		return errors.Annotate(err, "Entry.Reload")
 	}
 	before := e.config.Load()
-	fields := logrus.Fields{"event": "reload", "seeds": len(next.Seeds), "stopLimit": next.StopLimit.String(), "retryRatio": next.RetryRatio}
 	moved := next.Callers != before.Callers || next.Ready != before.Ready || next.Peers != before.Peers || next.Store != before.Store
 	if moved || next.VM != before.VM || next.Zone != before.Zone {
-		e.log.WithFields(fields).Warn("addresses, name and zone stay until the next start")
+		e.log.WithFields(logrus.Fields{"event": "reloadPartly"}).Warn("addresses, name and zone stay until the next start")
 	}
 	changed := !slices.Equal(next.Seeds, before.Seeds) || next.StopLimit != before.StopLimit ||
 		next.RetryRatio != before.RetryRatio || next.RetrySlack != before.RetrySlack || next.RetryWindow != before.RetryWindow
@@ -30,7 +29,8 @@
 	e.config.Store(&kept)
 	e.drain.SetLimit(kept.StopLimit - stopMargin)
 	e.setBudget()
-	fields["changed"] = changed
-	e.log.WithFields(fields).Info("settings reloaded")
+	e.log.WithFields(logrus.Fields{
+		"event": "reload", "changed": changed, "seeds": len(kept.Seeds), "stopLimit": kept.StopLimit.String(), "retryRatio": kept.RetryRatio,
+	}).Info("settings reloaded")
 	return nil
 }
--- a/io/entry/replicas.go
+++ b/io/entry/replicas.go
@@ -27,15 +27,19 @@
 	prefix string
 	record func(kvs.Entry) fleet.Record
 	router *route.Router
-	news   *spread.Store
-	now    func() time.Time
-	log    logrus.FieldLogger
+	// know gets each new list.
+	know func(route.Replicas)
+	news *spread.Store
+	now  func() time.Time
+	log  logrus.FieldLogger
 
 	mu       sync.Mutex
 	registry *fleet.Registry
 	// values holds the entries' bytes, for other VMs.
 	values map[call.ReplicaID][]byte
 	listed bool
+	// used is how many replicas the last list had.
+	used int
 }
 
 // known reports whether any list has been read.
@@ -154,6 +158,10 @@
 		})
 	}
 	r.router.SetReplicas(now, list)
+	if len(changed) > 0 || len(list) != r.used {
+		r.used = len(list)
+		r.know(list)
+	}
 }
 
 // entries returns everything that is known, for another VM.
--- a/io/entry/tables.go
+++ b/io/entry/tables.go
@@ -28,15 +28,14 @@
 	if len(raw) == 0 {
 		return
 	}
-	fields := logrus.Fields{"event": "configuration", "source": source, "bytes": len(raw)}
 	document, err := t.read(raw)
 	if err != nil {
-		t.log.WithFields(fields).WithError(err).Error("configuration cannot be read, the old one stays in force")
+		t.refuse(source, err)
 		return
 	}
 	next, err := table.New(document)
 	if err != nil {
-		t.log.WithFields(fields).WithError(err).Error("configuration is not valid, the old one stays in force")
+		t.refuse(source, err)
 		return
 	}
 	t.mu.Lock()
@@ -47,9 +46,14 @@
 	}
 	t.raw = raw
 	t.current.Store(next)
-	fields["version"], fields["before"] = next.Version(), before.Version()
-	fields["routes"], fields["teams"] = len(document.Routes), len(document.Teams)
-	t.log.WithFields(fields).Info("configuration in force")
+	t.log.WithFields(logrus.Fields{
+		"event": "configuration", "source": source, "version": next.Version(), "before": before.Version(), "bytes": len(raw),
+		"routes": len(document.Routes), "teams": len(document.Teams),
+	}).Info("configuration in force")
+}
+
+func (t *tables) refuse(source string, err error) {
+	t.log.WithFields(logrus.Fields{"event": "configurationBad", "source": source}).WithError(err).Error("configuration cannot be used, the old one stays in force")
 }
 
 // bytes returns what the table in force was read from.
--- a/io/peer/gossip.go
+++ b/io/peer/gossip.go
@@ -51,6 +51,10 @@
 	Contacted func(now time.Time, contact Contact)
 	// Behind is called when a peer has newer settings, whoever began the exchange.
 	Behind func(vm call.VMID, version int64)
+	// Loads returns the load reports that go with each exchange, HeardLoads takes
+	// those of a peer; nil: none.
+	Loads      func(now time.Time) []*peerpb.Load
+	HeardLoads func(now time.Time, loads []*peerpb.Load)
 	// Settings answers a peer's request for the tree, Shares one for limits.
 	Settings func(ctx context.Context, have int64) (version int64, tree []byte, err error)
 	Shares   func(ctx context.Context, req *peerpb.SharesRequest) (*peerpb.SharesReply, error)
@@ -62,7 +66,15 @@
 }
 
 // NewGossip returns a gossip; Round starts each round.
-func NewGossip(c GossipConfig) *Gossip { return &Gossip{c: c} }
+func NewGossip(c GossipConfig) *Gossip {
+	if c.Loads == nil {
+		c.Loads = func(time.Time) []*peerpb.Load { return nil }
+	}
+	if c.HeardLoads == nil {
+		c.HeardLoads = func(time.Time, []*peerpb.Load) {}
+	}
+	return &Gossip{c: c}
+}
 
 // Round begins one exchange with each of a few neighbours and returns at once.
 func (g *Gossip) Round(now time.Time) {
@@ -105,6 +117,7 @@
 func (g *Gossip) exchange(to Peer, items []*peerpb.Item) {
 	req := &peerpb.ExchangeRequest{
 		Vm: string(g.c.Self), Zone: string(g.c.Zone), SettingsVersion: g.c.SettingsVersion(), Items: items,
+		Loads: g.c.Loads(g.c.Now()),
 	}
 	var reply *peerpb.ExchangeReply
 	err := g.c.Pool.Call(context.Background(), to.Address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
@@ -122,6 +135,7 @@
 	}
 	g.c.Contacted(now, Contact{Peer: to, SettingsVersion: reply.SettingsVersion})
 	g.hear(now, call.VMID(reply.Vm), reply.SettingsVersion, reply.Items)
+	g.c.HeardLoads(now, reply.Loads)
 }
 
 func (g *Gossip) hear(now time.Time, from call.VMID, version int64, items []*peerpb.Item) {
@@ -139,8 +153,10 @@
 	reply := &peerpb.ExchangeReply{
 		Vm: string(g.c.Self), Zone: string(g.c.Zone), SettingsVersion: g.c.SettingsVersion(),
 		Items: toMessage(g.c.Store.Batch(now, len(g.c.Peers())+1), now),
+		Loads: g.c.Loads(now),
 	}
 	g.hear(now, call.VMID(req.Vm), req.SettingsVersion, req.Items)
+	g.c.HeardLoads(now, req.Loads)
 	return reply, nil
 }
 
