Give each long prefix two homes

Change: power of two choices between the first two replicas in the order of the prefix's hash; full homes refuse unless somebody is half idle; the long lane queues up to 1.5 calls a slot and may have 0.82 of the replicas.

--- a/core/route/config.go
+++ b/core/route/config.go
@@ -23,8 +23,8 @@
 	defaultAffinityWeight  = 0.5
 	defaultAffinityBound   = 1.25
 	defaultHomeTokens      = 256
-	defaultHomeBound       = 2
-	defaultHomeFloor       = 0.7
+	defaultHomeBound       = 0.3
+	defaultHomeFloor       = 0.6
 	defaultFailuresToEject = 3
 	defaultSlowFactor      = 3
 	defaultSlowFloor       = 200 * time.Millisecond
@@ -71,8 +71,8 @@
 	AffinityBound float64
 	// HomeTokens is the length of a shared prompt prefix, in tokens, from which on
 	// all VMs send the calls that share it to the same replica, its home. A home
-	// whose load per slot is above HomeFloor and above HomeBound times the mean is
-	// passed over for the next one.
+	// with a load per slot above HomeFloor that is HomeBound above that of the
+	// prefix's second home leaves the call to that.
 	HomeTokens int
 	HomeBound  float64
 	HomeFloor  float64
--- a/core/route/home.go
+++ b/core/route/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
@@ -11,40 +12,50 @@
 )
 
 // home returns the replica for a call whose prompt has a long shared prefix:
-// consistent hashing with bounded loads. All VMs rank the replicas of the model in
-// the same order by rendezvous hashing of the prefix, and each takes the first
-// that is usable and not overloaded, so that the prefix is read on few replicas
-// without a word between the VMs, and one hot prefix overloads none. It returns
-// false for calls without such a prefix, or where no replica is within the bound.
-func (r *Router) home(now time.Time, c call.Call, p *pool, exclude []call.ReplicaID, f filtered) (candidate, bool) {
+// consistent hashing with the power of two choices. All VMs rank the replicas of
+// the model in the same order by rendezvous hashing of the prefix. The first is its
+// home, the second takes over what would overload it, so that a prefix is read on
+// two replicas at most while both work, without a word between the VMs. Where both
+// are full, the candidate has no replica: one that is half idle may read it, or else
+// the call has to wait. It returns false for calls without such a prefix.
+func (r *Router) home(now time.Time, c call.Call, p *pool, exclude []call.ReplicaID, f filtered, lane lane) (candidate, bool) {
 	if c.SharedTokens < r.c.HomeTokens || len(c.Prefixes) == 0 {
 		return candidate{}, false
 	}
-	bound := max(r.c.HomeFloor, r.c.HomeBound*f.mean)
-	from, to, laned := r.laneOf(now, c, p)
+	first, second := r.homes(now, c, p, exclude, lane)
+	if first == nil {
+		return candidate{}, false
+	}
+	chosen := first
+	if second != nil && r.perSlot(now, first) > max(r.c.HomeFloor, r.perSlot(now, second)+r.c.HomeBound) {
+		chosen = second
+	}
+	if r.full(now, chosen, &f) {
+		return candidate{}, true
+	}
+	best := r.candidate(now, chosen, f.warm)
+	best.cached = len(c.Prefixes)
+	return best, true
+}
+
+// homes returns the two replicas that rank first for the call's longest prefix,
+// those left out that cannot take any call.
+func (r *Router) homes(now time.Time, c call.Call, p *pool, exclude []call.ReplicaID, lane lane) (first, second *state) {
 	prefix := c.Prefixes[len(c.Prefixes)-1]
-	var first *state
-	var least uint64
+	least, next := uint64(math.MaxUint64), uint64(math.MaxUint64)
 	for _, s := range p.all {
-		if slices.Contains(exclude, s.ID) || s.ejected(now) || r.zoneOut(now, s.Zone) || s.reserved(now) || r.full(now, s, &f) {
+		if slices.Contains(exclude, s.ID) || s.ejected(now) || r.zoneOut(now, s.Zone) || s.reserved(now) || !lane.has(s) {
 			continue
 		}
-		if laned && (s.lane < from || s.lane >= to) {
-			continue
-		}
-		if r.perSlot(now, s) > bound {
-			continue
-		}
-		if hash := homeHash(prefix, s.ID); first == nil || hash < least {
+		switch hash := homeHash(prefix, s.ID); {
+		case hash < least:
+			second, next = first, least
 			first, least = s, hash
+		case hash < next:
+			second, next = s, hash
 		}
 	}
-	if first == nil {
-		return candidate{}, false
-	}
-	best := r.candidate(now, first, f.warm)
-	best.cached = len(c.Prefixes)
-	return best, true
+	return first, second
 }
 
 func homeHash(prefix uint64, id call.ReplicaID) uint64 {
--- a/core/route/lane.go
+++ b/core/route/lane.go
@@ -38,7 +38,11 @@
 	// attention makes the work of a long prompt grow faster than its length.
 	shortWeight = 0.6
 	// laneShareMin and laneShareMax bound the long lane's part of the replicas.
-	laneShareMin, laneShareMax = 0.25, 0.75
+	laneShareMin, laneShareMax = 0.25, 0.82
+	// longRoom is the load per slot up to which replicas of the long lane get calls:
+	// these wait better at an engine that holds their prefix than run on another
+	// that has to read it.
+	longRoom = 1.5
 	// laneMin is how many replicas a model needs for lanes.
 	laneMin = 4
 	// spillRoom is the load per slot up to which the short lane takes long prompts
@@ -175,45 +179,40 @@
 	return s.longShare(now, border), s.isLong(c.Class, border)
 }
 
-// laneOf returns the lane of a call's class: the replicas from place from to
-// before to in the order of lanes. It returns false where there are no lanes.
-func (r *Router) laneOf(now time.Time, c call.Call, p *pool) (from, to int, ok bool) {
+// lane is the part of a model's replicas that a call may use: those from place from
+// to before to in the order of lanes.
+type lane struct {
+	from, to int
+	// long is true for the lane of long prompts.
+	long bool
+}
+
+func (l lane) has(s *state) bool { return s.lane >= l.from && s.lane < l.to }
+
+// laneOf returns the lane of a call's class; all replicas where there are no lanes.
+func (r *Router) laneOf(now time.Time, c call.Call, p *pool) lane {
+	all := lane{to: len(p.all)}
 	if len(p.all) < laneMin || c.PromptTokens == 0 {
-		return 0, 0, false
+		return all
 	}
 	share, long := p.classes.divide(now, c)
 	if share == 0 {
-		return 0, 0, false
+		return all
 	}
-	place := int(math.Round(share * float64(len(p.all))))
-	place = min(max(1, place), len(p.all)-1)
+	border := int(math.Round(share * float64(len(p.all))))
+	border = min(max(1, border), len(p.all)-1)
 	if long {
-		return 0, place, true
+		return lane{to: border, long: true}
 	}
-	return place, len(p.all), true
+	return lane{from: border, to: len(p.all)}
 }
 
 // narrow leaves only the replicas of a lane. Where those have no room left, calls
 // of the short lane may use all, and long ones the idler half of the others.
-func (r *Router) narrow(now time.Time, f filtered, from, to int) filtered {
-	out := f
-	out.local, out.remote = nil, nil
-	keep := func(keep func(s *state) bool) {
-		for _, s := range f.local {
-			if keep(s) {
-				out.local = append(out.local, s)
-			}
-		}
-		for _, s := range f.remote {
-			if keep(s) {
-				out.remote = append(out.remote, s)
-			}
-		}
-	}
-	keep(func(s *state) bool { return s.lane >= from && s.lane < to })
+func (r *Router) narrow(now time.Time, f filtered, lane lane) filtered {
+	out := f.only(lane.has)
 	if out.usable() == 0 {
-		long := from == 0
-		keep(func(s *state) bool { return !long || r.perSlot(now, s) < spillRoom })
+		out = f.only(func(s *state) bool { return !lane.long || r.perSlot(now, s) < spillRoom })
 	}
 	out.full += f.usable() - out.usable()
 	out.mean = 0
@@ -225,6 +224,23 @@
 	return out
 }
 
+// only returns the part of the replicas for which keep is true.
+func (f filtered) only(keep func(*state) bool) filtered {
+	out := f
+	out.local, out.remote = nil, nil
+	for _, s := range f.local {
+		if keep(s) {
+			out.local = append(out.local, s)
+		}
+	}
+	for _, s := range f.remote {
+		if keep(s) {
+			out.remote = append(out.remote, s)
+		}
+	}
+	return out
+}
+
 // perSlot is a replica's load per slot.
 func (r *Router) perSlot(now time.Time, s *state) float64 {
 	return s.load(now, r.c.ReportMaxAge) / float64(s.Slots)
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -33,16 +33,25 @@
 	}
 	var d Decision
 	p.classes.learn(now, c, r.c.HomeTokens)
+	lane := r.laneOf(now, c, p)
 	room := p.classes.room(now, c)
+	if lane.long {
+		room *= longRoom
+	}
 	f := r.filter(now, p, exclude, &d, room)
-	from, to, laned := r.laneOf(now, c, p)
-	if laned && f.usable() > 0 {
-		f = r.narrow(now, f, from, to)
+	if f.usable() > 0 {
+		f = r.narrow(now, f, lane)
 	}
 	if f.usable() == 0 {
 		return d, errors.Annotatef(f.err(), "Router.Pick: %s", c.Model)
 	}
-	best, home := r.home(now, c, p, exclude, f)
+	best, home := r.home(now, c, p, exclude, f, lane)
+	if home && best.s == nil {
+		home = false
+		if f = f.only(func(s *state) bool { return r.perSlot(now, s) < spillRoom }); f.usable() == 0 {
+			return d, errors.Annotatef(ErrBusy, "Router.Pick: %s: the homes are full", c.Model)
+		}
+	}
 	if !home {
 		best = r.best(now, c, f, &d)
 	}
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -71,7 +72,12 @@
 		passed = append(passed, string(one.ID)+":"+string(one.Reason))
 	}
 	slices.Sort(passed)
+	var prefix string
+	if n := len(p.call.Prefixes); n > 0 {
+		prefix = strconv.FormatUint(p.call.Prefixes[n-1], 36)
+	}
 	p.log("route").WithFields(logrus.Fields{
+		"prefix": prefix, "shared": p.call.SharedTokens,
 		"route": p.route.Name, "service": p.call.Model, "replica": d.Replica.ID, "zone": d.Replica.Zone,
 		"reason": d.Reason, "load": d.Load, "reportAge": milliseconds(d.ReportAge), "cached": d.CachedPrefixes, "usable": d.Usable, "passed": passed,
 		"send": p.sends + 1, "left": milliseconds(p.until.Sub(p.s.c.Now())), "prompt": p.call.PromptTokens,
