Do not refuse urgent calls while long prompts begin

Ruled out: another order in the engines (nothing was preempted out of order). Change: calls of a full short lane go to any replica up to 1.9 calls a slot, where the engine takes them before the long prompts that wait.

--- a/core/route/lane.go
+++ b/core/route/lane.go
@@ -45,6 +45,10 @@
 	longRoom = 1.5
 	// laneMin is how many replicas a model needs for lanes.
 	laneMin = 4
+	// urgentRoom is the load per slot up to which calls of the short lane may go to
+	// any replica when their own lane is full: an engine takes them before the long
+	// prompts that wait there, and none of them may be refused while those begin.
+	urgentRoom = 1.9
 	// spillRoom is the load per slot up to which the short lane takes long prompts
 	// for which their own has no room: beyond it they would delay the urgent.
 	spillRoom = 0.5
@@ -183,8 +187,9 @@
 // to before to in the order of lanes.
 type lane struct {
 	from, to int
-	// long is true for the lane of long prompts.
-	long bool
+	// long is true for the lane of long prompts, short for the other; neither is
+	// where there are no lanes.
+	long, short bool
 }
 
 func (l lane) has(s *state) bool { return s.lane >= l.from && s.lane < l.to }
@@ -204,15 +209,15 @@
 	if long {
 		return lane{to: border, long: true}
 	}
-	return lane{from: border, to: len(p.all)}
+	return lane{from: border, to: len(p.all), short: true}
 }
 
-// narrow leaves only the replicas of a lane. Where those have no room left, calls
-// of the short lane may use all, and long ones the idler half of the others.
+// narrow leaves only the replicas of a lane. Where those have no room left, long
+// prompts may use the idler half of the others.
 func (r *Router) narrow(now time.Time, f filtered, lane lane) filtered {
 	out := f.only(lane.has)
-	if out.usable() == 0 {
-		out = f.only(func(s *state) bool { return !lane.long || r.perSlot(now, s) < spillRoom })
+	if out.usable() == 0 && lane.long {
+		out = f.only(func(s *state) bool { return r.perSlot(now, s) < spillRoom })
 	}
 	out.full += f.usable() - out.usable()
 	out.mean = 0
--- a/core/route/lane_test.go
+++ b/core/route/lane_test.go
@@ -111,6 +111,33 @@
 	assert.ErrorIs(t, err, ErrBusy)
 }
 
+// No call of the short lane is refused while long prompts begin: when its own lane
+// is full it goes where these wait, since the engines take it first.
+func TestUrgentCallsGoBeforeWaitingLongPrompts(t *testing.T) {
+	r := homeFleet(t, "vm-1", 18)
+	mixed(t, r, 20, 3.4, 14)
+	now := time.Unix(1020, 0)
+	question := call.Call{Model: "m", Class: "question", PromptTokens: 900}
+	refused := 0
+	for i := range uint64(18 * 80) {
+		long := longCall(i)
+		long.Class, long.Tier = "summary", 2
+		began := false
+		if d, err := r.Pick(now, long, nil); err == nil {
+			r.Started(now, d.Replica.ID, 1)
+			began = true
+		}
+		d, err := r.Pick(now, question, nil)
+		if err != nil {
+			assert.Assert(t, !began, "a question is refused while a summary begins, after %d", i)
+			refused++
+			continue
+		}
+		r.Started(now, d.Replica.ID, 1)
+	}
+	assert.Assert(t, refused > 0, "the load did not reach the bound")
+}
+
 // Long prompts do not flood the short lane: they wait for their own, unless the
 // others are half idle.
 func TestLongPromptsStayOutOfABusyShortLane(t *testing.T) {
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -42,6 +42,9 @@
 	if f.usable() > 0 {
 		f = r.narrow(now, f, lane)
 	}
+	if f.usable() == 0 && lane.short {
+		f = r.filter(now, p, exclude, &d, urgentRoom)
+	}
 	if f.usable() == 0 {
 		return d, errors.Annotatef(f.err(), "Router.Pick: %s", c.Model)
 	}
