--- a/core/route/lane.go
+++ b/core/route/lane.go
@@ -42,7 +42,7 @@
 	// longRoom is the load per slot up to which replicas of the long lane get calls:
 	// these wait better at an engine that holds their prefix than run on another
 	// that has to read it.
-	longRoom = 1.5
+	longRoom = 1.15
 	// laneMin is how many replicas a model needs for lanes.
 	laneMin = 4
 	// urgentRoom is the load per slot up to which calls of the short lane may go to
