--- a/core/route/home.go
+++ b/core/route/home.go
@@ -16,8 +16,8 @@
 // the model in the same order by rendezvous hashing of the prefix. The first is its
 // home, the second takes over what would overload it, so that a prefix is read on
 // two replicas at most while both work, without a word between the VMs. Where both
-// are full, the candidate has no replica: one that is half idle may read it, or else
-// the call has to wait. It returns false for calls without such a prefix.
+// are full, the candidate has no replica: calls of the short lane go to any of it then,
+// others to a half idle one, or they have to wait. It returns false for calls without such a prefix.
 func (r *Router) home(now time.Time, c call.Call, p *pool, exclude []call.ReplicaID, f filtered, lane lane) (candidate, bool) {
 	if c.SharedTokens < r.c.HomeTokens || len(c.Prefixes) == 0 {
 		return candidate{}, false
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -51,7 +51,10 @@
 	best, home := r.home(now, c, p, exclude, f, lane)
 	if home && best.s == nil {
 		home = false
-		if f = f.only(func(s *state) bool { return r.perSlot(now, s) < spillRoom }); f.usable() == 0 {
+		if !lane.short {
+			f = f.only(func(s *state) bool { return r.perSlot(now, s) < spillRoom })
+		}
+		if f.usable() == 0 {
 			return d, errors.Annotatef(ErrBusy, "Router.Pick: %s: the homes are full", c.Model)
 		}
 	}
