--- a/core/fleet/record.go
+++ b/core/fleet/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"gentianwell/core/call"
 )
@@ -25,8 +24,6 @@
 	State   State
 	// Slots is how many requests it runs at the same time.
 	Slots int
-	// Warmup is how much longer it stays slow after its start.
-	Warmup time.Duration
 }
 
 // Record is one version of a replica's entry.
--- a/core/fleet/registry.go
+++ b/core/fleet/registry.go
@@ -70,7 +70,6 @@
 	// returned is when the store came back; entries may be missing until then
 	// plus ReturnTime.
 	returned time.Time
-	revision int64
 	held     map[call.ReplicaID]*held
 }
 
@@ -82,9 +81,6 @@
 // Regained tells that the store answers again after an outage.
 func (r *Registry) Regained(now time.Time) { r.returned = now }
 
-// Revision returns the newest revision that any record came with.
-func (r *Registry) Revision() int64 { return r.revision }
-
 // Listed takes all entries that the store holds as of a revision. It returns the
 // records that changed, those that vanished without an entry.
 func (r *Registry) Listed(now time.Time, revision int64, list Records) Records {
@@ -96,7 +92,6 @@
 			changed = append(changed, record)
 		}
 	}
-	r.revision = max(r.revision, revision)
 	var missing []*held
 	for id, h := range r.held {
 		if !present[id] && h.record.Entry != nil && h.until.IsZero() && h.record.Revision <= revision {
@@ -115,7 +110,6 @@
 
 // Heard takes one record and reports whether it is news.
 func (r *Registry) Heard(now time.Time, record Record) bool {
-	r.revision = max(r.revision, record.Revision)
 	h := r.held[record.ID]
 	if h == nil {
 		r.held[record.ID] = &held{record: record}
--- a/core/route/lane.go
+++ b/core/route/lane.go
@@ -120,8 +120,9 @@
 // overload the least urgent are refused first and the others find slots free.
 func (s *classes) room(now time.Time, c call.Call) float64 {
 	var urgent, all float64
-	for tier := range s.tiers[0] {
-		rate := s.tiers[s.laneIndex(c.Class, s.border(now))][tier].rate(now)
+	tiers := &s.tiers[s.laneIndex(c.Class, s.border(now))]
+	for tier := range tiers {
+		rate := tiers[tier].rate(now)
 		all += rate
 		if call.Tier(tier) < c.Tier {
 			urgent += rate
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -6,15 +6,12 @@
 	"strings"
 
 	"github.com/juju/errors"
-
-	"gentianwell/core/call"
 )
 
 // Table is one version of the configuration with its indexes.
 type Table struct {
 	document Document
 	hosts    map[string][]*Route
-	services map[call.Model]*Service
 	keys     map[string]*Team
 	// ranks is one more than the greatest priority of a route.
 	ranks int
@@ -26,7 +23,7 @@
 func New(d Document) (*Table, error) {
 	t := &Table{
 		document: d, hosts: map[string][]*Route{},
-		services: map[call.Model]*Service{}, keys: map[string]*Team{},
+		keys: map[string]*Team{},
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
@@ -39,9 +36,6 @@
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, longer)
 	}
-	for i := range d.Services {
-		t.services[d.Services[i].Name] = &d.Services[i]
-	}
 	for i := range d.Teams {
 		for _, key := range d.Teams[i].Keys {
 			t.keys[key] = &d.Teams[i]
@@ -61,8 +55,8 @@
 // Newer reports whether t replaces other.
 func (t *Table) Newer(other *Table) bool { return t.Version() > other.Version() }
 
-// Limits returns what a caller may send.
-func (t *Table) Limits() Limits { return t.document.Limits }
+// BodyBytes bounds the body of a request; zero is no bound.
+func (t *Table) BodyBytes() int64 { return t.document.BodyBytes }
 
 // Match returns the route with the longest prefix of the path. The host may have
 // a port.
@@ -83,9 +77,6 @@
 	return strings.ToLower(host)
 }
 
-// Service returns a service; nil where the configuration does not describe it.
-func (t *Table) Service(name call.Model) *Service { return t.services[name] }
-
 // NeedsKey reports whether requests of the route need a team's key.
 func (t *Table) NeedsKey(r *Route) bool { return !r.Public && len(t.document.Teams) > 0 }
 
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -181,7 +181,7 @@
 }
 
 func (e *Entry) configMirror() (*mirror.Mirror, error) {
-	return e.mirror(e.o.Source.ConfigKey, randMirrors, func(snap kvs.Snapshot) {
+	return e.mirror(e.o.Source.ConfigKey, randConfigMirror, func(snap kvs.Snapshot) {
 		for _, one := range snap.Entries {
 			if one.Key == e.o.Source.ConfigKey {
 				e.tables.adopt(one.Value, "store")
@@ -191,7 +191,7 @@
 }
 
 func (e *Entry) replicaMirror() (*mirror.Mirror, error) {
-	return e.mirror(e.o.Source.ReplicaPrefix, randMirrors+100, e.replicas.set)
+	return e.mirror(e.o.Source.ReplicaPrefix, randReplicaMirror, e.replicas.set)
 }
 
 func (e *Entry) mirror(prefix string, stream uint64, changed func(kvs.Snapshot)) (*mirror.Mirror, error) {
--- a/io/proxy/answer.go
+++ b/io/proxy/answer.go
@@ -25,8 +25,8 @@
 	p.w.WriteHeader(status)
 }
 
-// pass passes an answer in one piece on, its length included.
-func (p *pass) pass(a *answer) error {
+// passOn writes an answer in one piece, its length included.
+func (p *pass) passOn(a *answer) error {
 	p.firstAt = p.s.c.Now()
 	a.header.Set("Content-Length", strconv.Itoa(len(a.body)))
 	p.head(a.status, a.header)
@@ -42,7 +42,7 @@
 		p.refuse(http.StatusBadGateway, ReasonBroken)
 		return
 	}
-	if err := p.pass(e.whole); err != nil {
+	if err := p.passOn(e.whole); err != nil {
 		e.callerGone = true
 	}
 	p.finished(ReasonReplica)
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -164,7 +164,7 @@
 		}
 		return nil
 	}
-	if err := p.pass(a); err != nil {
+	if err := p.passOn(a); err != nil {
 		e.callerGone = true
 		e.err = err
 	}
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -30,6 +30,8 @@
 	defaultSends = 4
 	// defaultRetryShare keeps retries to a tenth of the requests.
 	defaultRetryShare = 0.1
+	// defaultPatience bounds a request where neither caller nor route does.
+	defaultPatience = time.Minute
 	// defaultBusyWait is how long a request waits at most for a place on a replica,
 	// as a part of its target.
 	defaultBusyWait = 0.5
@@ -38,8 +40,7 @@
 // Config configures a Server. Fields without a default are required.
 type Config struct {
 	Wire Wire
-	// VM and Zone name the process in the logs.
-	VM   call.VMID
+	// Zone is the availability zone of the VM.
 	Zone call.Zone
 	// Table returns the routing table in force; nil where there is none yet.
 	Table func() *table.Table
--- a/io/proxy/pass.go
+++ b/io/proxy/pass.go
@@ -72,7 +72,7 @@
 	if p.ask, err = p.s.c.Wire.Read(p.r.Header); err != nil {
 		return http.StatusBadRequest, ReasonMalformed
 	}
-	p.until = p.arrived.Add(cmp.Or(p.ask.Patience, nothingWithin))
+	p.until = p.arrived.Add(cmp.Or(p.ask.Patience, defaultPatience))
 	if p.table = p.s.c.Table(); p.table == nil {
 		return http.StatusServiceUnavailable, ReasonNoTable
 	}
@@ -136,7 +136,7 @@
 	if p.r.Body == nil || p.r.Body == http.NoBody {
 		return 0, ""
 	}
-	limit := p.table.Limits().BodyBytes
+	limit := p.table.BodyBytes()
 	if limit > 0 && p.r.ContentLength > limit {
 		p.close()
 		return http.StatusRequestEntityTooLarge, ReasonTooLarge
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -25,18 +24,16 @@
 	return &Server{c: c}, nil
 }
 
-// HTTP returns an HTTP server for a listener made by Listener. The limits of the
-// table in force at its start hold for connections; a body's is read for each
-// request.
+// HTTP returns an HTTP server for a listener made by Listener. Its limits for headers
+// and idle connections are fixed; that of bodies is the table's.
 func (s *Server) HTTP() *http.Server {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
-	srv := &http.Server{
+	return &http.Server{
 		Handler: s, Protocols: protocols,
 		ReadHeaderTimeout: defaultReadTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: defaultHeaderBytes,
 		ConnContext: connContext, ConnState: connState, ErrorLog: front.ErrorLog(s.c.Log),
 	}
-	return srv
 }
 
 // ServeHTTP answers one request.
@@ -54,6 +51,3 @@
 	}
 	p.serve()
 }
-
-// nothingWithin is the body timeout where neither caller nor route bounds the time.
-const nothingWithin = time.Minute
--- a/io/proxy/wire.go
+++ b/io/proxy/wire.go
@@ -26,8 +26,6 @@
 	// request is none.
 	PromptTokens int
 	MaxTokens    int
-	// LengthHint is the caller's guess of the answer's length in tokens.
-	LengthHint int
 	// Parts are the parts of the prompt in order; the last is the request's own.
 	Parts []Part
 	// ResumeAfter is the id of the last event that the caller has of a stream.
