--- a/core/route/home_test.go
+++ b/core/route/home_test.go
@@ -15,15 +15,20 @@
 	t.Helper()
 	r, err := New(Config{Self: self, Zone: "a", Rand: rand.New(rand.NewPCG(1, uint64(len(self))))})
 	assert.NilError(t, err)
+	r.SetReplicas(time.Unix(1000, 0), fleetOf(replicas))
+	r.SetVMs(9)
+	return r
+}
+
+// fleetOf returns replicas of one model in three zones.
+func fleetOf(replicas int) Replicas {
 	var list Replicas
 	for i := range replicas {
 		list = append(list, Replica{
 			ID: call.ReplicaID(fmt.Sprintf("r%02d", i)), Zone: call.Zone([]string{"a", "b", "c"}[i%3]), Models: []call.Model{"m"}, Slots: 48,
 		})
 	}
-	r.SetReplicas(time.Unix(1000, 0), list)
-	r.SetVMs(9)
-	return r
+	return list
 }
 
 func longCall(prefix uint64) call.Call {
--- a/core/route/lane.go
+++ b/core/route/lane.go
@@ -28,10 +28,9 @@
 	laneTokens = 2048
 	// laneSamples is how many calls are seen before lanes follow what was learned.
 	laneSamples = 40
-	// Until then, as after a start, calls count as long whose shared prefix has
-	// firstTokens, and the long lane has firstShare of the replicas.
+	// firstTokens is the length of the shared prefix from which on a call counts as
+	// long until then, where Config.FirstLongShare makes lanes from the start.
 	firstTokens = 1500
-	firstShare  = 0.6
 	// tokensWeight is the weight of a new call in the mean length of its class.
 	tokensWeight = 0.05
 	// shortWeight is what a token of the short lane counts against one of the long:
@@ -176,7 +175,7 @@
 
 // divide returns the long lane's part of the replicas, zero where there are no
 // lanes, and whether the call belongs there.
-func (s *classes) divide(now time.Time, c call.Call) (share float64, long bool) {
+func (s *classes) divide(now time.Time, c call.Call, firstShare float64) (share float64, long bool) {
 	if s.samples < laneSamples {
 		return firstShare, c.SharedTokens >= firstTokens
 	}
@@ -201,7 +200,7 @@
 	if len(p.all) < laneMin || c.PromptTokens == 0 {
 		return all
 	}
-	share, long := p.classes.divide(now, c)
+	share, long := p.classes.divide(now, c, r.c.FirstLongShare)
 	if share == 0 {
 		return all
 	}
--- a/core/route/lane_test.go
+++ b/core/route/lane_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -166,3 +167,24 @@
 	_, err := r.Pick(now, question, nil)
 	assert.NilError(t, err)
 }
+
+// Short calls spread over all replicas from the first one on, unless the
+// configuration asks for lanes from the start.
+func TestLanesFromTheStartAreAskedFor(t *testing.T) {
+	for _, test := range []struct {
+		share float64
+		want  int
+	}{{share: 0, want: 6}, {share: 0.6, want: 2}} {
+		r, err := New(Config{Self: "vm-1", Zone: "a", Rand: rand.New(rand.NewPCG(1, 2)), FirstLongShare: test.share})
+		assert.NilError(t, err)
+		r.SetReplicas(time.Unix(1000, 0), fleetOf(6))
+		used := map[call.ReplicaID]bool{}
+		for range laneSamples - 1 {
+			d, err := r.Pick(time.Unix(1000, 0), call.Call{Model: "m", Class: "question", PromptTokens: 20}, nil)
+			assert.NilError(t, err)
+			r.Started(time.Unix(1000, 0), d.Replica.ID, 1)
+			used[d.Replica.ID] = true
+		}
+		assert.Equal(t, len(used), test.want, "share %g", test.share)
+	}
+}
--- a/io/entry/budget.go
+++ b/io/entry/budget.go
@@ -22,6 +22,10 @@
 	// unreachableTime is how long a replica is left out after a connection to it
 	// could not be made; it is about as long as a replica takes to come back.
 	unreachableTime = 2 * time.Second
+	// firstLongShare is the long prompts' part of the replicas until their work is
+	// known: summaries bring most of the work on both sites, and after a restart a
+	// question must not meet them.
+	firstLongShare = 0.6
 )
 
 // setBudget gives this VM its share of the repeats that all VMs may send.
@@ -34,5 +38,8 @@
 }
 
 func routerConfig(c Config, rng *rand.Rand) route.Config {
-	return route.Config{Self: c.VM, Zone: c.Zone, Rand: rng, UnreachableToEject: 1, UnreachableTime: unreachableTime}
+	return route.Config{
+		Self: c.VM, Zone: c.Zone, Rand: rng,
+		UnreachableToEject: 1, UnreachableTime: unreachableTime, FirstLongShare: firstLongShare,
+	}
 }
