Count each call once for the lanes, not at each look for a place

Cause: Router.Pick learned from the call that it placed, and a call that waits for a place asks every 5 ms, up to 150 times. Where replicas were full the class that waited looked many times as frequent: its lane and the room kept for others were wrong. Ruled out: learning after the choice only (a call that is refused is demand too). Change: Router.Arrived, once for each call; Pick no longer learns.

--- a/core/route/doc.go
+++ b/core/route/doc.go
@@ -16,6 +16,7 @@
 //		Rand: rand.New(rand.NewPCG(1, 2)),
 //	})
 //	r.SetReplicas(now, replicas)
+//	r.Arrived(now, c) // once for each call
 //	d, err := r.Pick(now, c, nil)
 //	switch {
 //	case errors.Is(err, route.ErrBusy): // keep it queued until something finishes
--- a/core/route/lane_test.go
+++ b/core/route/lane_test.go
@@ -23,6 +23,7 @@
 		dueSummary += summaries / 100
 		dueQuestion += questions / 100
 		send := func(c call.Call) {
+			r.Arrived(now, c)
 			d, err := r.Pick(now, c, nil)
 			assert.NilError(t, err)
 			if got[d.Replica.ID] == nil {
@@ -99,6 +100,7 @@
 	for i := range 600 {
 		now := start.Add(time.Duration(i) * time.Millisecond)
 		c := calls[i%2]
+		r.Arrived(now, c)
 		d, err := r.Pick(now, c, nil)
 		if err != nil {
 			refused[c.Class]++
@@ -188,3 +190,21 @@
 		assert.Equal(t, len(used), test.want, "share %g", test.share)
 	}
 }
+
+// A call that waits counts once: asking again for a place moves neither the lanes
+// nor the room kept for urgent calls.
+func TestWaitingCallsCountOnce(t *testing.T) {
+	r := homeFleet(t, "vm-1", 18)
+	mixed(t, r, 20, 3.4, 14)
+	now := time.Unix(1020, 0)
+	long := longCall(1)
+	long.Class, long.Tier = "summary", 2
+	p := r.pools["m"]
+	lane, room := r.laneOf(now, long, p), p.classes.room(now, long)
+	for range 1000 {
+		_, err := r.Pick(now, long, nil)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, r.laneOf(now, long, p), lane)
+	assert.Equal(t, p.classes.room(now, long), room)
+}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -20,6 +20,16 @@
 	cached int
 }
 
+// Arrived counts a call once, however often Pick is asked for it: the lanes and the
+// room kept for urgent calls follow what arrives.
+func (r *Router) Arrived(now time.Time, c call.Call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.pools[c.Model]; p != nil {
+		p.classes.learn(now, c, r.c.HomeTokens)
+	}
+}
+
 // Pick chooses a replica for the call, leaving out those in exclude (where it
 // has been tried).
 //
@@ -32,7 +42,6 @@
 		return Decision{}, errors.Annotatef(ErrNoReplica, "Router.Pick: %s", c.Model)
 	}
 	var d Decision
-	p.classes.learn(now, c, r.c.HomeTokens)
 	lane := r.laneOf(now, c, p)
 	room := p.classes.room(now, c)
 	if lane.long {
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -54,6 +54,7 @@
 // returned Answer says of a job that has not is for the caller to write.
 func (r *Runner) Run(ctx context.Context, job *Job, sink Sink) Answer {
 	run := &run{r: r, job: job, sink: sink}
+	r.c.Router.Arrived(r.c.Now(), job.Call)
 	answer := run.run(ctx)
 	run.publish(&answer)
 	run.logEnd(answer)
