Name the parts that have not ended when a process stops

Change: io/entry keeps its parts by name and logs those that are left. Not measured: the path of requests is as it was.

--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
 	"gentianwell/core/drain"
@@ -46,38 +45,39 @@
 func (e *Entry) Run(ctx context.Context) error {
 	partCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	var g run.Group
-	part := func(fn func(context.Context) error) {
-		g.Add(func() error { return fn(partCtx) }, func(error) { cancel() })
-	}
-	callers, err := e.serveCallers(partCtx, &g)
+	var all parts
+	part := func(name string, fn func(context.Context) error) { all.addWith(partCtx, cancel, name, fn) }
+	callers, err := e.serveCallers(partCtx, &all)
 	if err != nil {
 		return errors.Annotate(err, "Entry.Run")
 	}
-	g.Add(func() error { return e.stop(ctx, partCtx, callers) }, func(error) { cancel() })
-	if err := e.serveQuestions(partCtx, &g); err != nil {
+	part("stop", func(partCtx context.Context) error { return e.stop(ctx, partCtx, callers) })
+	if err := e.serveQuestions(partCtx, &all); err != nil {
 		return errors.Annotate(err, "Entry.Run")
 	}
 	if err := e.servePeers(part); err != nil {
 		return errors.Annotate(err, "Entry.Run")
 	}
-	for _, fn := range []func() (*mirror.Mirror, error){e.configMirror, e.replicaMirror} {
-		m, err := fn()
+	for _, follow := range []struct {
+		name string
+		make func() (*mirror.Mirror, error)
+	}{{"configuration", e.configMirror}, {"replicas", e.replicaMirror}} {
+		m, err := follow.make()
 		if err != nil {
 			return errors.Annotate(err, "Entry.Run")
 		}
-		part(m.Run)
+		part(follow.name, m.Run)
 		e.probe.mirrors = append(e.probe.mirrors, m)
 	}
 	e.subscribe()
-	part(e.timers.Run)
+	part("timers", e.timers.Run)
 	c := e.o.Config
 	e.log.WithFields(logrus.Fields{
 		"event": "start", "vm": c.VM, "zone": c.Zone, "callers": c.Callers, "ready": c.Ready, "peers": c.Peers, "store": c.Store,
 		"seeds": len(c.Seeds), "stopLimit": c.StopLimit.String(),
 	}).Info("entry VM started")
 	ended := make(chan error, 1)
-	go func() { ended <- g.Run() }()
+	go func() { ended <- all.group.Run() }()
 	select {
 	case err := <-ended:
 		return errors.Annotate(err, "Entry.Run")
@@ -89,7 +89,7 @@
 	case err := <-ended:
 		return errors.Annotate(err, "Entry.Run")
 	case <-time.After(endTimeout):
-		e.log.WithField("event", "stop").Warn("a part has not ended, the process ends without it")
+		e.log.WithFields(logrus.Fields{"event": "stop", "parts": all.left()}).Warn("parts have not ended, the process ends without them")
 		return nil
 	}
 }
@@ -111,13 +111,13 @@
 }
 
 // serveCallers answers callers. Their requests go on while the process stops.
-func (e *Entry) serveCallers(ctx context.Context, g *run.Group) (*http.Server, error) {
+func (e *Entry) serveCallers(ctx context.Context, all *parts) (*http.Server, error) {
 	listener, err := dial.Listen(ctx, dial.Config{}, e.o.Config.Callers)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	srv := e.proxy.HTTP()
-	g.Add(func() error { return served(ctx, srv.Serve(proxy.Listener(listener))) }, func(error) {
+	all.add("callers", func() error { return served(ctx, srv.Serve(proxy.Listener(listener))) }, func(error) {
 		if err := srv.Close(); err != nil {
 			e.log.WithField("event", "stop").WithError(err).Warn("closing the callers' connections")
 		}
@@ -136,7 +136,7 @@
 }
 
 // serveQuestions answers the balancer, and serves the metrics.
-func (e *Entry) serveQuestions(ctx context.Context, g *run.Group) error {
+func (e *Entry) serveQuestions(ctx context.Context, all *parts) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !e.Ready() {
@@ -154,7 +154,7 @@
 			return errors.Trace(err)
 		}
 		srv := &http.Server{Handler: mux, ReadHeaderTimeout: readyHeaderTimeout}
-		g.Add(func() error { return served(ctx, srv.Serve(listener)) }, func(error) {
+		all.add("questions at "+address.String(), func() error { return served(ctx, srv.Serve(listener)) }, func(error) {
 			if err := srv.Close(); err != nil {
 				e.log.WithField("event", "stop").WithError(err).Warn("closing the balancer's connections")
 			}
@@ -164,7 +164,7 @@
 }
 
 // servePeers answers other VMs.
-func (e *Entry) servePeers(part func(func(context.Context) error)) error {
+func (e *Entry) servePeers(part func(string, func(context.Context) error)) error {
 	if !e.o.Config.Peers.IsValid() {
 		return nil
 	}
@@ -176,7 +176,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	part(func(ctx context.Context) error { return srv.Serve(ctx, listener) })
+	part("peers", func(ctx context.Context) error { return srv.Serve(ctx, listener) })
 	return nil
 }
 
