VMs average what they learned of each class, so that their lanes agree

Ruled out: a longer memory (does not follow a burst), reports of replicas (do not tell classes). Change: averaging gossip. Each exchange carries the counts of the classes; both sides take the mean, by which the sum stays and all come near the mean of the fleet.

--- /dev/null
+++ b/core/route/demand.go
@@ -0,0 +1,112 @@
+package route
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"gentianwell/core/call"
+)
+
+const (
+	// maxDemands bounds the classes that a VM tells of.
+	maxDemands = 64
+	// leastDemand is the count below which a class is not told of any more.
+	leastDemand = 0.05
+	// maxSeen and maxTokens are greater than what any VM sees.
+	maxSeen, maxTokens = 1e6, 1e7
+)
+
+// Demand is what a VM has learned of the calls of one class. VMs average their
+// demands in pairs, by which all of them come near the mean of the fleet: each one
+// sees too few calls to divide the replicas between the classes alone.
+type Demand struct {
+	Model call.Model
+	Class call.Class
+	// Seen is a count of calls that fades within seconds.
+	Seen float64
+	// Prompt is the mean length of the prompts in tokens, Work that of the part
+	// that no replica has read before.
+	Prompt, Work float64
+}
+
+func (d Demand) valid() bool {
+	return d.Seen >= 0 && d.Seen <= maxSeen && d.Prompt >= 1 && d.Prompt <= maxTokens && d.Work >= 1 && d.Work <= maxTokens
+}
+
+// Demands returns what was learned of each class, the greatest counts first.
+func (r *Router) Demands(now time.Time) []Demand {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Demand
+	for model, p := range r.pools {
+		for name, one := range p.classes.byName {
+			if seen := one.rate(now); seen >= leastDemand {
+				out = append(out, Demand{Model: model, Class: name, Seen: seen, Prompt: one.prompt, Work: one.work})
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Demand) int {
+		return cmp.Or(cmp.Compare(b.Seen, a.Seen), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Class, b.Class))
+	})
+	return out[:min(len(out), maxDemands)]
+}
+
+// AverageDemands replaces each count by the mean of the own one and another VM's,
+// who does the same: the sum over both stays as it was. What is out of range, or
+// names a model that is not known, is left out.
+func (r *Router) AverageDemands(now time.Time, others []Demand) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	heard := map[call.Model]map[call.Class]Demand{}
+	for _, d := range others[:min(len(others), maxDemands)] {
+		if r.pools[d.Model] == nil || !d.valid() {
+			continue
+		}
+		if heard[d.Model] == nil {
+			heard[d.Model] = map[call.Class]Demand{}
+		}
+		heard[d.Model][d.Class] = d
+	}
+	for model, p := range r.pools {
+		p.classes.average(now, heard[model])
+	}
+}
+
+// average takes the mean with what another VM has counted.
+func (s *classes) average(now time.Time, others map[call.Class]Demand) {
+	if len(others) == 0 {
+		return
+	}
+	for name, one := range s.byName {
+		own, other := one.rate(now), others[name]
+		one.seen, one.at = (own+other.Seen)/2, now
+		if sum := own + other.Seen; other.Seen > 0 {
+			one.prompt = (own*one.prompt + other.Seen*other.Prompt) / sum
+			one.work = (own*one.work + other.Seen*other.Work) / sum
+		}
+		if one.seen < leastDemand {
+			delete(s.byName, name)
+		}
+	}
+	if s.byName == nil {
+		s.byName = map[call.Class]*class{}
+	}
+	for name, other := range others {
+		if s.byName[name] == nil && other.Seen/2 >= leastDemand {
+			s.byName[name] = &class{seen: other.Seen / 2, at: now, prompt: other.Prompt, work: other.Work}
+		}
+	}
+	s.enough(now)
+}
+
+// enough ends the start: a VM that was told of as many calls as it would wait for
+// needs not see them itself.
+func (s *classes) enough(now time.Time) {
+	var all float64
+	for _, one := range s.byName {
+		all += one.rate(now)
+	}
+	s.samples = max(s.samples, int(math.Min(all, laneSamples)))
+}
--- /dev/null
+++ b/io/entry/demands_test.go
@@ -0,0 +1,22 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"gentianwell/core/call"
+	"gentianwell/core/route"
+)
+
+// What a VM has learned of a class of calls reaches another one unchanged.
+func TestDemandsReachOtherVMs(t *testing.T) {
+	now := time.Unix(1000, 0)
+	one, two := loadsOf(t, "vm-1").router, loadsOf(t, "vm-2").router
+	for range 4 {
+		one.Arrived(now, call.Call{Model: "m", Class: "question", PromptTokens: 900})
+	}
+	demands{two}.heard(now, demands{one}.message(now))
+	assert.DeepEqual(t, two.Demands(now), []route.Demand{{Model: "m", Class: "question", Seen: 2, Prompt: 900, Work: 900}})
+}
--- a/io/peer/gossip.go
+++ b/io/peer/gossip.go
@@ -55,6 +55,10 @@
 	// those of a peer; nil: none.
 	Loads      func(now time.Time) []*peerpb.Load
 	HeardLoads func(now time.Time, loads []*peerpb.Load)
+	// Demands returns what was learned of each class of calls, HeardDemands takes
+	// that of the other side of an exchange, as it was before; nil: none.
+	Demands      func(now time.Time) []*peerpb.ClassDemand
+	HeardDemands func(now time.Time, demands []*peerpb.ClassDemand)
 	// Settings answers a peer's request for the tree, Shares one for limits.
 	Settings func(ctx context.Context, have int64) (version int64, tree []byte, err error)
 	Shares   func(ctx context.Context, req *peerpb.SharesRequest) (*peerpb.SharesReply, error)
@@ -73,6 +77,12 @@
 	if c.HeardLoads == nil {
 		c.HeardLoads = func(time.Time, []*peerpb.Load) {}
 	}
+	if c.Demands == nil {
+		c.Demands = func(time.Time) []*peerpb.ClassDemand { return nil }
+	}
+	if c.HeardDemands == nil {
+		c.HeardDemands = func(time.Time, []*peerpb.ClassDemand) {}
+	}
 	return &Gossip{c: c}
 }
 
@@ -117,7 +127,7 @@
 func (g *Gossip) exchange(to Peer, items []*peerpb.Item) {
 	req := &peerpb.ExchangeRequest{
 		Vm: string(g.c.Self), Zone: string(g.c.Zone), SettingsVersion: g.c.SettingsVersion(), Items: items,
-		Loads: g.c.Loads(g.c.Now()),
+		Loads: g.c.Loads(g.c.Now()), Demands: g.c.Demands(g.c.Now()),
 	}
 	var reply *peerpb.ExchangeReply
 	err := g.c.Pool.Call(context.Background(), to.Address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
@@ -136,6 +146,7 @@
 	g.c.Contacted(now, Contact{Peer: to, SettingsVersion: reply.SettingsVersion})
 	g.hear(now, call.VMID(reply.Vm), reply.SettingsVersion, reply.Items)
 	g.c.HeardLoads(now, reply.Loads)
+	g.c.HeardDemands(now, reply.Demands)
 }
 
 func (g *Gossip) hear(now time.Time, from call.VMID, version int64, items []*peerpb.Item) {
@@ -153,10 +164,11 @@
 	reply := &peerpb.ExchangeReply{
 		Vm: string(g.c.Self), Zone: string(g.c.Zone), SettingsVersion: g.c.SettingsVersion(),
 		Items: toMessage(g.c.Store.Batch(now, len(g.c.Peers())+1), now),
-		Loads: g.c.Loads(now),
+		Loads: g.c.Loads(now), Demands: g.c.Demands(now),
 	}
 	g.hear(now, call.VMID(req.Vm), req.SettingsVersion, req.Items)
 	g.c.HeardLoads(now, req.Loads)
+	g.c.HeardDemands(now, req.Demands)
 	return reply, nil
 }
 
--- a/io/peer/gossip_test.go
+++ b/io/peer/gossip_test.go
@@ -15,6 +15,7 @@
 	"gentianwell/core/call"
 	"gentianwell/core/gwtest"
 	"gentianwell/core/spread"
+	"gentianwell/io/peerpb"
 )
 
 // node is one VM's gossip on loopback.
@@ -74,6 +75,28 @@
 	assert.Equal(t, len(b.store.All(time.Now(), "k")), 2)
 }
 
+// Both sides of an exchange get what the other had learned before it.
+func TestExchangeOfDemands(t *testing.T) {
+	b := startNode(t, "b", nil, none)
+	a := startNode(t, "a", nil, func() []Peer { return []Peer{b.peer} })
+	got := make(chan string, 2)
+	for _, n := range []*node{a, b} {
+		seen := float32(3)
+		n.c.Demands = func(time.Time) []*peerpb.ClassDemand {
+			return []*peerpb.ClassDemand{{CallClass: string(n.peer.ID), Seen: seen}}
+		}
+		n.c.HeardDemands = func(_ time.Time, demands []*peerpb.ClassDemand) {
+			seen = 0
+			assert.Check(t, demands[0].Seen == 3)
+			got <- string(n.peer.ID) + " from " + demands[0].CallClass
+		}
+	}
+	a.Round(time.Now())
+	assert.NilError(t, (<-a.contacts).Err)
+	assert.Equal(t, <-got, "b from a")
+	assert.Equal(t, <-got, "a from b")
+}
+
 // A VM at another VM's address is not taken for it.
 func TestExchangeWrongVM(t *testing.T) {
 	b := startNode(t, "b", nil, none)
