Each VM keeps to its share of a busy lane of long prompts

Cause: in bursts of summaries the engines of the grown sites had some ten calls waiting each, past their targets: 65 VMs read the same load report, which is old when it arrives, and each fills what it believes free. Ruled out: a shorter queue at the engine (not ours), reports sent more often (bytes grow with the square of the fleet). Change: concurrency limit for each VM by its share of the demand, which the averaged counts give. Own calls in flight are known at once. It holds while the lane is busy by the reports only.

--- a/core/route/demand.go
+++ b/core/route/demand.go
@@ -81,7 +81,7 @@
 	}
 	for name, one := range s.byName {
 		own, other := one.rate(now), others[name]
-		one.seen, one.at = (own+other.Seen)/2, now
+		one.set(now, one.ownRate(now), (own+other.Seen)/2)
 		if sum := own + other.Seen; other.Seen > 0 {
 			one.prompt = (own*one.prompt + other.Seen*other.Prompt) / sum
 			one.work = (own*one.work + other.Seen*other.Work) / sum
--- a/core/route/lane.go
+++ b/core/route/lane.go
@@ -55,18 +55,26 @@
 
 // class is what was learned of one class of calls.
 type class struct {
-	// seen is a count of calls that fades with laneMemory, as of at.
-	seen float64
-	at   time.Time
+	// own is a count of this VM's calls that fades with laneMemory, as of at; seen
+	// is its mean over the VMs that it hears of.
+	own, seen float64
+	at        time.Time
 	// prompt is the mean length of the prompts in tokens, work that of the part
 	// that no replica has read before.
 	prompt, work float64
 }
 
-func (c *class) rate(now time.Time) float64 {
-	return c.seen * math.Exp(-now.Sub(c.at).Seconds()/laneMemory.Seconds())
+func (c *class) rate(now time.Time) float64 { return c.seen * c.fade(now) }
+
+func (c *class) ownRate(now time.Time) float64 { return c.own * c.fade(now) }
+
+func (c *class) fade(now time.Time) float64 {
+	return math.Exp(-now.Sub(c.at).Seconds() / laneMemory.Seconds())
 }
 
+// set sets the counts as of now.
+func (c *class) set(now time.Time, own, seen float64) { c.own, c.seen, c.at = own, seen, now }
+
 // classes are those of one model.
 type classes struct {
 	byName  map[call.Class]*class
@@ -89,15 +97,13 @@
 		s.byName[c.Class] = one
 	}
 	s.samples++
-	one.seen = one.rate(now) + 1
-	one.at = now
+	one.set(now, one.ownRate(now)+1, one.rate(now)+1)
 	work := float64(c.PromptTokens)
 	if c.SharedTokens >= homeTokens {
 		work -= float64(c.SharedTokens)
 	}
 	tier := &s.tiers[s.laneIndex(c.Class, s.border(now))][c.Tier]
-	tier.seen = tier.rate(now) + 1
-	tier.at = now
+	tier.set(now, 0, tier.rate(now)+1)
 	one.prompt += tokensWeight * (float64(c.PromptTokens) - one.prompt)
 	one.work += tokensWeight * (max(1, work) - one.work)
 }
@@ -133,6 +139,23 @@
 	return 1 - reserve*urgent/all
 }
 
+// ownShare is the part of the fleet's calls of the long lane that come to this VM, of
+// vms in all.
+func (s *classes) ownShare(now time.Time, border float64, vms int) float64 {
+	var own, seen float64
+	for name, one := range s.byName {
+		if s.isLong(name, border) {
+			own += one.ownRate(now)
+			seen += one.rate(now)
+		}
+	}
+	even := 1 / float64(vms)
+	if seen == 0 {
+		return even
+	}
+	return min(1, max(leastShare, own/seen)*even)
+}
+
 // isLong reports whether the calls of the class belong to the long lane.
 func (s *classes) isLong(name call.Class, border float64) bool {
 	one := s.byName[name]
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -43,6 +43,9 @@
 	}
 	var d Decision
 	lane := r.laneOf(now, c, p)
+	if r.overShare(now, p, lane) {
+		return d, errors.Annotatef(ErrBusy, "Router.Pick: %s: the VM has its share in flight", c.Model)
+	}
 	room := p.classes.room(now, c)
 	if lane.long {
 		room *= longRoom
--- /dev/null
+++ b/core/route/share.go
@@ -0,0 +1,37 @@
+package route
+
+import "time"
+
+const (
+	// shareFrom is the load per slot of the long lane from which on each VM keeps to
+	// its share of it.
+	shareFrom = 0.8
+	// leastShare is the least part of an even share that a VM has, so that one whose
+	// callers have just come is not shut out.
+	leastShare = 0.3
+	// shareMemory is how long a report tells that a lane is busy.
+	shareMemory = 10 * time.Second
+)
+
+// overShare reports whether this VM has its share of a busy long lane in flight. A
+// load report is old when it arrives, and all VMs read the same one: where each fills
+// what it believes free, they send many times what there is room for, and calls
+// wait at the engines past their targets. Own calls in flight are known at once.
+func (r *Router) overShare(now time.Time, p *pool, l lane) bool {
+	if !l.long {
+		return false
+	}
+	var own, load, slots float64
+	for _, s := range p.all {
+		if l.has(s) && !s.ejected(now) {
+			own += float64(s.own)
+			load += s.load(now, shareMemory)
+			slots += float64(s.Slots)
+		}
+	}
+	if load < shareFrom*slots {
+		return false
+	}
+	share := p.classes.ownShare(now, p.classes.border(now), r.vms)
+	return own+1 > max(1, longRoom*slots*share)
+}
--- /dev/null
+++ b/io/model/deployment.go
@@ -0,0 +1,77 @@
+package model
+
+import (
+	"time"
+
+	"gentianwell/core/call"
+)
+
+// Pace is how an engine of a deployment works, as its data sheet gives it: a batch
+// of slots moves on in steps, each of which makes a token of every answer and reads
+// a chunk of prompts.
+type Pace struct {
+	// Slots is the greatest batch, Queue how many calls may wait for a place in it.
+	Slots, Queue int
+	// Step is the time of a step without any work, Context what 1,000 tokens of
+	// context add, Pairs what a million pairs of a token read with one before it do.
+	Step, Context, Pairs time.Duration
+	// ReadRate is how many prompt tokens are read in a millisecond, Chunk how many
+	// in one step.
+	ReadRate float64
+	Chunk    int
+	// FirstDelay is added before the first event, Stride is the tokens of an event.
+	FirstDelay time.Duration
+	Stride     int
+	// Memory is in tokens: of running calls and of shared parts that are kept.
+	Memory int
+	// Speeds multiply the times, by turns over the engines; none: all alike.
+	Speeds []float64
+	// ReportLag is the age of a load report when it is sent.
+	ReportLag time.Duration
+}
+
+// LogNormal is the distribution of a length.
+type LogNormal struct{ Mean, Variation, Max float64 }
+
+// SharedPart is a part of prompts that calls share, one of Count.
+type SharedPart struct {
+	Tokens LogNormal
+	Count  int
+}
+
+// Kind is one kind of call of a deployment.
+type Kind struct {
+	Name call.Class
+	Tier call.Tier
+	// Rate is in calls a second.
+	Rate float64
+	// Target is the time to the first event, Pause the longest between events, for
+	// an answer that is on time.
+	Target, Pause, Deadline time.Duration
+	// Worth is what a call of mean size is worth on time, LateWorth late.
+	Worth, LateWorth float64
+	// Own is the prompt beyond the shared parts in tokens, Events the length of
+	// the answer.
+	Own, Events LogNormal
+	Parts       []SharedPart
+}
+
+// Burst multiplies the rate of a kind, or of all where Kind is empty.
+type Burst struct {
+	Kind   call.Class
+	At     time.Duration
+	For    time.Duration
+	Factor float64
+}
+
+// Deployment is a fleet of entry VMs before engines, with its load.
+type Deployment struct {
+	Name         string
+	VMs, Engines int
+	Zones        int
+	Pace         Pace
+	Kinds        []Kind
+	Bursts       []Burst
+	// Length is how long callers send.
+	Length time.Duration
+}
--- /dev/null
+++ b/io/model/play.go
@@ -0,0 +1,311 @@
+package model
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+
+	"gentianwell/core/call"
+	"gentianwell/core/route"
+)
+
+// Passing is how entry VMs pass calls on; its zero fields are what they do.
+type Passing struct {
+	// Router is the configuration of each VM's router, but for Self, Zone and Rand.
+	Router route.Config
+	// BusyWait is how long a call waits for a place, as a part of its target.
+	BusyWait float64
+	// Silent VMs do not tell each other of the demand.
+	Silent bool
+}
+
+const (
+	// hop is the way between a VM and an engine.
+	hop = 1500 * time.Microsecond
+	// lookEvery is how often a call that waits looks for a place.
+	lookEvery = 20 * time.Millisecond
+	// gossipEvery and gossipPeers are the pace of the talk between VMs.
+	gossipEvery = 400 * time.Millisecond
+	gossipPeers = 2
+	// reportAge is the age up to which reports are passed on.
+	reportAge = 2 * time.Second
+	// passingSends bounds the sends of a call.
+	passingSends = 4
+	// returnAfter is the longest that a refused caller is told to wait, a third of
+	// its time left at most.
+	returnAfter = 3 * time.Second
+	defaultWait = 0.5
+)
+
+
+// passer is an entry VM.
+type passer struct {
+	p      *played
+	router *route.Router
+}
+
+// played is a deployment in play.
+type played struct {
+	d       Deployment
+	passing Passing
+	clock   *clock
+	rng     *rand.Rand
+	vms     []*passer
+	engines map[call.ReplicaID]*batch
+	totals  *Totals
+}
+
+// Play plays a deployment in simulated time. The same seed gives the same outcome.
+//
+// Errors: a configuration of the router that is not valid.
+func Play(d Deployment, passing Passing, seed uint64) (*Totals, error) {
+	if passing.BusyWait == 0 {
+		passing.BusyWait = defaultWait
+	}
+	p := &played{
+		d: d, passing: passing, clock: &clock{now: origin}, rng: rand.New(rand.NewPCG(seed, 1)),
+		engines: map[call.ReplicaID]*batch{}, totals: &Totals{Kinds: map[call.Class]*KindTotals{}},
+	}
+	list := p.makeEngines()
+	for i := range d.VMs {
+		c := passing.Router
+		c.Self, c.Zone, c.Rand = call.VMID(fmt.Sprint("vm-", i)), p.zone(i), rand.New(rand.NewPCG(seed, uint64(i)+2))
+		router, err := route.New(c)
+		if err != nil {
+			return nil, errors.Annotate(err, "Play")
+		}
+		router.SetVMs(d.VMs)
+		router.SetReplicas(p.clock.now, list)
+		v := &passer{p: p, router: router}
+		p.vms = append(p.vms, v)
+		p.clock.after(time.Duration(p.rng.Int64N(int64(gossipEvery))), func() {
+			p.clock.every(gossipEvery, origin.Add(d.Length), v.gossip)
+		})
+	}
+	for i := range d.Kinds {
+		p.totals.Kinds[d.Kinds[i].Name] = &KindTotals{}
+		p.arrive(&d.Kinds[i])
+	}
+	p.clock.run()
+	return p.totals, nil
+}
+
+func (p *played) zone(i int) call.Zone { return call.Zone(fmt.Sprint("zone-", i%p.d.Zones)) }
+
+func (p *played) makeEngines() route.Replicas {
+	var list route.Replicas
+	readOnce := map[uint64]time.Time{}
+	for i := range p.d.Engines {
+		b := &batch{
+			id: call.ReplicaID(fmt.Sprintf("engine-%03d", i)), zone: p.zone(i), pace: p.d.Pace, speed: 1, clock: p.clock,
+			kept: map[uint64]*keptPart{}, readOnce: readOnce, totals: p.totals,
+		}
+		if n := len(p.d.Pace.Speeds); n > 0 {
+			b.speed = p.d.Pace.Speeds[i%n]
+		}
+		b.note()
+		p.engines[b.id] = b
+		list = append(list, route.Replica{ID: b.id, Zone: b.zone, Models: []call.Model{modelName}, Slots: p.d.Pace.Slots})
+	}
+	return list
+}
+
+// arrive draws the next call of a kind.
+func (p *played) arrive(k *Kind) {
+	rate := k.Rate
+	since := p.clock.now.Sub(origin)
+	for _, b := range p.d.Bursts {
+		if (b.Kind == "" || b.Kind == k.Name) && since >= b.At && since < b.At+b.For {
+			rate *= b.Factor
+		}
+	}
+	gap := time.Duration(p.rng.ExpFloat64() / rate * float64(time.Second))
+	p.clock.after(min(gap, 200*time.Millisecond), func() {
+		if p.clock.now.Sub(origin) > p.d.Length {
+			return
+		}
+		if gap <= 200*time.Millisecond {
+			p.ask(k)
+		}
+		p.arrive(k)
+	})
+}
+
+func (p *played) draw(s LogNormal) float64 {
+	sigma := math.Sqrt(math.Log(1 + s.Variation*s.Variation))
+	return min(s.Max, s.Mean*math.Exp(sigma*p.rng.NormFloat64()-sigma*sigma/2))
+}
+
+// ask is a new call of a caller.
+func (p *played) ask(k *Kind) {
+	a := &ask{kind: k, asked: p.clock.now, events: max(1, int(math.Round(p.draw(k.Events))))}
+	shared := 0
+	for i, one := range k.Parts {
+		id := uint64(i)<<32 + uint64(p.rng.IntN(one.Count)) + uint64(len(k.Name))<<40
+		// The length belongs to the part.
+		sized := rand.New(rand.NewPCG(id, 9))
+		sigma := math.Sqrt(math.Log(1 + one.Tokens.Variation*one.Tokens.Variation))
+		tokens := max(1, int(min(one.Tokens.Max, one.Tokens.Mean*math.Exp(sigma*sized.NormFloat64()-sigma*sigma/2))))
+		a.parts = append(a.parts, part{id: id, tokens: tokens})
+		shared += tokens
+		a.call.Prefixes = append(a.call.Prefixes, id)
+	}
+	own := max(1, int(p.draw(k.Own)))
+	a.memory = own + a.events*p.d.Pace.Stride
+	a.call.Model, a.call.Class, a.call.Tier = modelName, k.Name, k.Tier
+	a.call.SharedTokens, a.call.PromptTokens = shared, shared+own
+	var sharedMean float64
+	for _, one := range k.Parts {
+		sharedMean += one.Tokens.Mean
+	}
+	mean := sharedMean + k.Own.Mean + 10*k.Events.Mean*float64(p.d.Pace.Stride)
+	a.size = min(4, 0.3+0.7*(float64(a.call.PromptTokens)+10*float64(a.events*p.d.Pace.Stride))/mean)
+	t := p.totals.Kinds[k.Name]
+	t.Asked++
+	t.Owed += a.size * k.Worth
+	p.enter(a)
+}
+
+// enter hands a call to a VM, as a load balancer does.
+func (p *played) enter(a *ask) {
+	v := p.vms[p.rng.IntN(len(p.vms))]
+	now := p.clock.now
+	v.router.Arrived(now, a.call)
+	v.place(a, now.Add(time.Duration(p.passing.BusyWait*float64(a.kind.Target))), passingSends, nil)
+}
+
+// place looks for a replica until a time, then refuses.
+func (v *passer) place(a *ask, until time.Time, sends int, tried []call.ReplicaID) {
+	now := v.p.clock.now
+	d, err := v.router.Pick(now, a.call, tried)
+	if err != nil {
+		if !now.Before(until) || errors.Is(err, route.ErrNoReplica) {
+			v.refuse(a)
+			return
+		}
+		v.p.clock.after(lookEvery, func() { v.place(a, until, sends, tried) })
+		return
+	}
+	v.send(a, d.Replica.ID, until, sends, tried)
+}
+
+func (v *passer) refuse(a *ask) {
+	k := v.p.totals.Kinds[a.kind.Name]
+	left := a.asked.Add(a.kind.Deadline).Sub(v.p.clock.now)
+	if a.again || left <= 0 {
+		k.Refused++
+		return
+	}
+	a.again = true
+	wait := time.Duration((0.4 + 0.6*v.p.rng.Float64()) * 0.95 * float64(min(returnAfter, left/3)))
+	v.p.clock.after(wait, func() { v.p.enter(a) })
+}
+
+func (v *passer) send(a *ask, id call.ReplicaID, until time.Time, sends int, tried []call.ReplicaID) {
+	p := v.p
+	b := p.engines[id]
+	cost := float64(a.call.PromptTokens)
+	v.router.Started(p.clock.now, id, cost)
+	sent := p.clock.now
+	a.event = func(l route.Load) { p.clock.after(hop, func() { v.event(a, b, l) }) }
+	a.end = func() { p.clock.after(hop, func() { v.end(a, b, cost, sent) }) }
+	p.clock.after(hop, func() {
+		if b.offer(a) {
+			v.watch(a, b, cost)
+			return
+		}
+		report := b.report()
+		p.clock.after(hop, func() {
+			v.router.Finished(p.clock.now, id, cost, route.Result{Status: route.StatusCanceled})
+			v.router.Report(p.clock.now, id, report)
+			if sends == 1 {
+				v.refuse(a)
+				return
+			}
+			v.place(a, until, sends-1, append(tried, id))
+		})
+	})
+}
+
+// patience is how long callers wait for the next event.
+func patience(k *Kind) time.Duration { return max(2*time.Second, 4*k.Target, 8*k.Pause) }
+
+// watch lets the caller leave when nothing comes.
+func (v *passer) watch(a *ask, b *batch, cost float64) {
+	p := v.p
+	since := a.asked
+	if !a.last.IsZero() {
+		since = a.last
+	}
+	leave := since.Add(patience(a.kind))
+	if deadline := a.asked.Add(a.kind.Deadline); deadline.Before(leave) {
+		leave = deadline
+	}
+	p.clock.at(leave, func() {
+		switch {
+		case a.ended:
+		case p.clock.now.Before(a.last.Add(patience(a.kind))) && p.clock.now.Before(a.asked.Add(a.kind.Deadline)):
+			v.watch(a, b, cost)
+		default:
+			a.ended = true
+			p.totals.Kinds[a.kind.Name].GivenUp++
+			b.drop(a)
+			v.router.Finished(p.clock.now, b.id, cost, route.Result{Status: route.StatusCanceled})
+		}
+	})
+}
+
+func (v *passer) event(a *ask, b *batch, l route.Load) {
+	now := v.p.clock.now
+	if a.first.IsZero() {
+		a.first = now
+		v.router.Report(now, b.id, l)
+	} else if now.Sub(a.last) > a.kind.Pause {
+		a.paused = true
+	}
+	a.last = now
+}
+
+func (v *passer) end(a *ask, b *batch, cost float64, sent time.Time) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	p := v.p
+	v.router.Finished(p.clock.now, b.id, cost, route.Result{Status: route.StatusOK, FirstToken: a.first.Sub(sent)})
+	k := p.totals.Kinds[a.kind.Name]
+	if !a.paused && a.first.Sub(a.asked) <= a.kind.Target {
+		k.OnTime++
+		k.Earned += a.size * a.kind.Worth
+		return
+	}
+	k.Late++
+	k.Earned += a.size * a.kind.LateWorth
+}
+
+// gossip exchanges reports and demands with a few other VMs.
+func (v *passer) gossip() {
+	now := v.p.clock.now
+	for range gossipPeers {
+		other := v.p.vms[v.p.rng.IntN(len(v.p.vms))]
+		if other == v {
+			continue
+		}
+		mine, theirs := v.router.Reports(now, reportAge), other.router.Reports(now, reportAge)
+		for id, l := range mine {
+			other.router.Report(now, id, l)
+		}
+		for id, l := range theirs {
+			v.router.Report(now, id, l)
+		}
+		if v.p.passing.Silent {
+			continue
+		}
+		have, heard := v.router.Demands(now), other.router.Demands(now)
+		other.router.AverageDemands(now, have)
+		v.router.AverageDemands(now, heard)
+	}
+}
--- /dev/null
+++ b/io/model/totals.go
@@ -0,0 +1,54 @@
+package model
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"gentianwell/core/call"
+)
+
+// KindTotals is how the calls of one kind fared.
+type KindTotals struct {
+	Asked, OnTime, Late, Refused, GivenUp int
+	// Owed and Earned are worths.
+	Owed, Earned float64
+}
+
+// Share is the part of the worth that was earned.
+func (k KindTotals) Share() float64 { return k.Earned / max(k.Owed, 1e-9) }
+
+// Totals is the outcome of a played deployment.
+type Totals struct {
+	Kinds map[call.Class]*KindTotals
+	// Read counts prompt tokens, ReadAgain those of shared parts that some engine
+	// had read a short while before.
+	Read, ReadAgain int
+	Preempted       int
+}
+
+// Share is the part of the worth of all kinds that was earned.
+func (t *Totals) Share() float64 {
+	var all KindTotals
+	for _, k := range t.Kinds {
+		all.Owed += k.Owed
+		all.Earned += k.Earned
+	}
+	return all.Share()
+}
+
+// String gives a line for each kind.
+func (t *Totals) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "worth %.3f, read %.1f M, again %.1f M, preempted %d\n", t.Share(), float64(t.Read)/1e6, float64(t.ReadAgain)/1e6, t.Preempted)
+	var names []call.Class
+	for name := range t.Kinds {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		k := t.Kinds[name]
+		fmt.Fprintf(&b, "  %-16s %.3f of %6d: on time %6d, late %5d, refused %5d, given up %5d\n", name, k.Share(), k.Asked, k.OnTime, k.Late, k.Refused, k.GivenUp)
+	}
+	return b.String()
+}
