A soak with real processes under faults from outside

The former target `make soak` is `make repeat` now. Process metrics (open files, memory) join those of the entry VM.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 KNOWN_RED = $(shell test -s KNOWN-RED.txt && grep -v '^\#' KNOWN-RED.txt | awk '{print "^" $$1 "$$"}' | paste -sd'|')
 
 
-.PHONY: build demo demo-up demo-down check format generate generated test race soak
+.PHONY: build demo demo-up demo-down check format generate generated test race repeat soak
 
 build: ## Builds the commands into bin/.
 	go build -o bin/ ./cmd/...
@@ -43,5 +43,11 @@
 race: ## Runs all tests with the race detector (needs a C compiler).
 	go test -count=1 -race -timeout 600s $(PACKAGES)
 
-soak: ## Runs the tests again with another seed: make soak SEED=7 ROUNDS=5.
+repeat: ## Runs the tests again with another seed: make repeat SEED=7 ROUNDS=5.
 	GENTIANWELL_SEED=$(SEED) go test -count=$(or $(ROUNDS),5) -timeout 1800s $(PACKAGES)
+
+soak: ## Runs real processes under faults: make soak SEED=7 MINUTES=2 SEEDS=1 DIR=/tmp/soak.
+	@for seed in $$(seq $(or $(SEED),1) $$(( $(or $(SEED),1) + $(or $(SEEDS),1) - 1 ))); do \
+		GENTIANWELL_SEED=$$seed GENTIANWELL_SOAK_MINUTES=$(MINUTES) GENTIANWELL_SOAK_DIR=$(DIR) \
+			go test -count=1 -timeout 3600s -run '^TestSoak$$' -v ./platform || echo "seed $$seed failed"; \
+	done
--- a/core/gwtest/gwtest.go
+++ b/core/gwtest/gwtest.go
@@ -4,7 +4,7 @@
 //
 // A test package that uses rapid imports this package, if only for its side
 // effect: properties then run with a fixed seed, so that CI gives the same
-// verdict on every run. GENTIANWELL_SEED chooses another seed (see "make soak").
+// verdict on every run. GENTIANWELL_SEED chooses another seed (see "make repeat").
 //
 //	import _ "gentianwell/core/gwtest"
 package gwtest
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -51,7 +51,9 @@
 		first:    histogram("first_seconds", "Time to the answer or to the first event of a stream."),
 		total:    histogram("total_seconds", "Time to the end of the answer."),
 	}
-	registry.MustRegister(collectors.NewGoCollector(), m.requests, m.sends, m.onTime, m.first, m.total)
+	registry.MustRegister(
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.requests, m.sends, m.onTime, m.first, m.total,
+	)
 	gauge := func(name, help string, value func() float64) {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gentianwell_" + name, Help: help}, value))
 	}
