--- a/io/model/play.go
+++ b/io/model/play.go
@@ -20,6 +20,9 @@
 	BusyWait float64
 	// Silent VMs do not tell each other of the demand.
 	Silent bool
+	// Plain VMs choose the less loaded of two replicas for each call, without lanes
+	// or homes of prefixes.
+	Plain bool
 }
 
 const (
@@ -40,7 +43,6 @@
 	defaultWait = 0.5
 )
 
-
 // passer is an entry VM.
 type passer struct {
 	p      *played
@@ -65,6 +67,9 @@
 	if passing.BusyWait == 0 {
 		passing.BusyWait = defaultWait
 	}
+	if passing.Plain {
+		passing.Router.HomeTokens = math.MaxInt
+	}
 	p := &played{
 		d: d, passing: passing, clock: &clock{now: origin}, rng: rand.New(rand.NewPCG(seed, 1)),
 		engines: map[call.ReplicaID]*batch{}, totals: &Totals{Kinds: map[call.Class]*KindTotals{}},
@@ -173,7 +178,9 @@
 func (p *played) enter(a *ask) {
 	v := p.vms[p.rng.IntN(len(p.vms))]
 	now := p.clock.now
-	v.router.Arrived(now, a.call)
+	if !v.p.passing.Plain {
+		v.router.Arrived(now, a.call)
+	}
 	v.place(a, now.Add(time.Duration(p.passing.BusyWait*float64(a.kind.Target))), passingSends, nil)
 }
 
--- a/io/model/grown_test.go
+++ b/io/model/sheets.go
@@ -1,17 +1,9 @@
 package model
 
-import (
-	"fmt"
-	"sync"
-	"testing"
-	"time"
+import "time"
 
-	"gotest.tools/v3/assert"
-
-	"gentianwell/core/route"
-)
-
-func ms(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+// millis is a time in milliseconds.
+func millis(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
 
 // The lengths of prompts are the same on all deployments.
 func summaries(rate float64, subjects int) Kind {
@@ -39,13 +31,13 @@
 }
 
 func (k Kind) bounds(target, pause, deadline, worth, late float64, events LogNormal) Kind {
-	k.Target, k.Pause, k.Deadline, k.Worth, k.LateWorth, k.Events = ms(target), ms(pause), ms(deadline), worth, late, events
+	k.Target, k.Pause, k.Deadline, k.Worth, k.LateWorth, k.Events = millis(target), millis(pause), millis(deadline), worth, late, events
 	return k
 }
 
-// bursts is a heavy day: summaries come at several times their rate twice, questions
+// heavyDay is a heavy day: summaries come at several times their rate twice, questions
 // between.
-var bursts = []Burst{
+var heavyDay = []Burst{
 	{Kind: "summary", At: 500 * time.Millisecond, For: 9 * time.Second, Factor: 3},
 	{Kind: "question", At: 11 * time.Second, For: 5 * time.Second, Factor: 2.4},
 	{Kind: "summary", At: 17500 * time.Millisecond, For: 3500 * time.Millisecond, Factor: 2.5},
@@ -53,40 +45,40 @@
 
 var (
 	fastPace = Pace{
-		Slots: 16, Queue: 33, Step: ms(2.2), Context: ms(0.0175), ReadRate: 140, Pairs: ms(0.295), FirstDelay: ms(53),
-		Stride: 12, Chunk: 2048, Memory: 444000, Speeds: []float64{1, 1, 1.3}, ReportLag: ms(200),
+		Slots: 16, Queue: 33, Step: millis(2.2), Context: millis(0.0175), ReadRate: 140, Pairs: millis(0.295), FirstDelay: millis(53),
+		Stride: 12, Chunk: 2048, Memory: 444000, Speeds: []float64{1, 1, 1.3}, ReportLag: millis(200),
 	}
 	steadyPace = Pace{
-		Slots: 12, Queue: 25, Step: ms(4.23), Context: ms(0.00857), ReadRate: 64.2, Pairs: ms(0.647), FirstDelay: ms(0.67),
-		Stride: 7, Chunk: 2048, Memory: 396357, ReportLag: ms(100),
+		Slots: 12, Queue: 25, Step: millis(4.23), Context: millis(0.00857), ReadRate: 64.2, Pairs: millis(0.647), FirstDelay: millis(0.67),
+		Stride: 7, Chunk: 2048, Memory: 396357, ReportLag: millis(100),
 	}
-	// wide and broad are many small VMs before many engines, narrow and lean a few.
-	wide = Deployment{
-		Name: "wide", VMs: 65, Engines: 89, Zones: 3, Length: 34 * time.Second, Pace: fastPace, Bursts: bursts,
+	// Wide and Broad are many small VMs before many engines, Narrow and Lean a few.
+	Wide = Deployment{
+		Name: "wide", VMs: 65, Engines: 89, Zones: 3, Length: 34 * time.Second, Pace: fastPace, Bursts: heavyDay,
 		Kinds: []Kind{
 			summaries(248, 922).bounds(1500, 800, 10000, 2.6, 0.8, LogNormal{31.9, 0.44, 93.3}),
 			questions(160, 1439).bounds(250, 200, 8000, 1.2, 0.11, LogNormal{24.3, 0.69, 79.5}),
 			plots(392, 3506).bounds(400, 300, 2500, 1.5, 0.45, LogNormal{1.88, 1.4, 7.52}),
 		},
 	}
-	broad = Deployment{
-		Name: "broad", VMs: 62, Engines: 112, Zones: 4, Length: 34 * time.Second, Pace: steadyPace, Bursts: bursts,
+	Broad = Deployment{
+		Name: "broad", VMs: 62, Engines: 112, Zones: 4, Length: 34 * time.Second, Pace: steadyPace, Bursts: heavyDay,
 		Kinds: []Kind{
 			summaries(183, 682).bounds(2500, 1000, 15000, 2.5, 1.2, LogNormal{54.6, 0.44, 160}),
 			questions(87, 519).bounds(300, 250, 12000, 1.2, 0.17, LogNormal{41.6, 0.69, 136}),
 			plots(229, 1362).bounds(500, 400, 3000, 1.4, 0.69, LogNormal{3.22, 1.4, 12.9}),
 		},
 	}
-	narrow = Deployment{
-		Name: "narrow", VMs: 9, Engines: 18, Zones: 3, Length: 34 * time.Second, Pace: fastPace.with(48, 97, 8), Bursts: bursts,
+	Narrow = Deployment{
+		Name: "narrow", VMs: 9, Engines: 18, Zones: 3, Length: 34 * time.Second, Pace: fastPace.with(48, 97, 8), Bursts: heavyDay,
 		Kinds: []Kind{
 			summaries(30.7, 300).bounds(1500, 800, 10000, 3.1, 0.94, LogNormal{48, 0.44, 140}),
 			questions(58.4, 500).bounds(250, 200, 10000, 1.4, 0.13, LogNormal{36, 0.69, 119}),
 			plots(74.2, 700).bounds(400, 300, 2500, 1.8, 0.53, LogNormal{3, 1.4, 12}),
 		},
 	}
-	lean = Deployment{
-		Name: "lean", VMs: 9, Engines: 9, Zones: 3, Length: 34 * time.Second, Pace: steadyPace.with(64, 129, 4), Bursts: bursts,
+	Lean = Deployment{
+		Name: "lean", VMs: 9, Engines: 9, Zones: 3, Length: 34 * time.Second, Pace: steadyPace.with(64, 129, 4), Bursts: heavyDay,
 		Kinds: []Kind{
 			summaries(10.5, 100).bounds(2500, 800, 15000, 3.3, 1.6, LogNormal{96, 0.44, 280}),
 			questions(20.5, 200).bounds(300, 200, 15000, 1.6, 0.23, LogNormal{73, 0.69, 240}),
@@ -101,21 +93,16 @@
 	return p
 }
 
-func TestTrial(t *testing.T) {
-	var all sync.WaitGroup
-	out := map[string]string{}
-	var mu sync.Mutex
-	for _, d := range []Deployment{wide, broad, narrow, lean} {
-		all.Go(func() {
-			totals, err := Play(d, Passing{Router: route.Config{FirstLongShare: 0.6}}, 1)
-			assert.Check(t, err)
-			mu.Lock()
-			defer mu.Unlock()
-			out[d.Name] = totals.String()
-		})
-	}
-	all.Wait()
-	for _, name := range []string{"wide", "broad", "narrow", "lean"} {
-		fmt.Println(name, out[name])
+// Deployments are those that can be played, by name.
+var Deployments = map[string]Deployment{Wide.Name: Wide, Broad.Name: Broad, Narrow.Name: Narrow, Lean.Name: Lean}
+
+// Scaled returns the deployment with its load multiplied and without bursts.
+func (d Deployment) Scaled(load float64) Deployment {
+	kinds := make([]Kind, 0, len(d.Kinds))
+	for _, k := range d.Kinds {
+		k.Rate *= load
+		kinds = append(kinds, k)
 	}
+	d.Kinds, d.Bursts = kinds, nil
+	return d
 }
