Leave three tenths of the replicas to short calls, and do not spill into a busy lane

Cause: in a burst of summaries their lane grew to 0.82 of the replicas and spilled into the other up to half of its slots. Questions then ran beside long prompts, whose chunks pause them past 200 ms, and waited. Change: laneShareMax 0.82 to 0.7, spillRoom 0.5 to 0.25.

--- a/core/route/lane.go
+++ b/core/route/lane.go
@@ -37,7 +37,7 @@
 	// attention makes the work of a long prompt grow faster than its length.
 	shortWeight = 0.6
 	// laneShareMin and laneShareMax bound the long lane's part of the replicas.
-	laneShareMin, laneShareMax = 0.25, 0.82
+	laneShareMin, laneShareMax = 0.25, 0.7
 	// longRoom is the load per slot up to which replicas of the long lane get calls:
 	// these wait better at an engine that holds their prefix than run on another
 	// that has to read it.
@@ -50,7 +50,7 @@
 	urgentRoom = 1.9
 	// spillRoom is the load per slot up to which the short lane takes long prompts
 	// for which their own has no room: beyond it they would delay the urgent.
-	spillRoom = 0.5
+	spillRoom = 0.25
 )
 
 // class is what was learned of one class of calls.
