Load reports count for three seconds only

Cause: a report that a replica was full kept short calls off it for up to ten seconds, and sent them to the lane of long prompts instead. Ruled out, as trials: one random replica in place of the better of two (as good, but worse for small services), a smaller zone penalty, larger subsets, answers counted as work of a class (no change, the border is at its bound). Change: entry VMs set ReportMaxAge to 3 s; whether a lane is busy is still judged by reports up to 10 s old.

--- a/cmd/gwload/fleet.go
+++ b/cmd/gwload/fleet.go
@@ -9,7 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
 
-	"gentianwell/core/route"
+	"gentianwell/io/entry"
 	"gentianwell/io/model"
 )
 
@@ -21,9 +21,6 @@
 Example:
    gwload fleet --deployment wide --seeds 3 --plain`
 
-// firstLongShare is that of the entry VMs.
-const firstLongShare = 0.6
-
 func fleetCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "fleet",
@@ -55,7 +52,7 @@
 		for i := range cmd.Int("seeds") {
 			for _, plain := range policies {
 				seed := cmd.Uint64("first-seed") + uint64(i)
-				totals, err := model.Play(model.Deployments[name], model.Passing{Plain: plain, Router: route.Config{FirstLongShare: firstLongShare}}, seed)
+				totals, err := model.Play(model.Deployments[name], model.Passing{Plain: plain, Router: entry.Routing()}, seed)
 				if err != nil {
 					return errors.Trace(err)
 				}
--- a/io/entry/budget.go
+++ b/io/entry/budget.go
@@ -26,6 +26,9 @@
 	// known: summaries bring most of the work on both sites, and after a restart a
 	// question must not meet them.
 	firstLongShare = 0.6
+	// reportMaxAge is when a load report counts for nothing: a few times as long as
+	// a short call runs. What was full that long ago mostly has room.
+	reportMaxAge = 3 * time.Second
 )
 
 // setBudget gives this VM its share of the repeats that all VMs may send.
@@ -37,9 +40,15 @@
 	e.router.SetVMs(int(vms))
 }
 
-func routerConfig(c Config, rng *rand.Rand) route.Config {
+// Routing returns how entry VMs choose replicas, for the model of whole fleets too.
+func Routing() route.Config {
 	return route.Config{
-		Self: c.VM, Zone: c.Zone, Rand: rng,
-		UnreachableToEject: 1, UnreachableTime: unreachableTime, FirstLongShare: firstLongShare,
+		UnreachableToEject: 1, UnreachableTime: unreachableTime, FirstLongShare: firstLongShare, ReportMaxAge: reportMaxAge,
 	}
 }
+
+func routerConfig(c Config, rng *rand.Rand) route.Config {
+	r := Routing()
+	r.Self, r.Zone, r.Rand = c.VM, c.Zone, rng
+	return r
+}
