Refuse a stream after an eighth of its target where all places are taken

Ruled out: refusing plain calls sooner too (their places free in milliseconds, so that a short wait pays). Change: StreamWait 0.12 of the target beside BusyWait 0.5.

--- a/io/model/play.go
+++ b/io/model/play.go
@@ -40,7 +40,7 @@
 	// returnAfter is the longest that a refused caller is told to wait, a third of
 	// its time left at most.
 	returnAfter = 3 * time.Second
-	defaultWait = 0.5
+	defaultWait = 0.12
 )
 
 // passer is an entry VM.
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -35,6 +35,9 @@
 	// defaultBusyWait is how long a request waits at most for a place on a replica,
 	// as a part of its target.
 	defaultBusyWait = 0.5
+	// defaultStreamWait is the same for streams, which keep their places for
+	// seconds: who is refused soon can come back in time.
+	defaultStreamWait = 0.12
 )
 
 // Config configures a Server. Fields without a default are required.
@@ -69,8 +72,9 @@
 	// Sends bounds how often one request is sent, refused sends included.
 	Sends int
 	// BusyWait is how long a request waits for a place on a replica, as a part of
-	// its target.
-	BusyWait float64
+	// its target, StreamWait how long a stream does.
+	BusyWait   float64
+	StreamWait float64
 	// RetryShare returns the part of a retry that each request pays for.
 	RetryShare func() float64
 }
@@ -89,6 +93,9 @@
 	if c.BusyWait == 0 {
 		c.BusyWait = defaultBusyWait
 	}
+	if c.StreamWait == 0 {
+		c.StreamWait = defaultStreamWait
+	}
 	if c.Observe == nil {
 		c.Observe = func(Measure) {}
 	}
@@ -110,8 +117,8 @@
 	case c.Table == nil, c.Router == nil, c.Retry == nil, c.Open == nil, c.Admit == nil, c.Finish == nil,
 		c.Stopping == nil, c.Draw == nil, c.Now == nil, c.Log == nil:
 		return errors.NotValidf("Config.Validate: a needed field is nil")
-	case c.RetryAfter < 0 || c.Sends < 1 || c.BusyWait < 0:
-		return errors.NotValidf("Config.Validate: RetryAfter %s, Sends %d, BusyWait %g", c.RetryAfter, c.Sends, c.BusyWait)
+	case c.RetryAfter < 0 || c.Sends < 1 || c.BusyWait < 0 || c.StreamWait < 0:
+		return errors.NotValidf("Config.Validate: RetryAfter %s, Sends %d, BusyWait %g, StreamWait %g", c.RetryAfter, c.Sends, c.BusyWait, c.StreamWait)
 	}
 	return nil
 }
--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -10,6 +10,7 @@
 	"gentianwell/core/call"
 	"gentianwell/core/retry"
 	"gentianwell/core/route"
+	"gentianwell/core/table"
 )
 
 // run makes attempts until one is the last.
@@ -43,7 +44,11 @@
 // place chooses a replica. Where all are full it waits for a while; it returns a
 // status and a reason where there is none.
 func (p *pass) place(ctx context.Context) (route.Decision, int, Reason) {
-	waitUntil := p.s.c.Now().Add(time.Duration(p.s.c.BusyWait * float64(p.route.Target)))
+	part := p.s.c.BusyWait
+	if p.route.Kind == table.KindStream {
+		part = p.s.c.StreamWait
+	}
+	waitUntil := p.s.c.Now().Add(time.Duration(part * float64(p.route.Target)))
 	for {
 		now := p.s.c.Now()
 		d, err := p.s.c.Router.Pick(now, p.call, p.tried)
