--- a/cmd/gwload/main.go
+++ b/cmd/gwload/main.go
@@ -15,7 +15,7 @@
 	cmd := &cli.Command{
 		Name:     "gwload",
 		Usage:    "demonstrate and measure gentianwell under load",
-		Commands: []*cli.Command{demoCommand(), experimentCommand(), fleetCommand()},
+		Commands: []*cli.Command{demoCommand(), experimentCommand(), fleetCommand(), roundsCommand()},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "gwload:", err)
--- a/cmd/gwload/plot.go
+++ b/cmd/gwload/plot.go
@@ -31,6 +31,9 @@
 	color.RGBA{R: 0x6b, G: 0x9f, B: 0x59, A: 0xff},
 }
 
+// plotDashes tell lines of the same color apart.
+var plotDashes = [][]vg.Length{nil, {vg.Points(4), vg.Points(3)}, {vg.Points(1), vg.Points(2)}}
+
 // result is what one workload gave, for the plots.
 type result struct {
 	workload  string
