Take a stop that comes while the process starts as a planned one

Cause: the handler of SIGTERM was installed after the settings were read and the parts made, so that a stop 10 ms after a start ended the process by the signal, with its status. Ruled out: an end by itself (the process had been told to stop). Change: the handler is the first thing that the command installs.

--- a/cmd/gentianwell/entry.go
+++ b/cmd/gentianwell/entry.go
@@ -62,6 +62,8 @@
 }
 
 func runEntry(_ context.Context, cmd *cli.Command) error {
+	// First, so that a stop that comes while the process starts is one as planned.
+	stop, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	raw, config, err := readSettings(cmd)
 	if err != nil {
 		return cli.Exit("gentianwell: settings: "+err.Error(), exitUsage)
@@ -90,18 +92,17 @@
 	if err != nil {
 		return cli.Exit("gentianwell: settings: "+err.Error(), exitUsage)
 	}
-	if err := runWithSignals(e, out, &settingsFile{cmd: cmd, raw: raw, entry: e, log: log}); err != nil {
+	if err := runWithSignals(stop, e, out, &settingsFile{cmd: cmd, raw: raw, entry: e, log: log}); err != nil {
 		return cli.Exit("gentianwell: "+err.Error(), exitFailed)
 	}
 	return nil
 }
 
 // runWithSignals runs the process, its log and the watch over its settings file.
-func runWithSignals(e *entry.Entry, out *logw.Writer, file *settingsFile) error {
+func runWithSignals(stop context.Context, e *entry.Entry, out *logw.Writer, file *settingsFile) error {
 	logCtx, endLog := context.WithCancel(context.Background())
 	written := make(chan error, 1)
 	go func() { written <- out.Run(logCtx) }()
-	stop, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	partCtx, cancel := context.WithCancel(context.Background())
 	timers := timer.New(timer.Config{Now: time.Now})
 	timers.Every("settings", settingsPoll, func(time.Time) { file.check() })
