Log why a refused request had no place

Cause: the line of a refusal said allReplicasFull for three different decisions: replicas full, homes of the prefix full, the VM's share of a busy lane in flight. The on-call engineer could not tell them apart. Change: `noPlace` on the line, with the calls in flight and the share. Comments about spilling say what the code does since the bound is 0.25."

--- a/core/route/home.go
+++ b/core/route/home.go
@@ -17,7 +17,7 @@
 // home, the second takes over what would overload it, so that a prefix is read on
 // two replicas at most while both work, without a word between the VMs. Where both
 // are full, the candidate has no replica: calls of the short lane go to any of it then,
-// others to a half idle one, or they have to wait. It returns false for calls without such a prefix.
+// others to an idle one, or they have to wait. It returns false for calls without such a prefix.
 func (r *Router) home(now time.Time, c call.Call, p *pool, exclude []call.ReplicaID, f filtered, lane lane) (candidate, bool) {
 	if c.SharedTokens < r.c.HomeTokens || len(c.Prefixes) == 0 {
 		return candidate{}, false
--- a/core/route/lane.go
+++ b/core/route/lane.go
@@ -49,7 +49,8 @@
 	// prompts that wait there, and none of them may be refused while those begin.
 	urgentRoom = 1.9
 	// spillRoom is the load per slot up to which the short lane takes long prompts
-	// for which their own has no room: beyond it they would delay the urgent.
+	// for which their own has no room: beyond it their chunks would pause the short
+	// answers there.
 	spillRoom = 0.25
 )
 
@@ -236,7 +237,7 @@
 }
 
 // narrow leaves only the replicas of a lane. Where those have no room left, long
-// prompts may use the idler half of the others.
+// prompts may use the idle ones of the others.
 func (r *Router) narrow(now time.Time, f filtered, lane lane) filtered {
 	out := f.only(lane.has)
 	if out.usable() == 0 && lane.long {
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -43,8 +43,8 @@
 	}
 	var d Decision
 	lane := r.laneOf(now, c, p)
-	if r.overShare(now, p, lane) {
-		return d, errors.Annotatef(ErrBusy, "Router.Pick: %s: the VM has its share in flight", c.Model)
+	if inFlight, share, over := r.overShare(now, p, lane); over {
+		return d, errors.Annotatef(ErrBusy, "Router.Pick: %s: %g calls in flight of the VM's share of %.1f", c.Model, inFlight, share)
 	}
 	room := p.classes.room(now, c)
 	if lane.long {
--- a/core/route/share.go
+++ b/core/route/share.go
@@ -16,22 +16,23 @@
 // overShare reports whether this VM has its share of a busy long lane in flight. A
 // load report is old when it arrives, and all VMs read the same one: where each fills
 // what it believes free, they send many times what there is room for, and calls
-// wait at the engines past their targets. Own calls in flight are known at once.
-func (r *Router) overShare(now time.Time, p *pool, l lane) bool {
+// wait at the engines past their targets. Own calls in flight are known at once. It
+// returns these and the share, both in calls.
+func (r *Router) overShare(now time.Time, p *pool, l lane) (inFlight, share float64, over bool) {
 	if !l.long {
-		return false
+		return 0, 0, false
 	}
-	var own, load, slots float64
+	var load, slots float64
 	for _, s := range p.all {
 		if l.has(s) && !s.ejected(now) {
-			own += float64(s.own)
+			inFlight += float64(s.own)
 			load += s.load(now, shareMemory)
 			slots += float64(s.Slots)
 		}
 	}
 	if load < shareFrom*slots {
-		return false
+		return inFlight, 0, false
 	}
-	share := p.classes.ownShare(now, p.classes.border(now), r.vms)
-	return own+1 > max(1, longRoom*slots*share)
+	share = max(1, longRoom*slots*p.classes.ownShare(now, p.classes.border(now), r.vms))
+	return inFlight, share, inFlight+1 > share
 }
--- a/io/model/ask.go
+++ b/io/model/ask.go
@@ -19,7 +19,7 @@
 	call   call.Call
 	parts  []part
 	events int
-	// worth is what it is worth on time by its size.
+	// size is what it is worth against a call of mean length of its kind.
 	size float64
 	// memory is what it takes at an engine beside shared parts.
 	memory int
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -62,6 +62,9 @@
 	if p.last.err != nil && reason != ReasonDone {
 		fields["cause"] = p.last.err.Error()
 	}
+	if p.noPlace != nil {
+		fields["noPlace"] = p.noPlace.Error()
+	}
 	p.log("end").WithFields(fields).Info("request ended")
 	p.s.c.Observe(m)
 }
--- a/io/proxy/pass.go
+++ b/io/proxy/pass.go
@@ -45,6 +45,8 @@
 	// written is the status that the caller got, zero where the answer was cut.
 	written int
 	last    attemptEnd
+	// noPlace is what the router said when it had no replica for the request.
+	noPlace error
 }
 
 // errTimeUp is the cause of a request's end when its time is over.
--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -18,8 +18,9 @@
 	p.s.c.Router.Arrived(p.arrived, p.call)
 	p.s.c.Retry.First(p.arrived, call.Class(p.call.Model), p.s.c.RetryShare())
 	for {
-		d, status, reason := p.place(ctx)
+		d, status, reason, err := p.place(ctx)
 		if status != 0 {
+			p.noPlace = err
 			p.giveUp(ctx, status, reason)
 			return
 		}
@@ -42,8 +43,8 @@
 const busyPoll = 5 * time.Millisecond
 
 // place chooses a replica. Where all are full it waits for a while; it returns a
-// status and a reason where there is none.
-func (p *pass) place(ctx context.Context) (route.Decision, int, Reason) {
+// status, a reason and what the router said where there is none.
+func (p *pass) place(ctx context.Context) (route.Decision, int, Reason, error) {
 	part := p.s.c.BusyWait
 	if p.route.Kind == table.KindStream {
 		part = p.s.c.StreamWait
@@ -61,13 +62,13 @@
 			p.s.c.Router.Started(now, d.Replica.ID, p.cost())
 			p.replica = d.Replica.ID
 			p.logRoute(d)
-			return d, 0, ""
+			return d, 0, "", nil
 		case ctx.Err() != nil:
-			return d, p.lateStatus(), p.lateReason(ctx)
+			return d, p.lateStatus(), p.lateReason(ctx), err
 		case errors.Is(err, route.ErrNoReplica):
-			return d, http.StatusServiceUnavailable, ReasonNoReplica
+			return d, http.StatusServiceUnavailable, ReasonNoReplica, err
 		case !now.Before(waitUntil):
-			return d, http.StatusServiceUnavailable, ReasonBusy
+			return d, http.StatusServiceUnavailable, ReasonBusy, err
 		}
 		sleep(ctx, busyPoll)
 	}
