--- a/io/model/doc.go
+++ b/io/model/doc.go
@@ -11,5 +11,11 @@
 //	...
 //	figures, err := model.Run(model.RunConfig{Workload: w, Site: model.Lindqvist, Policy: model.PolicyTiers, Seed: 1})
 //
+// Play goes further: it plays whole deployments, in which many entry VMs pass calls
+// on by core/route and gossip, before engines that work as their data sheet says:
+//
+//	totals, err := model.Play(model.Wide, model.Passing{Router: entry.Routing()}, 1)
+//	fmt.Print(totals)
+//
 // A run depends on its config alone: the same config gives the same figures.
 package model
