--- a/core/route/lane.go
+++ b/core/route/lane.go
@@ -15,8 +15,8 @@
 // a prompt in chunks between the tokens of everything else that it runs. This is
 // task assignment by size: the replicas of a model are divided between the classes
 // with long prompts and the others, by the work that each brings. All VMs fill the
-// lanes in the same order and see about the same work, so that they agree but for
-// a replica or two at the border.
+// lanes in the same order and average what they see of the classes (demand.go), so
+// that they agree but for a few replicas at the border.
 
 const (
 	// laneMemory is the time over which the rate of a class is averaged.
