io/entry, io/proxy: log which requests ran on replicas that crashed

A lost connection was logged as 'crashed' whether the server had ended or only the connection; nothing said that two requests are the same; the VM's share of the retry budget was not visible.

Change: a fingerprint of team, method, host, path, query and body; after a lost run one connection attempt to the replica, shared by all runs that were on it, tells a crash ('crash', with the number of crashes known under this fingerprint) from a lost connection ('lostRun'). 'budget' says by how many VMs the retry budget is divided. Metrics gentianwell_lost_runs_total and gentianwell_budget_vms. Nothing is decided by them yet.

--- a/io/entry/budget.go
+++ b/io/entry/budget.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"gentianwell/core/route"
 )
 
@@ -39,6 +41,9 @@
 	rate := budgetFraction * c.RetrySlack / c.RetryWindow.Seconds() / vms
 	e.retry.SetBudget(rate, max(1, rate*c.RetryWindow.Seconds()/2))
 	e.router.SetVMs(int(vms))
+	if before := e.budgetVMs.Swap(int64(vms)); before != int64(vms) {
+		e.log.WithFields(logrus.Fields{"event": "budget", "vms": vms, "before": before, "known": e.members.count(), "perSecond": rate}).Info("this VM's share of the retry budget changed")
+	}
 }
 
 // RouteConfig returns the part of the router's configuration that is the same on all
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -26,6 +26,7 @@
 	"gentianwell/core/call"
 	"gentianwell/core/drain"
 	"gentianwell/core/fleet"
+	"gentianwell/core/poison"
 	"gentianwell/core/retry"
 	"gentianwell/core/route"
 	"gentianwell/core/spread"
@@ -82,12 +83,15 @@
 	loads       *loads
 	members     *members
 	storeStatus *storeStatus
+	crashes     *crashes
 	probe       *probe
 	proxy       *proxy.Server
 	metrics     *metrics
 
 	rngMu sync.Mutex
 	rng   *rand.Rand
+	// budgetVMs is the number of VMs that the retry budget is divided by.
+	budgetVMs atomic.Int64
 	// stopped is closed at the end of a planned stop.
 	stopped chan struct{}
 	// fetching is true while the bundle of a peer is fetched.
@@ -141,6 +145,14 @@
 	e.members = &members{self: c.VM, address: c.PeerAddress, items: e.items, now: e.options.Now, log: e.log, unreachable: map[call.VMID]bool{}}
 	e.storeStatus = &storeStatus{now: e.options.Now, log: e.log, onRecovery: e.replicas.storeRecovered, onChange: func() { e.members.announce(e.options.Now()) }}
 	e.members.storeUp = e.storeStatus.up
+	suspects, err := poison.New(poison.Config{Self: c.VM})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	e.crashes = &crashes{
+		registry: suspects, dial: e.options.Dial, now: e.options.Now, log: e.log,
+		observe: func(crashed bool) { e.metrics.observeLostRun(crashed) }, checks: map[call.ReplicaID]*crashCheck{},
+	}
 	e.pool = peer.NewPool(peer.PoolConfig{Dial: e.options.Dial})
 	e.gossip = peer.NewGossip(peer.GossipConfig{
 		Self: c.VM, Zone: c.Zone, Pool: e.pool, Store: e.items, Peers: e.members.peers, Now: e.options.Now,
@@ -162,6 +174,7 @@
 		Admit: func() bool { return e.drain.Admit(e.options.Now()) }, Finish: e.drain.Finish,
 		Stopping: func() bool { return !e.drain.Ready() },
 		Random:   e.random, Now: e.options.Now, Log: e.log, Observe: e.metrics.observe,
+		RunLost: e.crashes.runLost, RunCompleted: e.crashes.runCompleted,
 		RetryShare: func() float64 { return e.config.Load().RetryRatio * budgetFraction },
 	}
 }
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -28,6 +28,7 @@
 	requests *prometheus.CounterVec
 	sends    *prometheus.CounterVec
 	onTime   *prometheus.CounterVec
+	lostRuns *prometheus.CounterVec
 	first    *prometheus.HistogramVec
 	total    *prometheus.HistogramVec
 
@@ -47,11 +48,12 @@
 		requests: counter("proxied_total", "Requests by how they ended; status 0 is a broken connection.", "route", "status", "reason"),
 		sends:    counter("sends_total", "Requests sent to backend servers, repeats included.", "route"),
 		onTime:   counter("on_time_total", "Requests answered within or after the target of their route.", "route", "met"),
+		lostRuns: counter("lost_runs_total", "Runs whose connection was lost, by whether the backend server then accepted no connection.", "crashed"),
 		first:    histogram("first_seconds", "Time to the answer or to the first event of a stream."),
 		total:    histogram("total_seconds", "Time to the end of the answer."),
 	}
 	registry.MustRegister(
-		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.requests, m.sends, m.onTime, m.first, m.total,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.requests, m.sends, m.onTime, m.lostRuns, m.first, m.total,
 	)
 	gauge := func(name, help string, value func() float64) {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gentianwell_" + name, Help: help}, value))
@@ -59,6 +61,7 @@
 	gauge("in_flight", "Requests in progress.", func() float64 { return float64(e.drain.Status().InFlight) })
 	gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(e.tables.Current().Version()) })
 	gauge("vms", "Entry VMs known, this one included.", func() float64 { return float64(e.members.count()) })
+	gauge("budget_vms", "Entry VMs that the retry budget is divided by.", func() float64 { return float64(e.budgetVMs.Load()) })
 	gauge("ejected_replicas", "Replicas that get no new work for a time.", func() float64 { return float64(len(e.router.Ejected(e.options.Now()))) })
 	gauge("store_up", "1 while the platform's store can be read.", func() float64 {
 		if e.storeStatus.up() {
@@ -90,6 +93,11 @@
 	}
 }
 
+// observeLostRun records a run whose connection was lost.
+func (m *metrics) observeLostRun(crashed bool) {
+	m.lostRuns.WithLabelValues(strconv.FormatBool(crashed)).Inc()
+}
+
 // routeLabel returns the label value for a route: "none" without a route, and otherLabel
 // if maxRouteLabels other routes already have a value of their own.
 func (m *metrics) routeLabel(route string) string {
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -56,12 +56,19 @@
 // attempt sends the request to a replica once and forwards the response.
 func (p *proxyRequest) attempt(ctx context.Context, d route.Decision) attemptResult {
 	e := attemptResult{replica: d.Replica.ID, started: p.s.c.Now()}
-	x, result, err := p.s.c.Open(ctx, back.Target{ID: d.Replica.ID, Address: d.Replica.Address}, p.attemptRequest(d.Replica.ID))
+	target := back.Target{ID: d.Replica.ID, Address: d.Replica.Address}
+	x, result, err := p.s.c.Open(ctx, target, p.attemptRequest(d.Replica.ID))
 	if err == nil {
 		result, err = p.receive(x, &e)
 	}
 	e.err = err
 	p.classify(ctx, &e, result)
+	switch {
+	case e.done:
+		p.s.c.RunCompleted(p.fingerprint())
+	case result.Ending == back.EndingCrashed && e.mayHaveRun:
+		p.s.c.RunLost(LostRun{Request: p.info.ID, Fingerprint: p.fingerprint(), Target: target})
+	}
 	now := p.s.c.Now()
 	ejected := p.s.c.Router.Finished(now, d.Replica.ID, p.cost(), p.routeResult(&e, result))
 	p.logAttempt(&e, result, ejected)
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianwell/core/call"
+	"gentianwell/core/poison"
 	"gentianwell/core/retry"
 	"gentianwell/core/route"
 	"gentianwell/core/table"
@@ -59,6 +60,11 @@
 	Log    logrus.FieldLogger
 	// Observe is called with each finished request. It may be nil.
 	Observe func(RequestStats)
+	// RunLost is called when the connection to a replica was lost while the replica may
+	// have been running a request, RunCompleted when a replica has completed a request.
+	// Both must return at once; they may be nil.
+	RunLost      func(LostRun)
+	RunCompleted func(poison.Fingerprint)
 	// MaxRetryAfter is the longest time that a refused caller is told to wait,
 	// MaxBusyRetryAfter the same for a caller refused because replicas are full or refused
 	// the request.
@@ -97,6 +103,12 @@
 	if c.Observe == nil {
 		c.Observe = func(RequestStats) {}
 	}
+	if c.RunLost == nil {
+		c.RunLost = func(LostRun) {}
+	}
+	if c.RunCompleted == nil {
+		c.RunCompleted = func(poison.Fingerprint) {}
+	}
 	if c.RetryShare == nil {
 		c.RetryShare = func() float64 { return defaultRetryShare }
 	}
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -199,6 +199,7 @@
 	if p.team != nil {
 		p.call.Team = p.team.Name
 	}
+	p.call.Fingerprint = fingerprintOf(string(p.call.Team), p.r.Method, p.r.Host, p.target(), p.body)
 	p.lastEvent = p.info.ResumeAfter
 }
 
