io/entry: share the retry budget by the size of the fleet, not by the VMs known now

Callers would see: repeats beyond the budget of all VMs, after all VMs were killed or where they cannot reach each other.

Each VM took its share of the budget by the number of VMs that it knew at the moment, six at least. 62 VMs that know nobody yet would each take a sixth: 62/6 x 0.6 of the budget.

Evidence: on paper only; suspected, not seen.

Change: no share for four seconds after the start and while a VM with other seeds knows no other VM, only what each request adds; VMs that are not known any more count for an hour. The router's shares of lanes keep to the VMs known now, as those left have to do the work.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -89,9 +89,11 @@
 	proxy       *proxy.Server
 	metrics     *metrics
 
-	rngMu sync.Mutex
-	rng   *rand.Rand
-	// budgetVMs is the number of VMs that the retry budget is divided by.
+	rngMu     sync.Mutex
+	rng       *rand.Rand
+	fleetSize fleetSize
+	// budgetVMs is the number of VMs that the retry budget is divided by; zero while it is
+	// not known.
 	budgetVMs atomic.Int64
 	// stopped is closed at the end of a planned stop.
 	stopped chan struct{}
