io/proxy: forward large bodies as they come

Cause: a body was read to its end, up to 32 MB, before any of it was forwarded, and one event of a stream up to 1 MB; 24 such bodies at a time are 768 MB on a VM with 284.

Change: a body of more than 256 KB is forwarded as it comes and cut by the deadline, so that it does not look complete. A failure of more than 256 KB and an event of more than 256 KB are broken answers. What it costs: a body of more than 256 KB that breaks off is cut for the caller and not tried again.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -156,18 +156,22 @@
 	return err == nil && kind == "text/event-stream"
 }
 
-// maxResponseBytes limits the body of a response that is not a stream.
-const maxResponseBytes = 32 << 20
+// maxBufferedBytes is the size up to which the body of a response that is not a stream is
+// read to its end before any of it is forwarded. An error response must not be larger.
+const maxBufferedBytes = 256 << 10
 
 // readResponse reads a response that is not a stream. A success is forwarded; an error
 // response is kept.
 func (p *proxyRequest) readResponse(x *back.Exchange, e *attemptResult, respInfo ResponseInfo) error {
-	body, err := io.ReadAll(io.LimitReader(x, maxResponseBytes+1))
+	body, err := io.ReadAll(io.LimitReader(x, maxBufferedBytes+1))
 	if err != nil {
 		return errors.Annotate(err, "reading the response body")
 	}
-	if len(body) > maxResponseBytes {
-		return errTooLarge
+	if len(body) > maxBufferedBytes {
+		if x.Status >= http.StatusMultipleChoices {
+			return errTooLarge
+		}
+		return p.forwardLarge(x, e, body)
 	}
 	res := &response{status: x.Status, header: x.Header, body: body}
 	if x.Status >= http.StatusMultipleChoices {
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -15,8 +15,10 @@
 	// streamBufferBytes is the initial size of a stream's buffer; the events of the
 	// known engines are far smaller.
 	streamBufferBytes = 4 << 10
-	// maxEventBytes limits the size of one event.
-	maxEventBytes = 1 << 20
+	// maxEventBytes limits the size of one event, maxPooledBytes that of a buffer that is
+	// kept for reuse.
+	maxEventBytes  = 256 << 10
+	maxPooledBytes = 64 << 10
 )
 
 // streamBuffers holds the buffers of ended streams for reuse.
@@ -34,8 +36,10 @@
 	}
 	buf := (*pooled)[:0]
 	defer func() {
-		*pooled = buf[:0]
-		streamBuffers.Put(pooled)
+		if cap(buf) <= maxPooledBytes {
+			*pooled = buf[:0]
+			streamBuffers.Put(pooled)
+		}
 	}()
 	for {
 		if len(buf) == cap(buf) {
