cmd/gentianwell: handle SIGHUP from the start of the process

Cause: the handler was installed only after the settings had been read, so that a SIGHUP before that ended the process.

Change: the handler is installed first, as that of SIGTERM.

--- a/cmd/gentianwell/entry.go
+++ b/cmd/gentianwell/entry.go
@@ -63,7 +63,10 @@
 }
 
 func runEntry(_ context.Context, cmd *cli.Command) error {
-	// This comes first so that a signal during the start leads to a graceful shutdown.
+	// These come first so that a signal during the start leads to a graceful shutdown or a
+	// reload, and does not end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	stop, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	raw, config, err := readSettings(cmd)
 	if err != nil {
@@ -93,7 +96,7 @@
 	if err != nil {
 		return cli.Exit("gentianwell: settings: "+err.Error(), exitUsage)
 	}
-	if err := runEntryProcess(stop, e, logWriter, &settingsReloader{cmd: cmd, lastRead: raw, entry: e, log: log}); err != nil {
+	if err := runEntryProcess(stop, e, logWriter, &settingsReloader{cmd: cmd, hangups: hangups, lastRead: raw, entry: e, log: log}); err != nil {
 		return cli.Exit("gentianwell: "+err.Error(), exitFailed)
 	}
 	return nil
@@ -122,9 +125,11 @@
 
 // settingsReloader reloads the settings file when it changes.
 type settingsReloader struct {
-	cmd   *cli.Command
-	entry *entry.Entry
-	log   logrus.FieldLogger
+	cmd *cli.Command
+	// hangups receives each SIGHUP.
+	hangups <-chan os.Signal
+	entry   *entry.Entry
+	log     logrus.FieldLogger
 
 	mu sync.Mutex
 	// lastRead is the content of the file when it was last read and could be
@@ -151,11 +156,9 @@
 
 // reloadOnSIGHUP reloads the file, if it has changed, at each SIGHUP until ctx ends.
 func (r *settingsReloader) reloadOnSIGHUP(ctx context.Context) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
 	for {
 		select {
-		case <-signals:
+		case <-r.hangups:
 			r.log.WithField("event", "reload").Info("received SIGHUP; reading the settings file")
 			r.reloadIfChanged()
 		case <-ctx.Done():
