Follow a store that comes back from an older copy

Cause: everything ordered by a revision alone (io/mirror, core/fleet, gossip items, the probe), which goes back with the store.

When a mirror reads a new era, the VM reads everything, keeps missing replicas as after an outage, and writes its records of crashes again. An entry of the copy does not make a leaving or removed replica ready for 2.3 s; what was written since counts at once. Removals are gossiped when their grace period has ended, so that a VM cut off from the store keeps those replicas too. A mirror whose watch is compacted right after a read waits.

--- a/cmd/gentianwell/entry.go
+++ b/cmd/gentianwell/entry.go
@@ -88,7 +88,7 @@
 	log.SetLevel(level)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	dialTCP := dial.TCP(dial.Config{})
-	store := platform.NewStore(platform.StoreConfig{Address: config.StoreAddress, Dial: dialTCP})
+	store := platform.NewStore(platform.StoreConfig{Address: config.StoreAddress, Dial: dialTCP, Log: log})
 	e, err := entry.New(entry.Options{
 		Config: config, Source: platform.Source(store.Service()), Headers: platform.Wire(), Log: log,
 		Now: time.Now, Seed: newSeed(), Dial: dialTCP,
--- a/core/fleet/registry.go
+++ b/core/fleet/registry.go
@@ -6,7 +6,8 @@
 // once, with two exceptions: after an outage of the store, and where a large part
 // of a service's replicas is removed at the same time, removed entries stay in use
 // for a grace period. The reason is that entries expire while the store cannot be
-// written to, and are written again afterwards.
+// written to, and are written again afterwards. The same holds where the store comes back
+// from an older copy; its entries then do not make a leaving replica ready at once.
 //
 // # Usage
 //
@@ -52,6 +53,9 @@
 	// the same time.
 	MassRemovalGracePeriod time.Duration
 	MassRemovalFraction    float64
+	// Era returns the number of times that the store had been restored from an older copy
+	// at a revision. By default it never has been.
+	Era func(revision int64) int64
 }
 
 // Defaults returns the config with its unset fields filled in.
@@ -59,6 +63,9 @@
 	c.OutageGracePeriod = cmp.Or(c.OutageGracePeriod, defaultOutageGracePeriod)
 	c.MassRemovalGracePeriod = cmp.Or(c.MassRemovalGracePeriod, defaultMassRemovalGracePeriod)
 	c.MassRemovalFraction = cmp.Or(c.MassRemovalFraction, defaultMassRemovalFraction)
+	if c.Era == nil {
+		c.Era = func(int64) int64 { return 0 }
+	}
 	return c
 }
 
@@ -68,6 +75,10 @@
 	// usableUntil is set where the entry was removed but stays in use for a grace
 	// period.
 	usableUntil time.Time
+	// held is an entry of a restored store by which a leaving or gone replica is ready,
+	// which may be older. It is believed from heldUntil.
+	held      *Record
+	heldUntil time.Time
 }
 
 // Registry is the list of replicas.
@@ -76,7 +87,10 @@
 	// recovered is when the store last recovered from an outage; entries may be
 	// missing from it until OutageGracePeriod after that.
 	recovered time.Time
-	replicas  map[call.ReplicaID]*replica
+	// eraBegan is the revision of the first snapshot of the latest era. Records with later
+	// revisions of that era were written after the store was restored.
+	eraBegan int64
+	replicas map[call.ReplicaID]*replica
 }
 
 // New returns an empty registry.
@@ -90,6 +104,9 @@
 // ApplySnapshot applies the list of all entries that the store holds at a revision.
 // It returns the records that changed; that of a removed replica has no entry.
 func (r *Registry) ApplySnapshot(now time.Time, revision int64, list Records) Records {
+	if r.c.Era(revision) > r.c.Era(r.eraBegan) {
+		r.eraBegan = revision
+	}
 	var changed Records
 	present := make(map[call.ReplicaID]bool, len(list))
 	for _, record := range list {
@@ -100,6 +117,9 @@
 	}
 	var missing []*replica
 	for id, rep := range r.replicas {
+		if !present[id] {
+			rep.held = nil
+		}
 		if !present[id] && rep.record.Entry != nil && rep.usableUntil.IsZero() && rep.record.Revision <= revision {
 			missing = append(missing, rep)
 		}
@@ -124,6 +144,14 @@
 	if record.Revision < rep.record.Revision || record.Revision == rep.record.Revision && rep.usableUntil.IsZero() {
 		return false
 	}
+	if rep.held != nil && record.Revision < rep.held.Revision {
+		return false
+	}
+	if r.mayBeOlder(rep, record) {
+		r.hold(now, rep, record)
+		return false
+	}
+	rep.held = nil
 	if record.Entry == nil && rep.record.Entry != nil {
 		r.remove(now, rep, record.Revision, false)
 		return true
@@ -132,6 +160,42 @@
 	return true
 }
 
+// mayBeOlder reports whether a record may bring back a replica that is leaving or gone only
+// because the store was restored from a copy that has an older entry.
+func (r *Registry) mayBeOlder(rep *replica, record Record) bool {
+	isReady := record.Entry != nil && record.Entry.State == StateReady
+	wasReady := rep.record.Entry != nil && rep.record.Entry.State == StateReady && rep.usableUntil.IsZero()
+	if !isReady || wasReady || r.c.Era(record.Revision) <= r.c.Era(rep.record.Revision) {
+		return false
+	}
+	writtenSince := r.c.Era(record.Revision) == r.c.Era(r.eraBegan) && record.Revision > r.eraBegan
+	return !writtenSince
+}
+
+// hold keeps a record back for OutageGracePeriod, in which the replica writes again what
+// the store has lost.
+func (r *Registry) hold(now time.Time, rep *replica, record Record) {
+	if rep.held == nil {
+		rep.heldUntil = now.Add(r.c.OutageGracePeriod)
+	}
+	rep.held = &record
+}
+
+// release applies the records that were held back long enough.
+func (r *Registry) release(now time.Time) {
+	for _, rep := range r.replicas {
+		if rep.held != nil && !now.Before(rep.heldUntil) {
+			rep.record, rep.usableUntil, rep.held = *rep.held, time.Time{}, nil
+		}
+	}
+}
+
+// InGracePeriod reports whether a replica's entry was removed but stays in use.
+func (r *Registry) InGracePeriod(now time.Time, id call.ReplicaID) bool {
+	rep := r.replicas[id]
+	return rep != nil && rep.inUse(now) && !rep.usableUntil.IsZero()
+}
+
 // massRemovals returns the services of which a large part of the entries is missing
 // at the same time.
 func (r *Registry) massRemovals(missing []*replica) map[call.Model]bool {
@@ -188,6 +252,7 @@
 
 // Usable returns the replicas that may get new work, ordered by id.
 func (r *Registry) Usable(now time.Time) []Entry {
+	r.release(now)
 	var out []Entry
 	for _, rep := range r.replicas {
 		if rep.inUse(now) && rep.record.Entry.State == StateReady {
--- a/core/fleet/registry_test.go
+++ b/core/fleet/registry_test.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -125,3 +127,80 @@
 		assert.Equal(t, names(r.Usable(at(0))), want)
 	})
 }
+
+// eraBits is the number of low bits of a revision that hold the number in these tests.
+const eraBits = 32
+
+func inEra(era, number int64) int64 { return era<<eraBits | number }
+
+func newEraRegistry() *Registry {
+	return New(Config{Era: func(revision int64) int64 { return revision >> eraBits }})
+}
+
+// After a restore, the store's copy may have older entries than what is known. They do not
+// bring back a leaving or removed replica until the grace period has ended, and what is
+// written after the restore counts at once.
+func TestRestoredStoreBringsNothingBack(t *testing.T) {
+	r := newEraRegistry()
+	r.ApplySnapshot(at(0), inEra(1, 10), Records{ready("a", inEra(1, 1)), ready("b", inEra(1, 2)), ready("c", inEra(1, 3))})
+	r.ApplyRecord(at(1), leaving("a", inEra(1, 11)))
+	r.ApplyRecord(at(1), Record{ID: "b", Revision: inEra(1, 12)})
+	assert.Equal(t, names(r.Usable(at(1))), "c")
+
+	r.StoreRecovered(at(100))
+	r.ApplySnapshot(at(100), inEra(2, 5), Records{ready("a", inEra(2, 1)), ready("b", inEra(2, 2))})
+	assert.Equal(t, names(r.Usable(at(100))), "c", "c has yet to register again")
+	r.ApplyRecord(at(200), leaving("a", inEra(2, 6)))
+	assert.Equal(t, names(r.Usable(at(2399))), "c")
+	assert.Equal(t, names(r.Usable(at(2401))), "b", "b has registered, or its entry would have ended")
+	r.ApplyRecord(at(2500), ready("a", inEra(2, 9)))
+	assert.Equal(t, names(r.Usable(at(2500))), "ab")
+}
+
+// A replica that registers again after the restore counts at once, and what is held back
+// goes with the entry.
+func TestRestoredStoreIsBelievedAnew(t *testing.T) {
+	r := newEraRegistry()
+	r.ApplySnapshot(at(0), inEra(1, 10), Records{ready("a", inEra(1, 1)), ready("b", inEra(1, 2))})
+	r.ApplySnapshot(at(1), inEra(1, 11), nil)
+	assert.Equal(t, names(r.Usable(at(2000))), "")
+	r.ApplySnapshot(at(2100), inEra(2, 5), Records{ready("a", inEra(2, 1)), ready("b", inEra(2, 2))})
+	assert.Equal(t, names(r.Usable(at(2100))), "")
+	assert.Assert(t, r.ApplyRecord(at(2200), ready("a", inEra(2, 6))))
+	assert.Equal(t, names(r.Usable(at(2200))), "a")
+	r.ApplySnapshot(at(2300), inEra(2, 7), Records{ready("a", inEra(2, 6))})
+	assert.Equal(t, names(r.Usable(at(9000))), "a")
+}
+
+// However records of several eras are mixed and reordered, the latest one of the latest era
+// counts in the end.
+func TestRecordsOfErasInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records Records
+		for era := range int64(3) {
+			for range rapid.IntRange(1, 4).Draw(t, "records") {
+				record := ready("a", inEra(era, rapid.Int64Range(1, 5).Draw(t, "number")))
+				if rapid.Bool().Draw(t, "leaving") {
+					record = leaving("a", record.Revision)
+				}
+				// Of one revision there is one record.
+				if !slices.ContainsFunc(records, func(other Record) bool { return other.Revision == record.Revision }) {
+					records = append(records, record)
+				}
+			}
+		}
+		newest := slices.MaxFunc(records, func(a, b Record) int { return cmp.Compare(a.Revision, b.Revision) })
+		r := newEraRegistry()
+		now := 0
+		for _, record := range rapid.Permutation(records).Draw(t, "order") {
+			now += rapid.IntRange(0, 3000).Draw(t, "pause")
+			r.ApplyRecord(at(now), record)
+			r.Usable(at(now))
+		}
+		want := ""
+		if newest.Entry.State == StateReady {
+			want = "a"
+		}
+		assert.Equal(t, names(r.Usable(at(now+2300))), want)
+	})
+}
--- a/core/poison/snapshot.go
+++ b/core/poison/snapshot.go
@@ -74,6 +74,21 @@
 	return nil
 }
 
+// Published returns the fingerprints of which this VM has a published record with crashes
+// that count still, ordered.
+func (r *Registry) Published(now time.Time) []Fingerprint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Fingerprint
+	for fp, e := range r.entries {
+		if own := e.records[r.c.Self]; e.published && len(own.Crashes.since(now.Add(-r.c.Retention))) > 0 {
+			out = append(out, fp)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // TakeChanged returns the fingerprints whose published records of this VM have changed
 // since the last call. It is for users of Snapshot, in place of Pending.
 func (r *Registry) TakeChanged() []Fingerprint {
--- a/io/entry/crash_writer.go
+++ b/io/entry/crash_writer.go
@@ -77,6 +77,14 @@
 	}
 }
 
+// reset forgets what is known of the store.
+func (w *crashWriter) reset() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lease = 0
+	clear(w.revisions)
+}
+
 // start begins a write, unless there is nothing to write or a write is in progress.
 func (w *crashWriter) start(now time.Time) {
 	w.mu.Lock()
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -142,6 +142,15 @@
 	c.applied = applied
 }
 
+// writeAgain makes all records of this VM be written again, after the store has lost some.
+// It returns their number.
+func (c *crashes) writeAgain() int {
+	own := c.registry.Published(c.now())
+	c.writer.reset()
+	c.writer.add(own)
+	return len(own)
+}
+
 // writePending begins to write this VM's changed records, unless the store is down.
 func (c *crashes) writePending(now time.Time) {
 	c.writer.add(c.registry.TakeChanged())
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -92,6 +92,8 @@
 	rngMu     sync.Mutex
 	rng       *rand.Rand
 	fleetSize fleetSize
+	// storeEra is the greatest era of the store for which storeRestored was called.
+	storeEra atomic.Int64
 	// budgetVMs is the number of VMs that the retry budget is divided by; zero while it is
 	// not known.
 	budgetVMs atomic.Int64
@@ -143,7 +145,7 @@
 	e.replicas = &replicas{
 		onList: e.loads.setReplicas,
 		prefix: e.options.Source.ReplicaPrefix, parse: e.options.Source.ParseReplica, router: e.router, items: e.items, now: e.options.Now, log: e.log,
-		registry: fleet.New(fleet.Config{}), values: map[call.ReplicaID][]byte{},
+		registry: fleet.New(fleet.Config{Era: func(revision int64) int64 { return kvs.Revision(revision).Era() }}), values: map[call.ReplicaID][]byte{},
 	}
 	e.members = &members{self: c.VM, address: c.PeerAddress, items: e.items, now: e.options.Now, log: e.log, unreachable: map[call.VMID]bool{}}
 	e.storeStatus = &storeStatus{now: e.options.Now, log: e.log, onRecovery: e.replicas.storeRecovered, onChange: func() { e.members.announce(e.options.Now()) }}
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -29,8 +29,11 @@
 	sends    *prometheus.CounterVec
 	onTime   *prometheus.CounterVec
 	lostRuns *prometheus.CounterVec
-	first    *prometheus.HistogramVec
-	total    *prometheus.HistogramVec
+	// storeRestores counts the times that the store came back from an older copy.
+	storeRestores prometheus.Counter
+
+	first *prometheus.HistogramVec
+	total *prometheus.HistogramVec
 
 	mu     sync.Mutex
 	labels map[string]bool
@@ -49,11 +52,14 @@
 		sends:    counter("sends_total", "Requests sent to backend servers, repeats included.", "route"),
 		onTime:   counter("on_time_total", "Requests answered within or after the target of their route.", "route", "met"),
 		lostRuns: counter("lost_runs_total", "Runs whose connection was lost, by whether the backend server then accepted no connection.", "crashed"),
-		first:    histogram("first_seconds", "Time to the answer or to the first event of a stream."),
-		total:    histogram("total_seconds", "Time to the end of the answer."),
+		storeRestores: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gentianwell_store_restores_total", Help: "Times that the platform's store came back from an older copy.",
+		}),
+		first: histogram("first_seconds", "Time to the answer or to the first event of a stream."),
+		total: histogram("total_seconds", "Time to the end of the answer."),
 	}
 	registry.MustRegister(
-		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.requests, m.sends, m.onTime, m.lostRuns, m.first, m.total,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.requests, m.sends, m.onTime, m.lostRuns, m.storeRestores, m.first, m.total,
 	)
 	gauge := func(name, help string, value func() float64) {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gentianwell_" + name, Help: help}, value))
--- a/io/entry/replicas.go
+++ b/io/entry/replicas.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -37,6 +38,9 @@
 	registry *fleet.Registry
 	// values holds the entries' bytes, to send them to other VMs.
 	values map[call.ReplicaID][]byte
+	// unpublished holds the removals that are not gossiped before their grace period has
+	// ended: the other VMs know of no grace period.
+	unpublished fleet.Records
 	// listed is true once a complete list has been applied.
 	listed bool
 	// routed is the number of replicas in the last list given to the router.
@@ -83,7 +87,11 @@
 		if record.Entry == nil {
 			delete(r.values, record.ID)
 		}
-		if r.listed {
+		switch {
+		case !r.listed:
+		case record.Entry == nil && r.registry.InGracePeriod(now, record.ID):
+			r.unpublished = append(r.unpublished, record)
+		default:
 			r.publish(now, record)
 		}
 	}
@@ -138,10 +146,25 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.listed {
+		r.publishRemovals(now)
 		r.updateRouter(now, nil, "time")
 	}
 }
 
+// publishRemovals gossips the removals whose grace period has ended, unless the replica
+// has registered again; r.mu is held.
+func (r *replicas) publishRemovals(now time.Time) {
+	r.unpublished = slices.DeleteFunc(r.unpublished, func(record fleet.Record) bool {
+		if r.registry.InGracePeriod(now, record.ID) {
+			return false
+		}
+		if _, registered := r.values[record.ID]; !registered {
+			r.publish(now, record)
+		}
+		return true
+	})
+}
+
 // updateRouter logs the changes and passes the usable replicas to the router; r.mu is
 // held.
 func (r *replicas) updateRouter(now time.Time, changed fleet.Records, source string) {
--- /dev/null
+++ b/io/entry/restore.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"gentianwell/io/kvs"
+)
+
+// storeRestored handles that the store came back from an older copy, which the mirror of a
+// prefix was the first to read. Entries of replicas that are missing now come back as after
+// an outage, this VM's own records are written again, and the other mirrors read all keys.
+// It does nothing if another mirror has seen this era before.
+func (e *Entry) storeRestored(prefix string, before, after kvs.Revision) {
+	for {
+		known := e.storeEra.Load()
+		if after.Era() <= known {
+			return
+		}
+		if e.storeEra.CompareAndSwap(known, after.Era()) {
+			break
+		}
+	}
+	e.replicas.storeRecovered()
+	records := e.crashes.writeAgain()
+	for _, m := range e.probe.mirrors {
+		if m.Prefix() != prefix {
+			m.Reread()
+		}
+	}
+	e.metrics.storeRestores.Inc()
+	e.log.WithFields(logrus.Fields{
+		"event": "storeRestored", "prefix": prefix, "oldEra": before.Era(), "newEra": after.Era(),
+		"before": before.Number(), "after": after.Number(), "crashRecords": records,
+	}).Warn("the store was restored from an older copy: everything is read again, own records are written again")
+}
--- a/io/kvs/types.go
+++ b/io/kvs/types.go
@@ -19,9 +19,6 @@
 	ErrCompacted = errors.ConstError("watched revision is compacted")
 )
 
-// Revision is the service's global revision, which grows with every change.
-type Revision int64
-
 // LeaseID identifies a lease; zero means none.
 type LeaseID int64
 
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -44,6 +44,10 @@
 	// DownChanged is called when reads or watches begin to fail and when reads succeed
 	// again, then before Changed is called. By default, both are logged.
 	DownChanged func(down bool, cause error)
+	// Restored is called when all keys were read for the first time after the service was
+	// restored from an older copy, before Changed, with the revision of the copy before and
+	// the new one. By default, it is logged.
+	Restored func(before, after kvs.Revision)
 }
 
 // Defaults sets the durations and DownChanged to their defaults if they are not set.
@@ -60,6 +64,15 @@
 	if c.DownChanged == nil {
 		c.DownChanged = c.logDown
 	}
+	if c.Restored == nil {
+		c.Restored = c.logRestored
+	}
+}
+
+func (c *Config) logRestored(before, after kvs.Revision) {
+	c.Log.WithFields(logrus.Fields{
+		"event": "mirrorRestored", "prefix": c.Prefix, "oldEra": before.Era(), "newEra": after.Era(), "before": before.Number(), "after": after.Number(),
+	}).Warn("the platform's key-value service was restored from an older copy")
 }
 
 func (c *Config) logDown(down bool, cause error) {
@@ -139,11 +152,13 @@
 
 // readAndWatch reads all keys and follows a watch until RereadInterval has passed,
 // Reread is called or the watch fails. It returns an error if the service fails, but
-// not if the watch's revision was compacted, for which the next read is the remedy.
+// not if the watch's revision was compacted, for which the next read is the remedy. If
+// that happens again soon after a read, it waits first.
 func (m *Mirror) readAndWatch(ctx context.Context) error {
 	if err := m.readAll(ctx); err != nil {
 		return errors.Annotate(err, "Mirror.readAndWatch")
 	}
+	readAt := time.Now()
 	watchCtx, cancel := context.WithTimeout(ctx, m.config.RereadInterval)
 	defer cancel()
 	go func() {
@@ -156,6 +171,9 @@
 	err := m.config.Service.Watch(watchCtx, m.config.Prefix, m.revision+1, m.apply)
 	if watchCtx.Err() != nil || errors.Is(err, kvs.ErrCompacted) {
 		m.config.Log.WithFields(logrus.Fields{"event": "mirrorEnd", "prefix": m.config.Prefix, "revision": m.revision, "cause": err}).Info("watch ended, reading all keys again")
+		if errors.Is(err, kvs.ErrCompacted) && time.Since(readAt) < m.config.Backoff {
+			m.backOff(ctx)
+		}
 		return nil
 	}
 	return errors.Annotate(err, "Mirror.readAndWatch")
@@ -173,6 +191,9 @@
 	for _, e := range snap.Entries {
 		m.entries[e.Key] = e
 	}
+	if m.revision != 0 && snap.Revision.Era() > m.revision.Era() {
+		m.config.Restored(m.revision, snap.Revision)
+	}
 	m.revision = snap.Revision
 	m.sharedRevision.Store(int64(m.revision))
 	m.config.Log.WithFields(logrus.Fields{"event": "mirrorRead", "prefix": m.config.Prefix, "revision": m.revision, "entries": len(snap.Entries)}).Info("read all keys")
@@ -196,6 +217,9 @@
 	return nil
 }
 
+// Prefix returns the prefix of the keys.
+func (m *Mirror) Prefix() string { return m.config.Prefix }
+
 // Revision returns the revision of the copy. It may be called from any goroutine.
 func (m *Mirror) Revision() kvs.Revision { return kvs.Revision(m.sharedRevision.Load()) }
 
