io/back: send a request on another connection if this side had closed its own unused

Cause: a stream that ends without its end mark is known to be truncated only at its end. net/http has put the connection back into the pool then, and another attempt may have taken it before it is closed.

Change: if the error is that this side closed the connection, and certainly no byte was written (the connection is sealed against later writes), the attempt uses a new connection. So nothing can be sent twice.

--- a/io/back/attempt.go
+++ b/io/back/attempt.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -73,11 +74,12 @@
 
 // open sends the request and reads the response header.
 func (a *attempt) open() (*http.Response, error) {
-	req, err := a.newRequest()
-	if err != nil {
-		return nil, errors.Trace(err)
+	res, err := a.roundTrip(a.transport())
+	if a.closedUnused(err) {
+		a.conn.active.Store(false)
+		a.conn = nil
+		res, err = a.roundTrip(a.client.unpooled)
 	}
-	res, err := a.transport().RoundTrip(req)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -86,6 +88,23 @@
 	return res, nil
 }
 
+func (a *attempt) roundTrip(transport *http.Transport) (*http.Response, error) {
+	req, err := a.newRequest()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	res, err := transport.RoundTrip(req)
+	return res, errors.Trace(err)
+}
+
+// closedUnused reports whether this side had closed the idle connection that the request
+// was to be sent on, so that certainly no byte of it was sent. An earlier attempt closes
+// its connection if its response turns out to be incomplete at its end, when net/http may
+// have handed the connection to another attempt already.
+func (a *attempt) closedUnused(err error) bool {
+	return errors.Is(err, net.ErrClosed) && a.ctx.Err() == nil && a.conn != nil && !a.mayHaveWritten()
+}
+
 // transport returns the transport with which net/http cannot replay this request.
 // net/http replays a request only on a reused connection, and only if it can produce
 // the body again. A body without GetBody prevents that; newRequest gives GET and HEAD
