--- a/io/kvs/revision.go
+++ b/io/kvs/revision.go
@@ -9,8 +9,9 @@
 // one never holds.
 type Revision int64
 
-// numberBits is the number of bits of a Revision that hold its number.
-const numberBits = 43
+// numberBits is the number of bits of a Revision that hold its number. At a thousand changes
+// a second they last for 34 years.
+const numberBits = 40
 
 // The greatest era and number of a Revision.
 const (
