io/proxy, io/entry: say how the last attempt of a cut answer ended

The end line and the metrics of a broken-off answer had its reason, answerLost, but not whether the replica broke off or this VM had given up a silent replica. Only the attempt line, which is written for each attempt, had that. The end line now has the ending of the last attempt, and gentianwell_cut_total counts cut answers by it.

--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -28,6 +28,8 @@
 	requests *prometheus.CounterVec
 	sends    *prometheus.CounterVec
 	onTime   *prometheus.CounterVec
+	// cut counts the answers that had begun and were not completed.
+	cut      *prometheus.CounterVec
 	lostRuns *prometheus.CounterVec
 	// storeRestores counts the times that the store came back from an older copy.
 	storeRestores prometheus.Counter
@@ -51,6 +53,7 @@
 		requests: counter("proxied_total", "Requests by how they ended; status 0 is a broken connection.", "route", "status", "reason"),
 		sends:    counter("sends_total", "Requests sent to backend servers, repeats included.", "route"),
 		onTime:   counter("on_time_total", "Requests answered within or after the target of their route.", "route", "met"),
+		cut:      counter("cut_total", "Answers that had begun and were not completed, by how the last attempt at a backend server ended.", "route", "reason", "ending"),
 		lostRuns: counter("lost_runs_total", "Runs whose connection was lost, by whether the backend server then accepted no connection.", "crashed"),
 		storeRestores: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gentianwell_store_restores_total", Help: "Times that the platform's store came back from an older copy.",
@@ -59,7 +62,7 @@
 		total: histogram("total_seconds", "Time to the end of the answer."),
 	}
 	registry.MustRegister(
-		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.requests, m.sends, m.onTime, m.lostRuns, m.storeRestores, m.first, m.total,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.requests, m.sends, m.onTime, m.cut, m.lostRuns, m.storeRestores, m.first, m.total,
 	)
 	gauge := func(name, help string, value func() float64) {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gentianwell_" + name, Help: help}, value))
@@ -92,6 +95,9 @@
 	if stats.Sends > 0 {
 		m.sends.WithLabelValues(route).Add(float64(stats.Sends))
 	}
+	if stats.Status == 0 {
+		m.cut.WithLabelValues(route, string(stats.Reason), string(stats.Ending)).Inc()
+	}
 	if stats.FirstLatency > 0 {
 		m.first.WithLabelValues(route).Observe(stats.FirstLatency.Seconds())
 		m.total.WithLabelValues(route).Observe(stats.Total.Seconds())
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -30,6 +30,8 @@
 	cause      retry.Cause
 	retry      retry.Reason
 	err        error
+	// ending says how the exchange with the replica ended.
+	ending back.Ending
 	// replicaFailure is a complete error response of the replica.
 	replicaFailure *response
 	status         int
@@ -61,7 +63,7 @@
 	if err == nil {
 		result, err = p.receive(x, &e)
 	}
-	e.err = err
+	e.err, e.ending = err, result.Ending
 	p.classify(ctx, &e, result)
 	switch {
 	case e.done:
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -21,6 +21,8 @@
 	Status int
 	// Sends counts the attempts, including those that a replica refused.
 	Sends int
+	// Ending says how the last attempt ended; empty if there was none.
+	Ending back.Ending
 	// FirstLatency is the time to the response or the first event, zero if there
 	// was none; Total is the time to the end.
 	FirstLatency, Total time.Duration
@@ -35,7 +37,7 @@
 // finished logs the end of the request and passes its stats to Config.Observe.
 func (p *proxyRequest) finished(reason Reason) {
 	now := p.s.c.Now()
-	stats := RequestStats{Service: p.call.Model, Reason: reason, Status: p.status, Sends: p.sends, Total: now.Sub(p.arrived)}
+	stats := RequestStats{Service: p.call.Model, Reason: reason, Status: p.status, Sends: p.sends, Ending: p.lastAttempt.ending, Total: now.Sub(p.arrived)}
 	fields := logrus.Fields{
 		"reason": reason, "status": p.status, "sends": p.sends, "mayHaveRun": p.possibleRuns, "total": milliseconds(stats.Total),
 		"configuration": p.table.Version(), "path": p.path(), "team": p.call.Team,
@@ -60,6 +62,9 @@
 	if p.lastAttempt.retry != "" {
 		fields["again"] = p.lastAttempt.retry
 	}
+	if p.lastAttempt.ending != "" && reason != ReasonDone {
+		fields["ending"] = p.lastAttempt.ending
+	}
 	if p.lastAttempt.err != nil && reason != ReasonDone {
 		fields["cause"] = p.lastAttempt.err.Error()
 	}
