io/proxy: give up a silent replica only once another can take over

Callers saw answers that ended without being complete: a stream's connection was closed, or a request got 502, although the replica was sound and would have gone on.

Cause: for a request that may be repeated, the attempt was closed after a silence of four times the target, 0.4 s at least, and only then was it asked whether another attempt may follow. With the budget or the attempts used up, no replica with room, or refusals of the others, nothing took its place. A large response of which a part was forwarded was closed the same way, although no replica can continue one.

Evidence: TestSilenceEndsNoAnswer, without any change of the configuration; end lines with status 0, ending silent and again attempts or budgetOfClass.

Change: io/back asks at the end of the timeout whether to give up (Request.GiveUp). io/proxy answers yes only once it has taken a retry from the budget and a place at another replica (takeover); otherwise the attempt goes on and the question is put again. The silent connection is closed before the next attempt begins. A silence that is waited out counts as a failure of the replica (route.Router.Silent), so that it gets no new requests. A request that gave up a replica goes on until its deadline, through refusals and an empty budget. What was forwarded and cannot be continued is never given up. core/retry returns a retry that was not made (Policy.Refund).

--- a/core/retry/policy.go
+++ b/core/retry/policy.go
@@ -75,6 +75,15 @@
 	return Decision{Action: ActionRetry, Reason: reason, Wait: wait}
 }
 
+// Refund returns to the budgets a retry that Decide allowed and that was not made.
+func (p *Policy) Refund(now time.Time, class call.Class) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	vm, own := p.refilledBudgets(now, class)
+	vm.add(1, p.c)
+	own.add(1, p.c)
+}
+
 // forbidden returns the reason why the attempt must not be retried, or "" if it may
 // be.
 func (p *Policy) forbidden(a Attempt) Reason {
--- a/core/retry/policy_test.go
+++ b/core/retry/policy_test.go
@@ -93,6 +93,21 @@
 	assert.Equal(t, n, 100, "a retry after CauseUnreachable takes nothing from the budgets")
 }
 
+// Refund returns a retry to both budgets, which never exceed Burst.
+func TestRefund(t *testing.T) {
+	p := newPolicy(t, Config{Burst: 3, MinPerSecond: 0.001})
+	n, _ := retries(p, t0, crashed, 100)
+	assert.Equal(t, n, 3)
+	p.Refund(t0, crashed.Class)
+	n, _ = retries(p, t0, crashed, 100)
+	assert.Equal(t, n, 1)
+	for range 9 {
+		p.Refund(t0, crashed.Class)
+	}
+	n, _ = retries(p, t0, crashed, 100)
+	assert.Equal(t, n, 3)
+}
+
 // TestRetriesStayWithinBudget checks that, for any order of attempts and failures, the
 // number of retries stays within what first attempts, time and Burst allow.
 func TestRetriesStayWithinBudget(t *testing.T) {
--- a/core/route/eject_test.go
+++ b/core/route/eject_test.go
@@ -55,6 +55,18 @@
 	}
 }
 
+// A replica that is silent during calls that go on is ejected like one that fails them.
+func TestSilentReplicaIsEjected(t *testing.T) {
+	r := newRouter(t, Config{})
+	r.SetReplicas(t0, newReplicas(5, 1))
+	r.Started(t0, "r0", 1)
+	assert.Equal(t, r.Silent(t0, "r0"), EjectReason(""))
+	assert.Equal(t, r.Silent(t0, "r0"), EjectReason(""))
+	assert.Equal(t, r.Silent(t0, "r0"), EjectFailing)
+	assert.Equal(t, r.Silent(t0, "unknown"), EjectReason(""))
+	assert.Equal(t, send(t, r, t0, request, 20)["r0"], 0)
+}
+
 // An ejection ends after its time, each further one lasts twice as long, up to the
 // maximum, and a series of successes resets the doubling.
 func TestEjectionEndsAndDoubles(t *testing.T) {
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -166,6 +166,18 @@
 	return r.recordResult(now, s, result)
 }
 
+// Silent records a failure of a replica that is silent during a call that goes on. It
+// may eject the replica and returns the reason, which is empty if it did not.
+func (r *Router) Silent(now time.Time, id call.ReplicaID) EjectReason {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.byID[id]
+	if s == nil {
+		return ""
+	}
+	return r.recordResult(now, s, Result{Status: StatusFailed})
+}
+
 // Report records a replica's load report. It ignores a report that is not newer
 // than the last one, or of an unknown replica, and returns false then.
 func (r *Router) Report(now time.Time, id call.ReplicaID, l Load) bool {
--- a/io/back/attempt.go
+++ b/io/back/attempt.go
@@ -48,7 +48,7 @@
 	r.ProgressTimeout = cmp.Or(r.ProgressTimeout, c.config.ProgressTimeout)
 	a := &attempt{client: c, callerCtx: ctx, target: t, request: r, sink: sink, started: time.Now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
-	a.watchdog = newWatchdog(r.FirstByteTimeout, a.cancel)
+	a.watchdog = newWatchdog(r.FirstByteTimeout, r.GiveUp, a.cancel)
 	return a
 }
 
--- a/io/back/replay_test.go
+++ b/io/back/replay_test.go
@@ -147,7 +147,7 @@
 	near, far := net.Pipe()
 	defer func() { _ = far.Close() }()
 	c := &conn{Conn: near, dialed: time.Now(), onClose: func(*conn) {}}
-	a := &attempt{client: &Client{conns: newConnTracker(Config{DialTimeout: time.Second}.Defaults())}, watchdog: newWatchdog(time.Hour, func(error) {}), callerCtx: context.Background()}
+	a := &attempt{client: &Client{conns: newConnTracker(Config{DialTimeout: time.Second}.Defaults())}, watchdog: newWatchdog(time.Hour, nil, func(error) {}), callerCtx: context.Background()}
 	a.gotConn(httptrace.GotConnInfo{Conn: c})
 	res := a.fail(context.Canceled)
 	assert.Assert(t, !res.BytesWritten)
--- a/io/back/silent_test.go
+++ b/io/back/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,3 +96,19 @@
 	assert.NilError(t, err)
 	assert.Equal(t, res.Ending, EndingComplete)
 }
+
+// A silent attempt goes on while GiveUp returns false, and ends once it returns true.
+func TestGiveUpIsAsked(t *testing.T) {
+	b := newEngineClient(t, fakes.EngineConfig{PrefillTime: 3 * testTimeout})
+	asked := atomic.Int64{}
+	r := chat(strings.Repeat("x", fakes.BlockBytes))
+	r.GiveUp = func() bool { asked.Add(1); return false }
+	res, err := b.do(t, r, discard)
+	assert.NilError(t, err)
+	assert.Equal(t, res.Ending, EndingComplete)
+	assert.Assert(t, asked.Load() > 1, "asked %d times", asked.Load())
+	r = chat(strings.Repeat("y", fakes.BlockBytes))
+	r.GiveUp = func() bool { return asked.Add(-1) <= 0 }
+	res, err = b.do(t, r, discard)
+	assert.Equal(t, res.Ending, EndingSilent, "%v", err)
+}
--- a/io/back/types.go
+++ b/io/back/types.go
@@ -30,6 +30,11 @@
 	// FirstByteTimeout and ProgressTimeout override those of Config if not zero.
 	FirstByteTimeout time.Duration
 	ProgressTimeout  time.Duration
+	// GiveUp is called when the connection has made no progress within the timeout, and
+	// reports whether the attempt is to end as silent. Otherwise the attempt goes on, and
+	// GiveUp is called again every tenth of a second until there is progress. It is called
+	// on a goroutine of its own and must return at once. If it is nil, the attempt ends.
+	GiveUp func() bool
 }
 
 // Event is one server-sent event. Its slices are valid only until the sink returns.
--- a/io/back/watchdog.go
+++ b/io/back/watchdog.go
@@ -12,9 +12,14 @@
 // no progress.
 const errSilent = errors.ConstError("no byte sent or received within the progress timeout")
 
+// giveUpInterval is how long after Request.GiveUp returned false it is called again.
+const giveUpInterval = 100 * time.Millisecond
+
 // watchdog cancels an attempt whose connection makes no progress within the timeout.
 type watchdog struct {
 	cancel context.CancelCauseFunc
+	// giveUp is Request.GiveUp.
+	giveUp func() bool
 
 	mu           sync.Mutex
 	timer        *time.Timer
@@ -26,8 +31,8 @@
 	fired        bool
 }
 
-func newWatchdog(timeout time.Duration, cancel context.CancelCauseFunc) *watchdog {
-	w := &watchdog{cancel: cancel, timeout: timeout, progressFrom: time.Now()}
+func newWatchdog(timeout time.Duration, giveUp func() bool, cancel context.CancelCauseFunc) *watchdog {
+	w := &watchdog{cancel: cancel, giveUp: giveUp, timeout: timeout, progressFrom: time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(timeout, w.onTimer)
@@ -97,6 +102,10 @@
 		w.timer.Reset(left)
 		return false
 	}
+	if w.giveUp != nil && !w.giveUp() {
+		w.timer.Reset(giveUpInterval)
+		return false
+	}
 	w.fired = true
 	return true
 }
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -53,11 +53,13 @@
 	errOutOfOrder   = errors.ConstError("stream events are out of order")
 	errNotStream    = errors.ConstError("response to a stream request is not text/event-stream")
 	errTooLarge     = errors.ConstError("response or stream event is larger than the limit")
+	errGivenUp      = errors.ConstError("replica was given up as silent before its response was forwarded")
 )
 
 // attempt sends the request to a replica once and forwards the response.
 func (p *proxyRequest) attempt(ctx context.Context, d route.Decision) attemptResult {
 	e := attemptResult{replica: d.Replica.ID, started: p.s.c.Now()}
+	p.takeover = p.newTakeover(d.Replica.ID)
 	target := back.Target{ID: d.Replica.ID, Address: d.Replica.Address}
 	x, result, err := p.s.c.Open(ctx, target, p.attemptRequest(d.Replica.ID))
 	if err == nil {
@@ -90,7 +92,7 @@
 	left := p.deadline.Sub(p.s.c.Now())
 	r := back.Request{
 		Method: p.r.Method, Path: p.target(), Host: p.r.Host, Header: header, Body: p.body,
-		FirstByteTimeout: left, ProgressTimeout: left,
+		FirstByteTimeout: left, ProgressTimeout: left, GiveUp: p.takeover.take,
 	}
 	if p.route.Repeatable() {
 		r.FirstByteTimeout = min(left, p.firstByteTimeout())
@@ -99,9 +101,9 @@
 	return r
 }
 
-// A request that may be repeated is tried on another replica after a time without
-// progress. firstByteTimeoutFactor and gapTimeoutFactor are that time as a multiple of
-// the route's LatencyTarget and GapTarget, minSilenceTimeout its lower bound.
+// A request that may be repeated goes on at another replica, if it can, after a time
+// without progress. firstByteTimeoutFactor and gapTimeoutFactor are that time as a
+// multiple of the route's LatencyTarget and GapTarget, minSilenceTimeout its lower bound.
 const (
 	firstByteTimeoutFactor = 4
 	gapTimeoutFactor       = 4
@@ -224,7 +226,7 @@
 	switch {
 	case e.done:
 		out.Status = route.StatusOK
-	case e.callerGone, e.cause == retry.CauseBusy:
+	case e.callerGone, e.cause == retry.CauseBusy, e.cause == retry.CauseSilent && p.takeover.countsAsFailure():
 		out.Status = route.StatusCanceled
 	case e.cause == retry.CauseUnreachable:
 		out.Status = route.StatusUnreachable
--- a/io/proxy/large.go
+++ b/io/proxy/large.go
@@ -15,6 +15,9 @@
 // begun is the part that was read. The body may have no end: then the deadline ends it.
 // If it breaks off, so does the response to the caller.
 func (p *proxyRequest) forwardLarge(x *back.Exchange, e *attemptResult, begun []byte) error {
+	if !p.takeover.deliver() {
+		return errGivenUp
+	}
 	p.startResponse(x)
 	buf := make([]byte, largeCopyBytes)
 	part := begun
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -34,9 +34,12 @@
 	// sends counts the attempts, possibleRuns those in which a replica may have run the
 	// request.
 	sends, possibleRuns int
-	// tried holds the replicas that failed or refused the request.
-	tried   []call.ReplicaID
-	replica call.ReplicaID
+	// tried holds the replicas that failed or refused the request, silent those of them
+	// that were given up because they were silent.
+	tried, silent []call.ReplicaID
+	replica       call.ReplicaID
+	// takeover is that of the current or last attempt; nil before the first one.
+	takeover *takeover
 	// responseStarted is true once the header of a stream was written to the caller;
 	// lastEvent is the id of the last event that the caller has.
 	responseStarted bool
--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -16,6 +16,7 @@
 // run makes attempts until one completes the response or no other may follow, and
 // then ends the request.
 func (p *proxyRequest) run(ctx context.Context) {
+	defer p.releaseTakeover()
 	p.s.c.Router.Arrived(p.arrived, p.call)
 	p.s.c.Retry.RecordFirstAttempt(p.arrived, call.Class(p.call.Model), p.s.c.RetryShare())
 	for {
@@ -35,12 +36,16 @@
 			p.finished(ReasonDone)
 			return
 		}
-		wait, again := p.shouldRetry(ctx)
-		if !again {
+		if !p.waitForRetry(ctx) {
 			p.fail(ctx)
 			return
 		}
-		sleep(ctx, wait)
+	}
+}
+
+func (p *proxyRequest) releaseTakeover() {
+	if p.takeover != nil {
+		p.takeover.release()
 	}
 }
 
@@ -56,30 +61,58 @@
 		fraction = p.s.c.StreamWaitFraction
 	}
 	waitUntil := p.s.c.Now().Add(time.Duration(fraction * float64(p.route.LatencyTarget)))
+	if p.gaveUp() {
+		waitUntil = p.deadline
+	}
 	for {
 		now := p.s.c.Now()
-		d, err := p.s.c.Router.Pick(now, p.call, p.tried)
-		if errors.Is(err, route.ErrNoReplica) && len(p.tried) > 0 {
-			// A replica that has already failed this request is better than none.
-			d, err = p.s.c.Router.Pick(now, p.call, nil)
-		}
+		d, err := p.pick(now)
 		switch {
 		case err == nil:
-			p.s.c.Router.Started(now, d.Replica.ID, p.cost())
 			p.replica = d.Replica.ID
 			p.logRoute(d)
 			return d, 0, "", nil
 		case ctx.Err() != nil:
 			return d, p.timeoutStatus(), p.timeoutReason(ctx), err
-		case errors.Is(err, route.ErrNoReplica):
+		case errors.Is(err, route.ErrNoReplica) && !p.gaveUp():
 			return d, http.StatusServiceUnavailable, ReasonNoReplica, err
 		case !now.Before(waitUntil):
 			return d, http.StatusServiceUnavailable, ReasonAllReplicasFull, err
 		}
+		if p.gaveUp() {
+			sleep(ctx, minRetryPause)
+			continue
+		}
 		sleep(ctx, capacityPollInterval)
 	}
 }
 
+// pick takes a place at a replica: the one of the takeover if there is one.
+func (p *proxyRequest) pick(now time.Time) (route.Decision, error) {
+	if p.takeover != nil {
+		if d, ok := p.takeover.use(); ok {
+			return d, nil
+		}
+	}
+	d, err := p.s.c.Router.Pick(now, p.call, p.tried)
+	// A replica that has already failed this request is better than none, one that
+	// refused it better than one that was silent.
+	if errors.Is(err, route.ErrNoReplica) && len(p.tried) > len(p.silent) {
+		d, err = p.s.c.Router.Pick(now, p.call, p.silent)
+	}
+	if errors.Is(err, route.ErrNoReplica) && len(p.tried) > 0 {
+		d, err = p.s.c.Router.Pick(now, p.call, nil)
+	}
+	if err == nil {
+		p.s.c.Router.Started(now, d.Replica.ID, p.cost())
+	}
+	return d, err
+}
+
+// gaveUp reports whether a silent replica was given up, which might have completed the
+// request: such a request goes on until its deadline.
+func (p *proxyRequest) gaveUp() bool { return len(p.silent) > 0 }
+
 // cost returns the work that the request is for a replica, in prompt tokens.
 func (p *proxyRequest) cost() float64 { return float64(max(1, p.call.PromptTokens)) }
 
@@ -96,16 +129,53 @@
 	}
 }
 
-// shouldRetry reports whether another attempt follows, and after which pause.
-func (p *proxyRequest) shouldRetry(ctx context.Context) (time.Duration, bool) {
+// A request that gave up a silent replica waits before a further attempt: minRetryPause
+// after the first failure, twice as long after each further one, up to maxRetryPause.
+const (
+	minRetryPause = 25 * time.Millisecond
+	maxRetryPause = 400 * time.Millisecond
+)
+
+// waitForRetry waits until another attempt may be made. It returns false if none may.
+func (p *proxyRequest) waitForRetry(ctx context.Context) bool {
 	e := &p.lastAttempt
-	if ctx.Err() != nil || e.callerGone || p.sends >= p.s.c.MaxSends {
-		return 0, false
-	}
-	if p.responseStarted && !p.route.Resumes {
-		return 0, false
+	if ctx.Err() != nil || e.callerGone || p.responseStarted && !p.route.Resumes {
+		return false
 	}
 	p.tried = append(p.tried, e.replica)
+	if p.takeover.ready() && (e.cause == retry.CauseSilent || e.cause == retry.CauseUnreachable) {
+		e.retry = retry.ReasonIdempotent
+		p.silent = append(p.silent, e.replica)
+		return true
+	}
+	p.takeover.release()
+	if !p.gaveUp() {
+		if p.sends >= p.s.c.MaxSends {
+			return false
+		}
+		d := p.decide()
+		sleep(ctx, d.Wait)
+		return d.Action == retry.ActionRetry
+	}
+	pause := minRetryPause << min(p.sends, 8)
+	for sleep(ctx, min(pause, maxRetryPause)); ctx.Err() == nil; sleep(ctx, maxRetryPause) {
+		d := p.decide()
+		if d.Action == retry.ActionRetry || !passes(d.Reason) {
+			return d.Action == retry.ActionRetry
+		}
+	}
+	return false
+}
+
+// passes reports whether the reason against a retry may pass by itself, or holds only
+// until the deadline ends the request.
+func passes(r retry.Reason) bool {
+	return r == retry.ReasonBudgetOfVM || r == retry.ReasonBudgetOfClass || r == retry.ReasonDeadline
+}
+
+// decide returns the retry policy's decision after the last attempt.
+func (p *proxyRequest) decide() retry.Decision {
+	e := &p.lastAttempt
 	outcome := call.OutcomeNotRun
 	if p.possibleRuns > 0 {
 		outcome = call.OutcomeUnknown
@@ -115,7 +185,7 @@
 		Number: p.possibleRuns, MaxAttempts: p.route.MaxAttempts(), Outcome: outcome, Cause: e.cause, BytesWritten: e.mayHaveRun,
 	})
 	e.retry = d.Reason
-	return d.Wait, d.Action == retry.ActionRetry
+	return d
 }
 
 // failWithoutReplica ends a request for which no replica was found.
