--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -81,7 +82,8 @@
 	crashed := c.hasCrashed(lost.Target)
 	c.observe(crashed)
 	log := c.log.WithFields(logrus.Fields{
-		"request": lost.Request, "fingerprint": lost.Fingerprint.String(), "replica": lost.Target.ID,
+		"request": lost.Request, "fingerprint": lost.Fingerprint.String(), "parts": fmt.Sprint(lost.Parts), "replica": lost.Target.ID,
+		"status": lost.Status, "events": lost.Events, "took": c.now().Sub(lost.Began).String(),
 	})
 	if !crashed {
 		log.WithFields(logrus.Fields{"event": "lostRun"}).Info("connection to a replica was lost, but the replica still accepts connections")
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -33,6 +33,8 @@
 	// replicaFailure is a complete error response of the replica.
 	replicaFailure *response
 	status         int
+	// events counts the events of a stream that this attempt forwarded.
+	events int
 }
 
 // response is a complete response that is not a stream.
@@ -67,7 +69,10 @@
 	case e.done:
 		p.s.c.RunCompleted(p.fingerprint())
 	case result.Ending == back.EndingCrashed && e.mayHaveRun:
-		p.s.c.RunLost(LostRun{Request: p.info.ID, Fingerprint: p.fingerprint(), Target: target})
+		p.s.c.RunLost(LostRun{
+			Request: p.info.ID, Fingerprint: p.fingerprint(), Parts: p.parts, Target: target,
+			Began: e.started, Status: e.status, Events: e.events,
+		})
 	}
 	now := p.s.c.Now()
 	ejected := p.s.c.Router.Finished(now, d.Replica.ID, p.cost(), p.routeResult(&e, result))
--- a/io/proxy/fingerprint.go
+++ b/io/proxy/fingerprint.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"gentianwell/core/poison"
@@ -12,7 +14,15 @@
 type LostRun struct {
 	Request     string
 	Fingerprint poison.Fingerprint
-	Target      back.Target
+	// Parts are the fingerprints of the parts of the prompt that other requests may share,
+	// in order.
+	Parts  []poison.Fingerprint
+	Target back.Target
+	// Began is when the run was sent to the replica.
+	Began time.Time
+	// Status is the status of the response; zero if its header had not arrived. Events
+	// counts the events of a stream that had arrived.
+	Status, Events int
 }
 
 func (p *proxyRequest) fingerprint() poison.Fingerprint {
@@ -32,3 +42,17 @@
 	_, _ = digest.Write(body)
 	return digest.Sum64()
 }
+
+// partFingerprints returns a fingerprint for each part of a prompt that other requests may
+// share. Unlike prefixHashes it hashes each part by itself: a part may crash replicas
+// whatever precedes it.
+func partFingerprints(parts []PromptPart) []poison.Fingerprint {
+	if len(parts) < 2 {
+		return nil
+	}
+	out := make([]poison.Fingerprint, 0, len(parts)-1)
+	for _, part := range parts[:len(parts)-1] {
+		out = append(out, poison.Fingerprint(xxhash.Sum64String(part.ID)))
+	}
+	return out
+}
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"gentianwell/core/call"
+	"gentianwell/core/poison"
 	"gentianwell/core/table"
 )
 
@@ -30,6 +31,8 @@
 	team     *table.Team
 	body     []byte
 	call     call.Call
+	// parts are the fingerprints of the parts of the prompt that may be shared.
+	parts []poison.Fingerprint
 
 	// sends counts the attempts, possibleRuns those in which a replica may have run the
 	// request.
@@ -200,6 +203,7 @@
 		p.call.Team = p.team.Name
 	}
 	p.call.Fingerprint = fingerprintOf(string(p.call.Team), p.r.Method, p.r.Host, p.target(), p.body)
+	p.parts = partFingerprints(p.info.Parts)
 	p.lastEvent = p.info.ResumeAfter
 }
 
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -78,6 +78,7 @@
 	x.PauseTimeout()
 	defer x.ResumeTimeout()
 	p.events += prefix.Events
+	e.events += prefix.Events
 	p.lastEvent = prefix.LastID
 	if _, err := p.w.Write(data); err != nil {
 		e.callerGone = true
