Count crashes by part of a prompt, too, and refuse such parts on all VMs

Cause: crashes were counted by the fingerprint of the whole request. No two of these requests are alike, so that none was ever seen twice.

Change: each part of the prompt but the last has a record too. It is refused after three crashes that followed each other, each run having begun to answer after the crash before it, with no finished run of the part since, on any VM. A part whose crashes another refused part explains is let through without that one, so that the other parts of these requests are served. Records are in the store and in gossip as those of requests are. The version of a record grows also when its list of crashes is full, so that a later finish spreads.

--- a/core/poison/bench_test.go
+++ b/core/poison/bench_test.go
@@ -69,3 +69,40 @@
 		})
 	}
 }
+
+// BenchmarkRefusedPart looks up the parts of a prompt: one unknown, one popular with crashes.
+func BenchmarkRefusedPart(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := newPartRegistry(b, "e1")
+			for i := range n {
+				r.CrashedRun(ms(100), Fingerprint(i), run{"a", 50, 100}.crash())
+			}
+			for i := range 9 {
+				replica := call.ReplicaID(fmt.Sprint("r", i))
+				other := newPartRegistry(b, call.VMID(replica))
+				other.CrashedRun(ms(100), 7, run{replica, 50, 100}.crash())
+				assert.NilError(b, r.MergeSnapshot(ms(200), 7, other.Snapshot(7).Value))
+			}
+			r.Finished(ms(300), 7)
+			fps := []Fingerprint{1 << 60, 7}
+			b.ReportAllocs()
+			for b.Loop() {
+				r.RefusedPart(ms(400), fps)
+			}
+		})
+	}
+}
+
+// BenchmarkFinished records a finished run of a part without crashes.
+func BenchmarkFinished(b *testing.B) {
+	c := partConfig
+	c.RecentFinishes = 4096
+	r := newRegistry(b, c)
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		r.Finished(ms(i/1000), Fingerprint(i%3000))
+		i++
+	}
+}
--- a/core/poison/config.go
+++ b/core/poison/config.go
@@ -12,6 +12,7 @@
 // The defaults of Config.
 const (
 	defaultSuspectAfter    = 2
+	defaultFinishWait      = time.Second
 	defaultCrashWindow     = 10 * time.Second
 	defaultSpreadTime      = 4 * time.Second
 	defaultRetention       = 24 * time.Hour
@@ -34,6 +35,15 @@
 	// servers that fail together. Zero means that only runs that finish after the first
 	// crash count.
 	RecentFinishes int
+	// Successive is for fingerprints of what many requests share, such as a part of their
+	// prompts, which is in flight on many replicas at any time. Of the crashes after the
+	// latest finished run, only those count that followed each other: the run of each began
+	// after the crash before it. RefuseAfter is required then.
+	Successive bool
+	// FinishWait is how long the record of a crash is kept back with Successive if a run is
+	// known to have finished: mostly another one finishes meanwhile, and the crash does
+	// not count any more.
+	FinishWait time.Duration
 	// CrashWindow is the time within which crashes recorded for one replica count as
 	// one crash, observed by several calls or VMs.
 	CrashWindow time.Duration
@@ -55,6 +65,7 @@
 	if c.MaxFingerprints == 0 {
 		c.MaxFingerprints = defaultMaxFingerprints
 	}
+	c.FinishWait = cmp.Or(c.FinishWait, defaultFinishWait)
 	c.CrashWindow = cmp.Or(c.CrashWindow, defaultCrashWindow)
 	c.SpreadTime = cmp.Or(c.SpreadTime, defaultSpreadTime)
 	c.Retention = cmp.Or(c.Retention, defaultRetention)
@@ -73,11 +84,13 @@
 	case c.RefuseAfter < 0 || c.RefuseAfter >= maxCrashes || c.RecentFinishes < 0:
 		return errors.NotValidf("Config.Validate: RefuseAfter %d, RecentFinishes %d (RefuseAfter must be from 0 to %d, RecentFinishes not negative)",
 			c.RefuseAfter, c.RecentFinishes, maxCrashes-1)
+	case c.Successive && c.RefuseAfter == 0:
+		return errors.NotValidf("Config.Validate: Successive with RefuseAfter 0 (must be from 1 to %d)", maxCrashes-1)
 	case c.MaxFingerprints < 1:
 		return errors.NotValidf("Config.Validate: MaxFingerprints %d (must be at least 1)", c.MaxFingerprints)
-	case c.CrashWindow < 0 || c.SpreadTime < 0 || c.Retention < 0:
-		return errors.NotValidf("Config.Validate: CrashWindow %s, SpreadTime %s, Retention %s (must not be negative)",
-			c.CrashWindow, c.SpreadTime, c.Retention)
+	case c.FinishWait < 0 || c.CrashWindow < 0 || c.SpreadTime < 0 || c.Retention < 0:
+		return errors.NotValidf("Config.Validate: FinishWait %s, CrashWindow %s, SpreadTime %s, Retention %s (must not be negative)",
+			c.FinishWait, c.CrashWindow, c.SpreadTime, c.Retention)
 	}
 	return nil
 }
--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -15,6 +15,9 @@
 type Crash struct {
 	Replica call.ReplicaID `json:"replica"`
 	At      time.Time      `json:"at"`
+	// Began is when the replica began to answer or, if that is not known, when it was sent the
+	// request; only Config.Successive needs it.
+	Began time.Time `json:"began,omitzero"`
 	// Alone is true if, as far as the VM knew, no other request was in flight on
 	// the replica.
 	Alone bool `json:"alone,omitempty"`
@@ -79,3 +82,32 @@
 func (c Crashes) anyAlone() bool {
 	return slices.ContainsFunc(c, func(crash Crash) bool { return crash.Alone })
 }
+
+// successive counts the crashes after a time that followed each other: the run of each
+// counted one began after the crash counted before it. Replicas that crash together thus
+// count once, and so do crashes of one replica within a window.
+func (c Crashes) successive(after time.Time, window time.Duration) int {
+	n := 0
+	var last Crash
+	for _, crash := range c.since(after) {
+		if n > 0 && (!crash.Began.After(last.At) || crash.Replica == last.Replica && crash.At.Sub(last.At) <= window) {
+			continue
+		}
+		n++
+		last = crash
+	}
+	return n
+}
+
+// cover reports whether each crash of others is one of these: of the same replica, within a
+// window.
+func (c Crashes) cover(others Crashes, window time.Duration) bool {
+	for _, other := range others {
+		if !slices.ContainsFunc(c, func(crash Crash) bool {
+			return crash.Replica == other.Replica && crash.At.Sub(other.At).Abs() <= window
+		}) {
+			return false
+		}
+	}
+	return true
+}
--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -17,7 +17,7 @@
 // maxItemBytes bounds the size of a record that ParseRecord accepts.
 const maxItemBytes = 4096
 
-// Fingerprint is a hash that identifies a request's body.
+// Fingerprint is a hash that identifies a request, or a part of the prompts of many.
 type Fingerprint uint64
 
 // Record holds what one VM has observed of a fingerprint.
@@ -25,6 +25,8 @@
 	Crashes Crashes `json:"crashes"`
 	// Finishes counts the runs that succeeded since the first crash.
 	Finishes int `json:"finishes,omitempty"`
+	// FinishedAt is when the latest run finished; only Config.Successive needs it.
+	FinishedAt time.Time `json:"finishedAt,omitzero"`
 }
 
 // ParseRecord reads a record from JSON.
@@ -47,7 +49,30 @@
 // Merge combines two records of the same VM. It is commutative, associative and
 // idempotent.
 func (r Record) Merge(other Record) Record {
-	return Record{Crashes: r.Crashes.merge(other.Crashes), Finishes: max(r.Finishes, other.Finishes)}
+	return Record{
+		Crashes: r.Crashes.merge(other.Crashes), Finishes: max(r.Finishes, other.Finishes),
+		FinishedAt: later(r.FinishedAt, other.FinishedAt),
+	}
+}
+
+// version grows with each change of a record, also of one whose list of crashes is full. It
+// counts microseconds, so that the sum over the records of some thousand VMs fits.
+func (r Record) version() uint64 {
+	n := uint64(len(r.Crashes) + r.Finishes)
+	for _, crash := range r.Crashes {
+		n += uint64(max(0, crash.At.UnixMicro()))
+	}
+	if !r.FinishedAt.IsZero() {
+		n += uint64(max(0, r.FinishedAt.UnixMicro()))
+	}
+	return n
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // Item is a record encoded for gossip. Each key has a single writer.
--- a/core/poison/refuse_test.go
+++ b/core/poison/refuse_test.go
@@ -79,8 +79,8 @@
 		for i, id := range []call.ReplicaID{"r1", "r2", "r3"} {
 			vms[i].Crashed(t0, 1, id, false)
 			vms[i].Publish(t0, 1)
-			assert.DeepEqual(t, vms[i].TakeChanged(), []Fingerprint{1})
-			assert.Equal(t, len(vms[i].TakeChanged()), 0)
+			assert.DeepEqual(t, vms[i].TakeChanged(t0), []Fingerprint{1})
+			assert.Equal(t, len(vms[i].TakeChanged(t0)), 0)
 		}
 		steps := append(rapid.SliceOfN(rapid.IntRange(0, 15), 0, 20).Draw(t, "steps"), 4, 8, 12, 3)
 		for _, step := range steps {
@@ -117,8 +117,8 @@
 func TestRecentFinishesAreBounded(t *testing.T) {
 	r := newRecentFinishes(4)
 	for fp := range Fingerprint(1000) {
-		r.add(fp)
-		r.add(fp)
+		r.add(t0, fp)
+		r.add(t0, fp)
 		assert.Assert(t, len(r.counts) <= 4)
 	}
 	assert.Equal(t, r.remove(997), 0)
@@ -126,7 +126,7 @@
 	assert.Equal(t, r.remove(999), 2)
 	assert.Equal(t, r.remove(999), 0)
 	for range 100 {
-		r.add(1)
+		r.add(t0, 1)
 	}
 	assert.Equal(t, r.remove(1), maxRecentFinishes)
 }
--- a/core/poison/registry.go
+++ b/core/poison/registry.go
@@ -18,6 +18,11 @@
 	mu      sync.Mutex
 	entries map[Fingerprint]*entry
 	pending map[Fingerprint]bool
+	// waiting holds when records that are kept back become pending.
+	waiting map[Fingerprint]time.Time
+	// refused holds the fingerprints that Judge refuses, with Config.Successive; some may not
+	// be refused any more.
+	refused map[Fingerprint]bool
 	recent  recentFinishes
 }
 
@@ -29,6 +34,8 @@
 	published bool
 	version   uint64
 	updated   time.Time
+	// finishSpread is the VM's own Record.FinishedAt as last made pending.
+	finishSpread time.Time
 }
 
 // New returns an empty registry. Unset fields of the config get their defaults.
@@ -40,7 +47,8 @@
 		return nil, errors.Annotate(err, "poison.New")
 	}
 	return &Registry{
-		c: c, entries: map[Fingerprint]*entry{}, pending: map[Fingerprint]bool{}, recent: newRecentFinishes(c.RecentFinishes),
+		c: c, entries: map[Fingerprint]*entry{}, pending: map[Fingerprint]bool{}, waiting: map[Fingerprint]time.Time{}, refused: map[Fingerprint]bool{},
+		recent: newRecentFinishes(c.RecentFinishes),
 	}, nil
 }
 
@@ -57,6 +65,9 @@
 
 func (e *entry) judge(now time.Time, c Config) Verdict {
 	crashes, finishes := e.sum(now, c)
+	if c.Successive {
+		return judgeSuccessive(crashes, e.finishedAt(), c)
+	}
 	v := Verdict{Action: ActionRun, Reason: ReasonUnknown, Crashes: crashes.distinct(c.CrashWindow), Finishes: finishes}
 	switch {
 	case v.Crashes == 0:
@@ -81,14 +92,22 @@
 
 // sum combines the records of all VMs, without crashes older than Retention.
 func (e *entry) sum(now time.Time, c Config) (Crashes, int) {
-	var all Crashes
 	finishes := 0
 	for _, record := range e.records {
-		all = append(all, record.Crashes.since(now.Add(-c.Retention))...)
 		finishes += record.Finishes
 	}
+	return e.crashes(now, c), finishes
+}
+
+// crashes returns the crashes in the records of all VMs, without those older than
+// Retention.
+func (e *entry) crashes(now time.Time, c Config) Crashes {
+	var all Crashes
+	for _, record := range e.records {
+		all = append(all, record.Crashes.since(now.Add(-c.Retention))...)
+	}
 	slices.SortFunc(all, compareCrashes)
-	return all, finishes
+	return all
 }
 
 // Crashed records that a replica crashed while it ran a request, and returns how
@@ -114,8 +133,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entries[fp]
+	if r.c.Successive {
+		r.finishedSuccessive(now, fp, e)
+		return
+	}
 	if e == nil {
-		r.recent.add(fp)
+		r.recent.add(now, fp)
 		return
 	}
 	if v := e.judge(now, r.c); v.Finishes >= v.Crashes {
@@ -168,6 +191,7 @@
 
 func (r *Registry) publish(fp Fingerprint, e *entry) {
 	e.published = true
+	e.finishSpread = e.records[r.c.Self].FinishedAt
 	r.pending[fp] = true
 }
 
@@ -248,7 +272,7 @@
 	kept := make([]Fingerprint, 0, len(r.entries))
 	for fp, e := range r.entries {
 		if now.Sub(e.updated) >= r.c.Retention {
-			delete(r.entries, fp)
+			r.remove(fp)
 			continue
 		}
 		kept = append(kept, fp)
@@ -261,9 +285,15 @@
 		return cmp.Or(compareBool(x.shared(), y.shared()), x.updated.Compare(y.updated), cmp.Compare(a, b))
 	})
 	for _, fp := range kept[:len(kept)/4+1] {
-		delete(r.entries, fp)
+		r.remove(fp)
 	}
 }
 
+func (r *Registry) remove(fp Fingerprint) {
+	delete(r.entries, fp)
+	delete(r.refused, fp)
+	delete(r.waiting, fp)
+}
+
 // shared reports whether other VMs know of the fingerprint, too.
 func (e *entry) shared() bool { return e.published || len(e.records) > 1 }
--- a/core/poison/snapshot.go
+++ b/core/poison/snapshot.go
@@ -33,7 +33,7 @@
 	}
 	var s Snapshot
 	for _, record := range e.records {
-		s.Version += uint64(len(record.Crashes) + record.Finishes)
+		s.Version += record.version()
 	}
 	value, err := json.Marshal(e.records)
 	if err != nil {
@@ -71,6 +71,7 @@
 		e.published = true
 	}
 	e.updated = now
+	r.adoptFinish(now, fp, e)
 	return nil
 }
 
@@ -89,11 +90,24 @@
 	return out
 }
 
+// OnlyOwn reports whether this VM alone has a record of a fingerprint, as far as it knows.
+func (r *Registry) OnlyOwn(fp Fingerprint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[fp]
+	if e == nil {
+		return false
+	}
+	_, own := e.records[r.c.Self]
+	return own && len(e.records) == 1
+}
+
 // TakeChanged returns the fingerprints whose published records of this VM have changed
 // since the last call. It is for users of Snapshot, in place of Pending.
-func (r *Registry) TakeChanged() []Fingerprint {
+func (r *Registry) TakeChanged(now time.Time) []Fingerprint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.publishDue(now)
 	out := make([]Fingerprint, 0, len(r.pending))
 	for fp := range r.pending {
 		out = append(out, fp)
--- /dev/null
+++ b/core/poison/successive.go
@@ -0,0 +1,189 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+// judgeSuccessive judges by the crashes that followed each other after the latest finish.
+func judgeSuccessive(crashes Crashes, finishedAt time.Time, c Config) Verdict {
+	v := Verdict{
+		Action: ActionRun, Reason: ReasonUnknown, Crashes: crashes.distinct(c.CrashWindow),
+		Successive: crashes.successive(finishedAt, c.CrashWindow),
+	}
+	switch {
+	case v.Crashes == 0:
+	case v.Successive == 0:
+		v.Reason = ReasonExonerated
+	case v.Successive >= c.RefuseAfter:
+		v.Action = ActionRefuse
+		v.Reason = ReasonCrashedOften
+	case v.Successive >= c.SuspectAfter:
+		v.Reason = ReasonSuspect
+	default:
+		v.Reason = ReasonFewCrashes
+	}
+	return v
+}
+
+// RefusedPart returns one of a request's fingerprints that Judge refuses, unless another
+// refused fingerprint, which the request does not have, explains its crashes. It does not
+// allocate, and costs little unless most of the crashes that are needed to refuse have been
+// seen.
+//
+// What crashes with a request is all that the request has: of its parts, and those of other
+// requests on the same replicas, one is the cause. A request without that part is let
+// through, and finishes. Where several explain the same crashes, a request with only some
+// of them runs and tells which.
+func (r *Registry) RefusedPart(now time.Time, fps []Fingerprint) (Fingerprint, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, fp := range fps {
+		if r.refuses(now, fp) && !r.explainedWithout(now, fp, fps) {
+			return fp, true
+		}
+	}
+	return 0, false
+}
+
+// refuses reports whether judge refuses a fingerprint.
+func (r *Registry) refuses(now time.Time, fp Fingerprint) bool {
+	e := r.entries[fp]
+	if e == nil || e.countSince(r.counted(now, e)) < r.c.RefuseAfter {
+		return false
+	}
+	return e.judge(now, r.c).Action == ActionRefuse
+}
+
+// counted returns the time after which an entry's crashes count.
+func (r *Registry) counted(now time.Time, e *entry) time.Time {
+	return later(e.finishedAt(), now.Add(-r.c.Retention))
+}
+
+// explainedWithout reports whether a refused fingerprint that is not in a list was in flight
+// at all crashes of fp that count.
+func (r *Registry) explainedWithout(now time.Time, fp Fingerprint, list []Fingerprint) bool {
+	e := r.entries[fp]
+	crashes := e.crashes(now, r.c).since(e.finishedAt())
+	for other := range r.refused {
+		if slices.Contains(list, other) || !r.refuses(now, other) {
+			continue
+		}
+		o := r.entries[other]
+		if o.crashes(now, r.c).since(o.finishedAt()).cover(crashes, r.c.CrashWindow) {
+			return true
+		}
+	}
+	return false
+}
+
+// trackRefused adds a fingerprint to those that are refused or removes it.
+func (r *Registry) trackRefused(now time.Time, fp Fingerprint) {
+	if r.c.Successive && r.refuses(now, fp) {
+		r.refused[fp] = true
+		return
+	}
+	delete(r.refused, fp)
+}
+
+// countSince returns the number of crashes after a time in the records of all VMs.
+func (e *entry) countSince(t time.Time) int {
+	n := 0
+	for _, record := range e.records {
+		n += len(record.Crashes.since(t))
+	}
+	return n
+}
+
+// finishedAt returns when the latest run finished on any VM, as far as known.
+func (e *entry) finishedAt() time.Time {
+	var at time.Time
+	for _, record := range e.records {
+		at = later(at, record.FinishedAt)
+	}
+	return at
+}
+
+// CrashedRun records that a replica crashed while it ran a request with a fingerprint, and
+// returns how this VM may run such requests next. It is for Config.Successive: the crash
+// needs Began, and its record is published without Publish.
+func (r *Registry) CrashedRun(now time.Time, fp Fingerprint, crash Crash) Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entry(now, fp)
+	own := e.records[r.c.Self]
+	own.FinishedAt = later(own.FinishedAt, r.recent.latest(fp))
+	own.Crashes = own.Crashes.merge(Crashes{crash})
+	e.records[r.c.Self] = own
+	e.updated = now
+	if _, waits := r.waiting[fp]; !waits {
+		r.waiting[fp] = now
+		if !own.FinishedAt.IsZero() {
+			r.waiting[fp] = now.Add(r.c.FinishWait)
+		}
+	}
+	r.trackRefused(now, fp)
+	return e.judge(now, r.c)
+}
+
+// finishedSuccessive records a finish. A crash that waits to be published is dropped, and
+// other VMs are told only if they would otherwise come to refuse the fingerprint.
+func (r *Registry) finishedSuccessive(now time.Time, fp Fingerprint, e *entry) {
+	r.recent.touch(now, fp)
+	if e == nil {
+		return
+	}
+	own := e.records[r.c.Self]
+	if len(e.crashes(now, r.c).since(own.FinishedAt)) == 0 {
+		return
+	}
+	own.FinishedAt = now
+	e.records[r.c.Self] = own
+	delete(r.waiting, fp)
+	r.spreadFinish(now, fp, e)
+	r.trackRefused(now, fp)
+}
+
+// adoptFinish adds a remembered finish to what other VMs know of a fingerprint.
+func (r *Registry) adoptFinish(now time.Time, fp Fingerprint, e *entry) {
+	if !r.c.Successive {
+		return
+	}
+	own := e.records[r.c.Self]
+	if at := r.recent.latest(fp); at.After(own.FinishedAt) {
+		own.FinishedAt = at
+		e.records[r.c.Self] = own
+	}
+	r.spreadFinish(now, fp, e)
+	r.trackRefused(now, fp)
+}
+
+// spreadFinish publishes the VM's own record if its latest finish clears crashes that make
+// the fingerprint suspect on other VMs.
+func (r *Registry) spreadFinish(now time.Time, fp Fingerprint, e *entry) {
+	own := e.records[r.c.Self]
+	if !own.FinishedAt.After(e.finishSpread) {
+		return
+	}
+	crashes := e.crashes(now, r.c)
+	here := crashes.successive(e.finishedAt(), r.c.CrashWindow)
+	e.records[r.c.Self] = Record{Crashes: own.Crashes, Finishes: own.Finishes, FinishedAt: e.finishSpread}
+	elsewhere := crashes.successive(e.finishedAt(), r.c.CrashWindow)
+	e.records[r.c.Self] = own
+	if elsewhere >= r.c.SuspectAfter && here < elsewhere {
+		r.publish(fp, e)
+	}
+}
+
+// publishDue publishes the records that have waited long enough.
+func (r *Registry) publishDue(now time.Time) {
+	for fp, due := range r.waiting {
+		if now.Before(due) {
+			continue
+		}
+		delete(r.waiting, fp)
+		if e := r.entries[fp]; e != nil && e.judge(now, r.c).Reason != ReasonExonerated {
+			r.publish(fp, e)
+		}
+	}
+}
--- /dev/null
+++ b/core/poison/successive_test.go
@@ -0,0 +1,204 @@
+package poison
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"gentianwell/core/call"
+)
+
+// partConfig is a config as for parts of prompts.
+var partConfig = Config{RefuseAfter: 3, RecentFinishes: 16, CrashWindow: 2 * time.Second, Retention: 10 * time.Minute, Successive: true}
+
+func newPartRegistry(t assert.TestingT, self call.VMID) *Registry {
+	c := partConfig
+	c.Self = self
+	return newRegistry(t, c)
+}
+
+// run is a lost run in tests: its replica and when it began and was lost, in milliseconds.
+type run struct {
+	replica     call.ReplicaID
+	began, lost int
+}
+
+func ms(n int) time.Time { return at(time.Duration(n) * time.Millisecond) }
+
+func (c run) crash() Crash { return Crash{Replica: c.replica, Began: ms(c.began), At: ms(c.lost)} }
+
+func refuses(r *Registry, now int, fps ...Fingerprint) bool {
+	_, refused := r.RefusedPart(ms(now), fps)
+	return refused
+}
+
+// A part is refused after three crashes that followed each other, and never because many
+// replicas crash together or because it is in flight often.
+func TestJudgeSuccessive(t *testing.T) {
+	tests := []struct {
+		name       string
+		runs       []run
+		finishedAt []int
+		reason     Reason
+		successive int
+	}{
+		{"none", nil, nil, ReasonUnknown, 0},
+		{"one", []run{{"a", 0, 100}}, nil, ReasonFewCrashes, 1},
+		{"one after the other", []run{{"a", 0, 100}, {"b", 200, 300}, {"c", 400, 500}}, nil, ReasonCrashedOften, 3},
+		{"two", []run{{"a", 0, 100}, {"b", 200, 300}}, nil, ReasonSuspect, 2},
+		{"all replicas together", []run{{"a", 0, 100}, {"b", 10, 101}, {"c", 20, 102}, {"d", 30, 103}}, nil, ReasonFewCrashes, 1},
+		{"runs that overlap", []run{{"a", 0, 100}, {"b", 50, 150}, {"c", 120, 220}, {"d", 170, 270}}, nil, ReasonSuspect, 2},
+		{"one crash seen by two runs of one replica", []run{{"a", 0, 100}, {"a", 150, 200}, {"b", 300, 400}}, nil, ReasonSuspect, 2},
+		{"a replica that restarts under its id", []run{{"a", 0, 100}, {"a", 4000, 4100}, {"a", 8000, 8100}}, nil, ReasonCrashedOften, 3},
+		{"finished in between", []run{{"a", 0, 100}, {"b", 200, 300}, {"c", 400, 500}}, []int{350}, ReasonFewCrashes, 1},
+		{"finished afterwards", []run{{"a", 0, 100}, {"b", 200, 300}, {"c", 400, 500}}, []int{600}, ReasonExonerated, 0},
+		{"finished before", []run{{"a", 200, 300}, {"b", 400, 500}, {"c", 600, 700}}, []int{0, 50, 100}, ReasonCrashedOften, 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newPartRegistry(t, "e1")
+			finishes := tt.finishedAt
+			finishUntil := func(n int) {
+				for len(finishes) > 0 && finishes[0] <= n {
+					r.Finished(ms(finishes[0]), 1)
+					finishes = finishes[1:]
+				}
+			}
+			for _, c := range tt.runs {
+				finishUntil(c.lost)
+				r.CrashedRun(ms(c.lost), 1, c.crash())
+			}
+			finishUntil(1000)
+			got := r.Judge(ms(10000), 1)
+			assert.Equal(t, got.Reason, tt.reason)
+			assert.Equal(t, got.Successive, tt.successive)
+			assert.Equal(t, got.Action == ActionRefuse, tt.reason == ReasonCrashedOften)
+			assert.Equal(t, refuses(r, 10000, 1), got.Action == ActionRefuse)
+		})
+	}
+}
+
+// A part that one VM has seen to finish is not refused by another that has seen only its
+// crashes, once the VM that knows better has heard of them.
+func TestFinishElsewhereExonerates(t *testing.T) {
+	for name, finishedAt := range map[string]int{"before the crashes are heard of": 450, "afterwards": 900} {
+		t.Run(name, func(t *testing.T) {
+			a, b, c := newPartRegistry(t, "a"), newPartRegistry(t, "b"), newPartRegistry(t, "c")
+			c.Finished(ms(0), 1)
+			a.CrashedRun(ms(100), 1, run{"r1", 50, 100}.crash())
+			b.CrashedRun(ms(300), 1, run{"r2", 200, 300}.crash())
+			a.CrashedRun(ms(440), 1, run{"r3", 400, 440}.crash())
+			assert.NilError(t, b.MergeSnapshot(ms(500), 1, a.Snapshot(1).Value))
+			assert.Assert(t, refuses(b, 500, 1))
+			if finishedAt < 600 {
+				c.Finished(ms(finishedAt), 1)
+			}
+			assert.NilError(t, c.MergeSnapshot(ms(600), 1, b.Snapshot(1).Value))
+			if finishedAt > 600 {
+				assert.Equal(t, len(c.TakeChanged(ms(600))), 0)
+				c.Finished(ms(finishedAt), 1)
+			}
+			assert.DeepEqual(t, c.TakeChanged(ms(1000)), []Fingerprint{1})
+			assert.NilError(t, b.MergeSnapshot(ms(1000), 1, c.Snapshot(1).Value))
+			assert.Assert(t, !refuses(b, 1000, 1))
+		})
+	}
+}
+
+// A crash of a part that finishes again soon is not told to other VMs; that of a part that
+// has never finished is told at once.
+func TestPopularPartsCostNoMessage(t *testing.T) {
+	r := newPartRegistry(t, "e1")
+	r.Finished(ms(0), 1)
+	for _, fp := range []Fingerprint{1, 2} {
+		r.CrashedRun(ms(100), fp, run{"a", 50, 100}.crash())
+	}
+	assert.DeepEqual(t, r.TakeChanged(ms(100)), []Fingerprint{2})
+	r.Finished(ms(300), 1)
+	assert.Equal(t, len(r.TakeChanged(ms(5000))), 0)
+
+	r.CrashedRun(ms(6000), 1, run{"a", 5900, 6000}.crash())
+	assert.Equal(t, len(r.TakeChanged(ms(6100))), 0)
+	assert.DeepEqual(t, r.TakeChanged(ms(7000)), []Fingerprint{1})
+}
+
+// Whatever the order of crashes and finishes and the way records are passed on, VMs that
+// know all records judge alike, and refuse only a part without a finish since the third last
+// of the crashes that followed each other.
+func TestSuccessiveConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := []*Registry{newPartRegistry(t, "a"), newPartRegistry(t, "b"), newPartRegistry(t, "c")}
+		var lastFinish int
+		var crashes Crashes
+		now := 0
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			now += rapid.IntRange(1, 400).Draw(t, "wait")
+			vm := vms[rapid.IntRange(0, 2).Draw(t, "vm")]
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				vm.Finished(ms(now), 1)
+				lastFinish = now
+			case 1:
+				from := vms[rapid.IntRange(0, 2).Draw(t, "from")].Snapshot(1)
+				if from.Version > 0 {
+					before := vm.Snapshot(1)
+					assert.NilError(t, vm.MergeSnapshot(ms(now), 1, from.Value))
+					after := vm.Snapshot(1)
+					assert.Assert(t, after.Version >= max(before.Version, from.Version))
+				}
+			default:
+				c := run{call.ReplicaID(rapid.StringMatching("[a-z]{4}").Draw(t, "replica")), now - rapid.IntRange(1, 600).Draw(t, "took"), now}
+				vm.CrashedRun(ms(now), 1, c.crash())
+				crashes = append(crashes, c.crash())
+			}
+		}
+		for range 2 {
+			for _, from := range vms {
+				for _, to := range vms {
+					if s := from.Snapshot(1); s.Version > 0 {
+						assert.NilError(t, to.MergeSnapshot(ms(now), 1, s.Value))
+					}
+				}
+			}
+		}
+		want := len(crashes) > 0 && crashes.successive(ms(lastFinish), partConfig.CrashWindow) >= partConfig.RefuseAfter
+		for _, vm := range vms {
+			assert.Equal(t, refuses(vm, now, 1), want)
+		}
+	})
+}
+
+// The lookup of a request's parts does not allocate, also while parts of it have crashes.
+func TestRefusesDoesNotAllocate(t *testing.T) {
+	r := newPartRegistry(t, "e1")
+	for i := range 1000 {
+		r.CrashedRun(ms(100), Fingerprint(i), run{"a", 50, 100}.crash())
+	}
+	assert.Equal(t, testing.AllocsPerRun(100, func() { refuses(r, 200, 7, 8, 1<<60) }), 0.0)
+}
+
+// Parts that come with the one that crashes replicas, or were in flight with it each time,
+// are not refused without it; the request that shows which one it is gets through.
+func TestCompanyOfACrashingPart(t *testing.T) {
+	const first, bad, last, other Fingerprint = 1, 2, 3, 4
+	crashes := []run{{"a", 0, 100}, {"b", 200, 300}, {"c", 400, 500}}
+	r := newPartRegistry(t, "e1")
+	for _, c := range crashes {
+		for _, fp := range []Fingerprint{first, bad, last, other} {
+			r.CrashedRun(ms(c.lost), fp, c.crash())
+		}
+	}
+	assert.Assert(t, refuses(r, 600, first, bad, last, other))
+	assert.Assert(t, !refuses(r, 600, first, last, 9), "the crashing part may be bad or other")
+	r.Finished(ms(700), first)
+	r.Finished(ms(700), last)
+	assert.Assert(t, refuses(r, 800, first, bad, last, other))
+
+	assert.Assert(t, !refuses(r, 800, bad, 9), "it may be other")
+	r.CrashedRun(ms(1000), bad, run{"d", 900, 1000}.crash())
+	assert.Assert(t, refuses(r, 1100, bad, 9))
+	assert.Assert(t, refuses(r, 1100, bad))
+	assert.Assert(t, !refuses(r, 1100, first, other), "its crashes are explained by bad")
+}
--- a/core/poison/verdict.go
+++ b/core/poison/verdict.go
@@ -33,4 +33,6 @@
 	// Crashes and Finishes are the totals over all VMs' records.
 	Crashes  int
 	Finishes int
+	// Successive is the number of crashes that count with Config.Successive.
+	Successive int
 }
--- a/io/entry/crash_writer.go
+++ b/io/entry/crash_writer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -35,7 +36,7 @@
 // the write has to be repeated.
 const errCrashKnown = errors.ConstError("the store has other records of these crashes")
 
-// crashWriter writes records of crashes to the platform's store. Each fingerprint has one
+// crashWriter writes records of crashes to the platform's store. Each request or part has one
 // key, which all VMs write under the condition that it is as they know it.
 //
 // When a replica crashes, every request that was running on it gets a record, and almost
@@ -44,14 +45,14 @@
 // Only then the request is suspect, and is written below suspectPrefix, which all watch.
 // One crash of a replica thus costs each VM with requests on it one call.
 type crashWriter struct {
-	registry *poison.Registry
-	store    kvs.Service
-	now      func() time.Time
-	log      logrus.FieldLogger
+	registries crashRegistries
+	store      kvs.Service
+	now        func() time.Time
+	log        logrus.FieldLogger
 
 	mu sync.Mutex
-	// unwritten holds the fingerprints whose records have to be written.
-	unwritten map[poison.Fingerprint]bool
+	// unwritten holds the ids whose records have to be written.
+	unwritten map[crashID]bool
 	// revisions holds the revisions of keys that this VM has read or written last.
 	revisions map[string]kvs.Revision
 	// writing is true while a write is in progress; retryAt is when the next one may
@@ -63,20 +64,26 @@
 	leaseAt time.Time
 }
 
-// add adds fingerprints to write, without those that are not in the store and have been
-// exonerated already. Beyond maxCrashRecords, they are dropped.
-func (w *crashWriter) add(fingerprints []poison.Fingerprint) {
+// add adds ids to write, without those that are not in the store and have been exonerated
+// already. Beyond maxCrashRecords, they are dropped.
+func (w *crashWriter) add(ids []crashID) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, fp := range fingerprints {
-		exonerated := w.registry.Judge(w.now(), fp).Reason == poison.ReasonExonerated
-		if exonerated && w.revisions[w.key(fp)] == 0 || len(w.unwritten) >= maxCrashRecords {
+	for _, id := range ids {
+		if w.exoneratedHere(id) || len(w.unwritten) >= maxCrashRecords {
 			continue
 		}
-		w.unwritten[fp] = true
+		w.unwritten[id] = true
 	}
 }
 
+// exoneratedHere reports whether only this VM has known of crashes that do not count any more.
+func (w *crashWriter) exoneratedHere(id crashID) bool {
+	registry := w.registries.of(id.kind)
+	return registry.Judge(w.now(), id.fingerprint).Reason == poison.ReasonExonerated &&
+		registry.OnlyOwn(id.fingerprint) && w.revisions[w.key(id)] == 0
+}
+
 // reset forgets what is known of the store.
 func (w *crashWriter) reset() {
 	w.mu.Lock()
@@ -93,20 +100,20 @@
 		return
 	}
 	w.writing = true
-	batch := make([]poison.Fingerprint, 0, maxCrashWrites)
-	for fp := range w.unwritten {
+	batch := make([]crashID, 0, maxCrashWrites)
+	for id := range w.unwritten {
 		if len(batch) == maxCrashWrites {
 			break
 		}
-		batch = append(batch, fp)
-		delete(w.unwritten, fp)
+		batch = append(batch, id)
+		delete(w.unwritten, id)
 	}
-	slices.Sort(batch)
+	slices.SortFunc(batch, func(a, b crashID) int { return cmp.Compare(a.String(), b.String()) })
 	go w.write(batch)
 }
 
 // write writes records. Those that could not be written are written again later.
-func (w *crashWriter) write(batch []poison.Fingerprint) {
+func (w *crashWriter) write(batch []crashID) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashWriteTimeout)
 	defer cancel()
 	err := w.writeBatch(ctx, batch)
@@ -123,16 +130,16 @@
 }
 
 // writeBatch writes records with a lease, which removes them after crashRetention.
-func (w *crashWriter) writeBatch(ctx context.Context, batch []poison.Fingerprint) error {
+func (w *crashWriter) writeBatch(ctx context.Context, batch []crashID) error {
 	lease, err := w.currentLease(ctx)
 	if err != nil {
 		return errors.Annotate(err, "crashWriter.writeBatch")
 	}
 	txn := kvs.Txn{}
-	for _, fp := range batch {
-		key := w.key(fp)
+	for _, id := range batch {
+		key := w.key(id)
 		txn.Compares = append(txn.Compares, w.condition(key))
-		txn.Then = append(txn.Then, kvs.Put(key, w.registry.Snapshot(fp).Value, lease))
+		txn.Then = append(txn.Then, kvs.Put(key, w.registries.of(id.kind).Snapshot(id.fingerprint).Value, lease))
 	}
 	result, err := w.store.Transact(ctx, txn)
 	switch {
@@ -148,12 +155,12 @@
 	return nil
 }
 
-// key returns the key of a fingerprint's records.
-func (w *crashWriter) key(fp poison.Fingerprint) string {
-	if w.registry.Judge(w.now(), fp).Crashes >= suspectAfterCrashes {
-		return suspectPrefix + fp.String()
+// key returns the key of the records of a request or part.
+func (w *crashWriter) key(id crashID) string {
+	if w.registries.of(id.kind).Judge(w.now(), id.fingerprint).Crashes >= suspectAfterCrashes {
+		return suspectPrefix + id.String()
 	}
-	return crashPrefix + fp.String()
+	return crashPrefix + id.String()
 }
 
 // condition returns the condition that a key is as this VM last read or wrote it, or does
@@ -182,9 +189,9 @@
 
 // mergeStored merges the stored records of a batch into the registry, because at least
 // one key was not as expected. It returns errCrashKnown if that succeeds.
-func (w *crashWriter) mergeStored(ctx context.Context, batch []poison.Fingerprint) error {
-	for _, fp := range batch {
-		key := w.key(fp)
+func (w *crashWriter) mergeStored(ctx context.Context, batch []crashID) error {
+	for _, id := range batch {
+		key := w.key(id)
 		found, err := w.store.Get(ctx, key)
 		if err != nil {
 			return errors.Annotate(err, "crashWriter.mergeStored")
@@ -193,7 +200,7 @@
 		if !found.Found {
 			continue
 		}
-		if err := w.registry.MergeSnapshot(w.now(), fp, found.Entry.Value); err != nil {
+		if err := w.registries.of(id.kind).MergeSnapshot(w.now(), id.fingerprint, found.Entry.Value); err != nil {
 			w.log.WithFields(logrus.Fields{"event": "crashStored", "key": key}).WithError(err).Warn("stored record of crashes is not valid, it is replaced")
 		}
 	}
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -24,6 +24,11 @@
 	// request, refuseAfterCrashes the number of replicas that a request may crash.
 	suspectAfterCrashes = 2
 	refuseAfterCrashes  = 3
+	// partBlameTime is how long after the first event of a run a crash of its replica may
+	// still be due to a part of its prompt: such parts crash replicas that begin to answer.
+	partBlameTime = time.Second
+	// maxBlamedParts limits the parts of one prompt that get a record.
+	maxBlamedParts = 128
 	// crashWindow is shorter than the restart of a replica, which may keep its id, and
 	// longer than the VMs need to notice one crash.
 	crashWindow = 2 * time.Second
@@ -45,18 +50,25 @@
 	}
 }
 
-// crashes knows which requests were running on replicas that crashed, and shares that
-// with the other VMs. The records are in the platform's store, so that they outlast the
+// partCrashConfig is crashConfig for parts of prompts.
+func partCrashConfig(vm call.VMID) poison.Config {
+	c := crashConfig(vm)
+	c.Successive = true
+	return c
+}
+
+// crashes knows which requests were running on replicas that crashed, by request and by part
+// of their prompts, and shares that with the other VMs. The records are in the platform's store, so that they outlast the
 // VMs and reach every VM that can read it; see crashWriter. Gossip carries those of
 // suspect requests too, for VMs that cannot, and all while the store is down.
 type crashes struct {
-	registry *poison.Registry
-	writer   *crashWriter
-	items    *spread.Store
-	storeUp  func() bool
-	dial     peer.DialFunc
-	now      func() time.Time
-	log      logrus.FieldLogger
+	registries crashRegistries
+	writer     *crashWriter
+	items      *spread.Store
+	storeUp    func() bool
+	dial       peer.DialFunc
+	now        func() time.Time
+	log        logrus.FieldLogger
 	// observe is called with each lost run, and whether its replica had crashed.
 	observe func(crashed bool)
 
@@ -69,9 +81,16 @@
 	applied map[string]string
 }
 
-// mayRun reports whether a request may be sent to a replica.
-func (c *crashes) mayRun(fp poison.Fingerprint) bool {
-	return c.registry.Judge(c.now(), fp).Action != poison.ActionRefuse
+// forbids returns why a request must not be sent to a replica; empty if it may.
+func (c *crashes) forbids(request poison.Fingerprint, parts []poison.Fingerprint) proxy.Reason {
+	now := c.now()
+	if c.registries.requests.Judge(now, request).Action == poison.ActionRefuse {
+		return proxy.ReasonCrashedReplicas
+	}
+	if _, refused := c.registries.parts.RefusedPart(now, parts); refused {
+		return proxy.ReasonCrashingPart
+	}
+	return ""
 }
 
 // runLost handles a run whose connection was lost. It returns at once.
@@ -83,51 +102,78 @@
 	c.observe(crashed)
 	log := c.log.WithFields(logrus.Fields{
 		"request": lost.Request, "fingerprint": lost.Fingerprint.String(), "parts": fmt.Sprint(lost.Parts), "replica": lost.Target.ID,
-		"status": lost.Status, "events": lost.Events, "took": c.now().Sub(lost.Began).String(),
+		"status": lost.Status, "events": lost.Events, "took": lost.At.Sub(lost.Sent).String(),
 	})
 	if !crashed {
 		log.WithFields(logrus.Fields{"event": "lostRun"}).Info("connection to a replica was lost, but the replica still accepts connections")
 		return
 	}
 	now := c.now()
-	v := c.registry.Crashed(now, lost.Fingerprint, lost.Target.ID, false)
+	v := c.registries.requests.Crashed(now, lost.Fingerprint, lost.Target.ID, false)
 	log.WithFields(logrus.Fields{
 		"event": "crash", "next": v.Action, "reason": v.Reason, "crashes": v.Crashes, "finishes": v.Finishes,
 	}).Warn("replica crashed while running a request")
-	if v.Reason == poison.ReasonExonerated {
+	if v.Reason != poison.ReasonExonerated {
+		c.registries.requests.Publish(now, lost.Fingerprint)
+		c.gossip(now, crashID{crashRequest, lost.Fingerprint})
+	}
+	c.blameParts(now, lost)
+}
+
+// blameParts records a crash for each part of the prompt of a lost run, unless the run had
+// been answering for so long that none of them can be the cause.
+func (c *crashes) blameParts(now time.Time, lost proxy.LostRun) {
+	if !lost.FirstEvent.IsZero() && lost.At.Sub(lost.FirstEvent) > partBlameTime {
 		return
 	}
-	c.registry.Publish(now, lost.Fingerprint)
-	c.gossip(now, lost.Fingerprint)
+	crash := poison.Crash{Replica: lost.Target.ID, At: lost.At, Began: lost.Sent}
+	if !lost.Answered.IsZero() {
+		crash.Began = lost.Answered
+	}
+	for _, part := range lost.Parts[:min(len(lost.Parts), maxBlamedParts)] {
+		v := c.registries.parts.CrashedRun(now, part, crash)
+		if v.Action == poison.ActionRefuse {
+			c.log.WithFields(logrus.Fields{
+				"event": "crashingPart", "part": part.String(), "request": lost.Request, "crashes": v.Crashes, "successive": v.Successive,
+			}).Warn("requests with a part of this prompt have crashed replicas, and are refused from now on")
+		}
+	}
 }
 
 // runCompleted records that a replica has completed a request.
-func (c *crashes) runCompleted(fp poison.Fingerprint) { c.registry.Finished(c.now(), fp) }
+func (c *crashes) runCompleted(request poison.Fingerprint, parts []poison.Fingerprint) {
+	now := c.now()
+	c.registries.requests.Finished(now, request)
+	for _, part := range parts {
+		c.registries.parts.Finished(now, part)
+	}
+}
 
-// gossip puts the records of a request into the gossip store if it is suspect or the
-// platform's store is down.
-func (c *crashes) gossip(now time.Time, fp poison.Fingerprint) {
-	v := c.registry.Judge(now, fp)
+// gossip puts the records of a request or part into the gossip store if it is suspect or
+// the platform's store is down.
+func (c *crashes) gossip(now time.Time, id crashID) {
+	registry := c.registries.of(id.kind)
+	v := registry.Judge(now, id.fingerprint)
 	if v.Crashes < suspectAfterCrashes && c.storeUp() || len(c.items.All(now, kindCrash)) >= maxCrashItems {
 		return
 	}
-	s := c.registry.Snapshot(fp)
+	s := registry.Snapshot(id.fingerprint)
 	c.items.Put(now, spread.Item{
-		ID: spread.ID{Kind: kindCrash, Key: fp.String()}, Version: s.Version, Value: s.Value, Expires: now.Add(crashRetention),
+		ID: spread.ID{Kind: kindCrash, Key: id.String()}, Version: s.Version, Value: s.Value, Expires: now.Add(crashRetention),
 	})
 }
 
-// apply applies the records of a request from the store or another VM.
+// apply applies the records of a request or part from the store or another VM.
 func (c *crashes) apply(now time.Time, key string, value []byte) {
-	fp, err := poison.ParseFingerprint(key)
+	id, err := parseCrashID(key)
 	if err == nil {
-		err = c.registry.MergeSnapshot(now, fp, value)
+		err = c.registries.of(id.kind).MergeSnapshot(now, id.fingerprint, value)
 	}
 	if err != nil {
 		c.log.WithFields(logrus.Fields{"event": "crashRecord", "key": key}).WithError(err).Warn("record of crashes is not valid, it is ignored")
 		return
 	}
-	c.gossip(now, fp)
+	c.gossip(now, id)
 }
 
 // applySnapshot applies the records of suspect requests in the store. Removed ones stay
@@ -147,7 +193,7 @@
 // writeAgain makes all records of this VM be written again, after the store has lost some.
 // It returns their number.
 func (c *crashes) writeAgain() int {
-	own := c.registry.Published(c.now())
+	own := c.ids(func(r *poison.Registry) []poison.Fingerprint { return r.Published(c.now()) })
 	c.writer.reset()
 	c.writer.add(own)
 	return len(own)
@@ -155,8 +201,23 @@
 
 // writePending begins to write this VM's changed records, unless the store is down.
 func (c *crashes) writePending(now time.Time) {
-	c.writer.add(c.registry.TakeChanged())
+	changed := c.ids(func(r *poison.Registry) []poison.Fingerprint { return r.TakeChanged(now) })
+	for _, id := range changed {
+		c.gossip(now, id)
+	}
+	c.writer.add(changed)
 	if c.storeUp() {
 		c.writer.start(now)
 	}
 }
+
+// ids returns the ids of the fingerprints that a function returns for each registry.
+func (c *crashes) ids(of func(*poison.Registry) []poison.Fingerprint) []crashID {
+	var out []crashID
+	for _, kind := range []crashKind{crashRequest, crashPart} {
+		for _, fp := range of(c.registries.of(kind)) {
+			out = append(out, crashID{kind, fp})
+		}
+	}
+	return out
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -150,15 +150,18 @@
 	e.members = &members{self: c.VM, address: c.PeerAddress, items: e.items, now: e.options.Now, log: e.log, unreachable: map[call.VMID]bool{}}
 	e.storeStatus = &storeStatus{now: e.options.Now, log: e.log, onRecovery: e.replicas.storeRecovered, onChange: func() { e.members.announce(e.options.Now()) }}
 	e.members.storeUp = e.storeStatus.up
-	suspects, err := poison.New(crashConfig(c.VM))
-	if err != nil {
+	var suspects crashRegistries
+	if suspects.requests, err = poison.New(crashConfig(c.VM)); err != nil {
+		return errors.Trace(err)
+	}
+	if suspects.parts, err = poison.New(partCrashConfig(c.VM)); err != nil {
 		return errors.Trace(err)
 	}
 	e.crashes = &crashes{
-		registry: suspects, items: e.items, storeUp: e.storeStatus.up,
+		registries: suspects, items: e.items, storeUp: e.storeStatus.up,
 		writer: &crashWriter{
-			registry: suspects, store: e.options.Source.Store, now: e.options.Now, log: e.log,
-			unwritten: map[poison.Fingerprint]bool{}, revisions: map[string]kvs.Revision{},
+			registries: suspects, store: e.options.Source.Store, now: e.options.Now, log: e.log,
+			unwritten: map[crashID]bool{}, revisions: map[string]kvs.Revision{},
 		},
 		dial: e.options.Dial, now: e.options.Now, log: e.log, observe: func(crashed bool) { e.metrics.observeLostRun(crashed) },
 		checks: map[call.ReplicaID]*crashCheck{}, applied: map[string]string{},
@@ -184,7 +187,7 @@
 		Admit: func() bool { return e.drain.Admit(e.options.Now()) }, Finish: e.drain.Finish,
 		Stopping: func() bool { return !e.drain.Ready() },
 		Random:   e.random, Now: e.options.Now, Log: e.log, Observe: e.metrics.observe,
-		MayRun: e.crashes.mayRun, RunLost: e.crashes.runLost, RunCompleted: e.crashes.runCompleted,
+		Forbids: e.crashes.forbids, RunLost: e.crashes.runLost, RunCompleted: e.crashes.runCompleted,
 		RetryShare: func() float64 { return e.config.Load().RetryRatio * budgetFraction },
 	}
 }
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -33,8 +33,12 @@
 	// replicaFailure is a complete error response of the replica.
 	replicaFailure *response
 	status         int
-	// events counts the events of a stream that this attempt forwarded.
-	events int
+	// answeredAt is when the header of the response had arrived.
+	answeredAt time.Time
+	// events counts the events of a stream that this attempt forwarded, the first of them
+	// at firstEventAt.
+	events       int
+	firstEventAt time.Time
 }
 
 // response is a complete response that is not a stream.
@@ -67,11 +71,11 @@
 	p.classify(ctx, &e, result)
 	switch {
 	case e.done:
-		p.s.c.RunCompleted(p.fingerprint())
+		p.s.c.RunCompleted(p.fingerprint(), p.parts)
 	case result.Ending == back.EndingCrashed && e.mayHaveRun:
 		p.s.c.RunLost(LostRun{
 			Request: p.info.ID, Fingerprint: p.fingerprint(), Parts: p.parts, Target: target,
-			Began: e.started, Status: e.status, Events: e.events,
+			Sent: e.started, Answered: e.answeredAt, FirstEvent: e.firstEventAt, At: p.s.c.Now(), Status: e.status, Events: e.events,
 		})
 	}
 	now := p.s.c.Now()
@@ -121,7 +125,7 @@
 
 // receive reads the response and forwards it.
 func (p *proxyRequest) receive(x *back.Exchange, e *attemptResult) (back.Result, error) {
-	e.status = x.Status
+	e.status, e.answeredAt = x.Status, p.s.c.Now()
 	respInfo := p.s.c.Headers.ReadResponse(x.Status, x.Header, p.s.c.Now())
 	if respInfo.Load != nil {
 		p.s.c.Router.Report(p.s.c.Now(), e.replica, *respInfo.Load)
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -60,14 +60,14 @@
 	Log    logrus.FieldLogger
 	// Observe is called with each finished request. It may be nil.
 	Observe func(RequestStats)
-	// MayRun reports whether a request with a fingerprint may be sent to a replica. By
-	// default, any may.
-	MayRun func(poison.Fingerprint) bool
+	// Forbids returns why a request with a fingerprint and parts of its prompt must not be
+	// sent to a replica; empty if it may. By default, any may.
+	Forbids func(request poison.Fingerprint, parts []poison.Fingerprint) Reason
 	// RunLost is called when the connection to a replica was lost while the replica may
 	// have been running a request, RunCompleted when a replica has completed a request.
 	// Both must return at once; they may be nil.
 	RunLost      func(LostRun)
-	RunCompleted func(poison.Fingerprint)
+	RunCompleted func(request poison.Fingerprint, parts []poison.Fingerprint)
 	// MaxRetryAfter is the longest time that a refused caller is told to wait,
 	// MaxBusyRetryAfter the same for a caller refused because replicas are full or refused
 	// the request.
@@ -106,14 +106,14 @@
 	if c.Observe == nil {
 		c.Observe = func(RequestStats) {}
 	}
-	if c.MayRun == nil {
-		c.MayRun = func(poison.Fingerprint) bool { return true }
+	if c.Forbids == nil {
+		c.Forbids = func(poison.Fingerprint, []poison.Fingerprint) Reason { return "" }
 	}
 	if c.RunLost == nil {
 		c.RunLost = func(LostRun) {}
 	}
 	if c.RunCompleted == nil {
-		c.RunCompleted = func(poison.Fingerprint) {}
+		c.RunCompleted = func(poison.Fingerprint, []poison.Fingerprint) {}
 	}
 	if c.RetryShare == nil {
 		c.RetryShare = func() float64 { return defaultRetryShare }
--- a/io/proxy/fingerprint.go
+++ b/io/proxy/fingerprint.go
@@ -18,8 +18,10 @@
 	// in order.
 	Parts  []poison.Fingerprint
 	Target back.Target
-	// Began is when the run was sent to the replica.
-	Began time.Time
+	// Sent is when the request was sent to the replica, At when the run was lost. Answered is
+	// when the header of the response had arrived, FirstEvent the first event of a stream;
+	// zero if it had not.
+	Sent, Answered, FirstEvent, At time.Time
 	// Status is the status of the response; zero if its header had not arrived. Events
 	// counts the events of a stream that had arrived.
 	Status, Events int
--- a/io/proxy/reason.go
+++ b/io/proxy/reason.go
@@ -30,6 +30,8 @@
 	ReasonUnreachable Reason = "replicasUnreachable"
 	// ReasonCrashedReplicas: the request has crashed the replicas that ran it before.
 	ReasonCrashedReplicas Reason = "crashedReplicas"
+	// ReasonCrashingPart: requests with a part of this prompt have crashed replicas.
+	ReasonCrashingPart Reason = "crashingPart"
 	// ReasonAnswerLost: a replica may have run the request, and its response did not
 	// arrive complete.
 	ReasonAnswerLost Reason = "answerLost"
--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -19,8 +19,8 @@
 	p.s.c.Router.Arrived(p.arrived, p.call)
 	p.s.c.Retry.RecordFirstAttempt(p.arrived, call.Class(p.call.Model), p.s.c.RetryShare())
 	for {
-		if !p.s.c.MayRun(p.fingerprint()) {
-			p.failWithoutReplica(ctx, http.StatusServiceUnavailable, ReasonCrashedReplicas)
+		if reason := p.s.c.Forbids(p.fingerprint(), p.parts); reason != "" {
+			p.failWithoutReplica(ctx, http.StatusServiceUnavailable, reason)
 			return
 		}
 		d, status, reason, err := p.pickReplica(ctx)
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -78,6 +78,9 @@
 	x.PauseTimeout()
 	defer x.ResumeTimeout()
 	p.events += prefix.Events
+	if e.events == 0 && prefix.Events > 0 {
+		e.firstEventAt = p.s.c.Now()
+	}
 	e.events += prefix.Events
 	p.lastEvent = prefix.LastID
 	if _, err := p.w.Write(data); err != nil {
