core/poison, io/entry: try a refused part of a prompt again, once over all VMs

Cause: a part that is refused never finishes, so that nothing cleared it for ten minutes. A crash loop of the backend servers, in which each request ends its server, left all parts refused that came meanwhile, long after the servers were sound.

Change: fifteen seconds after its latest crash one request with the part runs, the next ones five times later each. One VM claims the trial for all by a conditional write; the request that asks waits for the claim. A permitted request is not judged again until a replica may have run it, so that an unreachable replica does not use up the trial.

--- a/core/poison/bench_test.go
+++ b/core/poison/bench_test.go
@@ -70,8 +70,8 @@
 	}
 }
 
-// BenchmarkRefusedPart looks up the parts of a prompt: one unknown, one popular with crashes.
-func BenchmarkRefusedPart(b *testing.B) {
+// BenchmarkRefusedParts looks up the parts of a prompt: one unknown, one popular with crashes.
+func BenchmarkRefusedParts(b *testing.B) {
 	for _, n := range benchSizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			r := newPartRegistry(b, "e1")
@@ -88,7 +88,7 @@
 			fps := []Fingerprint{1 << 60, 7}
 			b.ReportAllocs()
 			for b.Loop() {
-				r.RefusedPart(ms(400), fps)
+				r.RefusedParts(ms(400), fps)
 			}
 		})
 	}
--- a/core/poison/config.go
+++ b/core/poison/config.go
@@ -44,6 +44,10 @@
 	// known to have finished: mostly another one finishes meanwhile, and the crash does
 	// not count any more.
 	FinishWait time.Duration
+	// TrialAfter is how long after its latest crash a refused fingerprint may be tried once,
+	// see Registry.TrialDue: the backend servers may have been repaired, or have crashed for
+	// another reason. Zero means never.
+	TrialAfter time.Duration
 	// CrashWindow is the time within which crashes recorded for one replica count as
 	// one crash, observed by several calls or VMs.
 	CrashWindow time.Duration
@@ -86,6 +90,8 @@
 			c.RefuseAfter, c.RecentFinishes, maxCrashes-1)
 	case c.Successive && c.RefuseAfter == 0:
 		return errors.NotValidf("Config.Validate: Successive with RefuseAfter 0 (must be from 1 to %d)", maxCrashes-1)
+	case c.TrialAfter < 0:
+		return errors.NotValidf("Config.Validate: TrialAfter %s (must not be negative)", c.TrialAfter)
 	case c.MaxFingerprints < 1:
 		return errors.NotValidf("Config.Validate: MaxFingerprints %d (must be at least 1)", c.MaxFingerprints)
 	case c.FinishWait < 0 || c.CrashWindow < 0 || c.SpreadTime < 0 || c.Retention < 0:
--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -27,6 +27,8 @@
 	Finishes int `json:"finishes,omitempty"`
 	// FinishedAt is when the latest run finished; only Config.Successive needs it.
 	FinishedAt time.Time `json:"finishedAt,omitzero"`
+	// Trials are the times of the VM's trials, ordered; see Registry.TrialDue.
+	Trials []time.Time `json:"trials,omitempty"`
 }
 
 // ParseRecord reads a record from JSON.
@@ -51,7 +53,7 @@
 func (r Record) Merge(other Record) Record {
 	return Record{
 		Crashes: r.Crashes.merge(other.Crashes), Finishes: max(r.Finishes, other.Finishes),
-		FinishedAt: later(r.FinishedAt, other.FinishedAt),
+		FinishedAt: later(r.FinishedAt, other.FinishedAt), Trials: mergeTrials(r.Trials, other.Trials),
 	}
 }
 
@@ -59,6 +61,9 @@
 // counts microseconds, so that the sum over the records of some thousand VMs fits.
 func (r Record) version() uint64 {
 	n := uint64(len(r.Crashes) + r.Finishes)
+	for _, at := range r.Trials {
+		n += uint64(max(0, at.UnixMicro()))
+	}
 	for _, crash := range r.Crashes {
 		n += uint64(max(0, crash.At.UnixMicro()))
 	}
--- a/core/poison/snapshot.go
+++ b/core/poison/snapshot.go
@@ -31,6 +31,10 @@
 	if e == nil {
 		return Snapshot{}
 	}
+	return e.snapshot()
+}
+
+func (e *entry) snapshot() Snapshot {
 	var s Snapshot
 	for _, record := range e.records {
 		s.Version += record.version()
--- a/core/poison/successive.go
+++ b/core/poison/successive.go
@@ -26,24 +26,25 @@
 	return v
 }
 
-// RefusedPart returns one of a request's fingerprints that Judge refuses, unless another
-// refused fingerprint, which the request does not have, explains its crashes. It does not
-// allocate, and costs little unless most of the crashes that are needed to refuse have been
-// seen.
+// RefusedParts returns those of a request's fingerprints that Judge refuses, unless another
+// refused fingerprint, which the request does not have, explains their crashes. It costs
+// little, and allocates nothing, unless most of the crashes that are needed to refuse have
+// been seen.
 //
 // What crashes with a request is all that the request has: of its parts, and those of other
 // requests on the same replicas, one is the cause. A request without that part is let
 // through, and finishes. Where several explain the same crashes, a request with only some
 // of them runs and tells which.
-func (r *Registry) RefusedPart(now time.Time, fps []Fingerprint) (Fingerprint, bool) {
+func (r *Registry) RefusedParts(now time.Time, fps []Fingerprint) []Fingerprint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var out []Fingerprint
 	for _, fp := range fps {
-		if r.refuses(now, fp) && !r.explainedWithout(now, fp, fps) {
-			return fp, true
+		if r.refuses(now, fp) && !slices.Contains(out, fp) && !r.explainedWithout(now, fp, fps) {
+			out = append(out, fp)
 		}
 	}
-	return 0, false
+	return out
 }
 
 // refuses reports whether judge refuses a fingerprint.
@@ -167,7 +168,7 @@
 	}
 	crashes := e.crashes(now, r.c)
 	here := crashes.successive(e.finishedAt(), r.c.CrashWindow)
-	e.records[r.c.Self] = Record{Crashes: own.Crashes, Finishes: own.Finishes, FinishedAt: e.finishSpread}
+	e.records[r.c.Self] = Record{Crashes: own.Crashes, FinishedAt: e.finishSpread}
 	elsewhere := crashes.successive(e.finishedAt(), r.c.CrashWindow)
 	e.records[r.c.Self] = own
 	if elsewhere >= r.c.SuspectAfter && here < elsewhere {
--- a/core/poison/successive_test.go
+++ b/core/poison/successive_test.go
@@ -30,8 +30,7 @@
 func (c run) crash() Crash { return Crash{Replica: c.replica, Began: ms(c.began), At: ms(c.lost)} }
 
 func refuses(r *Registry, now int, fps ...Fingerprint) bool {
-	_, refused := r.RefusedPart(ms(now), fps)
-	return refused
+	return len(r.RefusedParts(ms(now), fps)) > 0
 }
 
 // A part is refused after three crashes that followed each other, and never because many
@@ -202,3 +201,37 @@
 	assert.Assert(t, refuses(r, 1100, bad))
 	assert.Assert(t, !refuses(r, 1100, first, other), "its crashes are explained by bad")
 }
+
+// A refused part is tried a while after its latest crash, and ever later; another VM's
+// trial counts, and a finish clears all.
+func TestTrialDue(t *testing.T) {
+	c := partConfig
+	c.TrialAfter = time.Second
+	c.Self = "a"
+	a := newRegistry(t, c)
+	c.Self = "b"
+	b := newRegistry(t, c)
+	for _, lost := range []run{{"r1", 0, 100}, {"r2", 200, 300}, {"r3", 400, 500}} {
+		assert.Assert(t, !a.TrialDue(ms(10000), 1))
+		a.CrashedRun(ms(lost.lost), 1, lost.crash())
+	}
+	assert.Assert(t, !a.TrialDue(ms(1499), 1))
+	assert.Assert(t, a.TrialDue(ms(1500), 1))
+	assert.Assert(t, !a.TrialDue(ms(1500), 2))
+
+	claimed := a.TrialSnapshot(ms(1500), 1)
+	assert.Assert(t, a.TrialDue(ms(1500), 1), "a claim that is not written does not count")
+	assert.NilError(t, b.MergeSnapshot(ms(1500), 1, claimed.Value))
+	a.BeginTrial(ms(1500), 1)
+	for _, r := range []*Registry{a, b} {
+		assert.Assert(t, refuses(r, 1500, 1))
+		assert.Assert(t, !r.TrialDue(ms(6499), 1))
+		assert.Assert(t, r.TrialDue(ms(6500), 1))
+	}
+	b.BeginTrial(ms(6500), 1)
+	assert.Assert(t, !b.TrialDue(ms(31499), 1))
+	assert.Assert(t, b.TrialDue(ms(31500), 1))
+	b.Finished(ms(31600), 1)
+	assert.Assert(t, !refuses(b, 31600, 1))
+	assert.Assert(t, !b.TrialDue(ms(31600), 1))
+}
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -26,6 +26,8 @@
 	defaultRetryRatio  = 0.1
 	defaultRetrySlack  = 20
 	defaultRetryWindow = 10 * time.Second
+	// defaultTrialAfter is longer than a replica takes to restart.
+	defaultTrialAfter = 15 * time.Second
 )
 
 // Config holds the start-up settings of a process.
@@ -56,6 +58,9 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// TrialAfter is how long after its latest crash a part of prompts that crashes replicas
+	// is tried once more; further trials wait ever longer.
+	TrialAfter time.Duration
 }
 
 // Defaults fills in the fields left zero.
@@ -66,6 +71,9 @@
 	if c.Notice == 0 {
 		c.Notice = defaultNotice
 	}
+	if c.TrialAfter == 0 {
+		c.TrialAfter = defaultTrialAfter
+	}
 	if c.RetryWindow == 0 {
 		c.RetryRatio, c.RetrySlack, c.RetryWindow = defaultRetryRatio, defaultRetrySlack, defaultRetryWindow
 	}
@@ -81,6 +89,8 @@
 	case !c.CallerAddress.IsValid() || !c.ReadinessAddress.IsValid() || !c.StoreAddress.IsValid():
 		return errors.NotValidf("CallerAddress %s, ReadinessAddress %s, StoreAddress %s (each must be an IP address with a port)",
 			c.CallerAddress, c.ReadinessAddress, c.StoreAddress)
+	case c.TrialAfter < 0:
+		return errors.NotValidf("TrialAfter %s (must not be negative)", c.TrialAfter)
 	case c.StopLimit < 0 || c.Notice < 0 || c.RetryRatio < 0 || c.RetrySlack < 0 || c.RetryWindow < 0:
 		return errors.NotValidf("StopLimit %s, Notice %s, RetryRatio %g, RetrySlack %g, RetryWindow %s (none may be negative)",
 			c.StopLimit, c.Notice, c.RetryRatio, c.RetrySlack, c.RetryWindow)
--- a/io/entry/crash_writer.go
+++ b/io/entry/crash_writer.go
@@ -36,6 +36,9 @@
 // the write has to be repeated.
 const errCrashKnown = errors.ConstError("the store has other records of these crashes")
 
+// errTrialTaken means that a trial is not due any more, because another VM has begun it.
+const errTrialTaken = errors.ConstError("another VM has begun the trial")
+
 // crashWriter writes records of crashes to the platform's store. Each request or part has one
 // key, which all VMs write under the condition that it is as they know it.
 //
@@ -155,6 +158,46 @@
 	return nil
 }
 
+// writeTrials claims trials of parts for this VM, with the records that the store has in force.
+// It fails with errTrialTaken if another VM has been faster.
+func (w *crashWriter) writeTrials(ctx context.Context, parts []poison.Fingerprint) error {
+	for {
+		now := w.now()
+		lease, err := w.currentLease(ctx)
+		if err != nil {
+			return errors.Annotate(err, "crashWriter.writeTrials")
+		}
+		txn := kvs.Txn{}
+		ids := make([]crashID, 0, len(parts))
+		for _, part := range parts {
+			if !w.registries.parts.TrialDue(now, part) {
+				return errTrialTaken
+			}
+			id := crashID{crashPart, part}
+			ids = append(ids, id)
+			txn.Compares = append(txn.Compares, w.condition(w.key(id)))
+			txn.Then = append(txn.Then, kvs.Put(w.key(id), w.registries.parts.TrialSnapshot(now, part).Value, lease))
+		}
+		result, err := w.store.Transact(ctx, txn)
+		if errors.Is(err, kvs.ErrLeaseLapsed) {
+			w.setLease(0)
+		}
+		if err != nil {
+			return errors.Annotate(err, "crashWriter.writeTrials")
+		}
+		if result.Succeeded {
+			w.written(txn, result.Revision)
+			for _, part := range parts {
+				w.registries.parts.BeginTrial(now, part)
+			}
+			return nil
+		}
+		if err := w.mergeStored(ctx, ids); !errors.Is(err, errCrashKnown) {
+			return errors.Annotate(err, "crashWriter.writeTrials")
+		}
+	}
+}
+
 // key returns the key of the records of a request or part.
 func (w *crashWriter) key(id crashID) string {
 	if w.registries.of(id.kind).Judge(w.now(), id.fingerprint).Crashes >= suspectAfterCrashes {
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -51,10 +51,10 @@
 }
 
 // partCrashConfig is crashConfig for parts of prompts.
-func partCrashConfig(vm call.VMID) poison.Config {
-	c := crashConfig(vm)
-	c.Successive = true
-	return c
+func partCrashConfig(c Config) poison.Config {
+	p := crashConfig(c.VM)
+	p.Successive, p.TrialAfter = true, c.TrialAfter
+	return p
 }
 
 // crashes knows which requests were running on replicas that crashed, by request and by part
@@ -64,6 +64,7 @@
 type crashes struct {
 	registries crashRegistries
 	writer     *crashWriter
+	trials     *trials
 	items      *spread.Store
 	storeUp    func() bool
 	dial       peer.DialFunc
@@ -87,7 +88,8 @@
 	if c.registries.requests.Judge(now, request).Action == poison.ActionRefuse {
 		return proxy.ReasonCrashedReplicas
 	}
-	if _, refused := c.registries.parts.RefusedPart(now, parts); refused {
+	refused := c.registries.parts.RefusedParts(now, parts)
+	if len(refused) > 0 && !c.trials.claim(refused) {
 		return proxy.ReasonCrashingPart
 	}
 	return ""
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -154,7 +154,7 @@
 	if suspects.requests, err = poison.New(crashConfig(c.VM)); err != nil {
 		return errors.Trace(err)
 	}
-	if suspects.parts, err = poison.New(partCrashConfig(c.VM)); err != nil {
+	if suspects.parts, err = poison.New(partCrashConfig(c)); err != nil {
 		return errors.Trace(err)
 	}
 	e.crashes = &crashes{
@@ -166,6 +166,9 @@
 		dial: e.options.Dial, now: e.options.Now, log: e.log, observe: func(crashed bool) { e.metrics.observeLostRun(crashed) },
 		checks: map[call.ReplicaID]*crashCheck{}, applied: map[string]string{},
 	}
+	e.crashes.trials = &trials{
+		registry: suspects.parts, write: e.crashes.writer.writeTrials, storeUp: e.storeStatus.up, vms: e.members.count, now: e.options.Now, log: e.log,
+	}
 	e.pool = peer.NewPool(peer.PoolConfig{Dial: e.options.Dial})
 	e.gossip = peer.NewGossip(peer.GossipConfig{
 		Self: c.VM, Zone: c.Zone, Pool: e.pool, Store: e.items, Peers: e.members.peers, Now: e.options.Now,
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -61,7 +61,8 @@
 	// Observe is called with each finished request. It may be nil.
 	Observe func(RequestStats)
 	// Forbids returns why a request with a fingerprint and parts of its prompt must not be
-	// sent to a replica; empty if it may. By default, any may.
+	// sent to a replica; empty if it may, until a replica may have run it. By default, any
+	// may.
 	Forbids func(request poison.Fingerprint, parts []poison.Fingerprint) Reason
 	// RunLost is called when the connection to a replica was lost while the replica may
 	// have been running a request, RunCompleted when a replica has completed a request.
--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -18,10 +18,13 @@
 func (p *proxyRequest) run(ctx context.Context) {
 	p.s.c.Router.Arrived(p.arrived, p.call)
 	p.s.c.Retry.RecordFirstAttempt(p.arrived, call.Class(p.call.Model), p.s.c.RetryShare())
+	permitted := false
 	for {
-		if reason := p.s.c.Forbids(p.fingerprint(), p.parts); reason != "" {
-			p.failWithoutReplica(ctx, http.StatusServiceUnavailable, reason)
-			return
+		if !permitted {
+			if reason := p.s.c.Forbids(p.fingerprint(), p.parts); reason != "" {
+				p.failWithoutReplica(ctx, http.StatusServiceUnavailable, reason)
+				return
+			}
 		}
 		d, status, reason, err := p.pickReplica(ctx)
 		if status != 0 {
@@ -31,6 +34,7 @@
 		}
 		p.sends++
 		p.lastAttempt = p.attempt(ctx, d)
+		permitted = !p.lastAttempt.mayHaveRun
 		if p.lastAttempt.done {
 			p.finished(ReasonDone)
 			return
