io/entry: keep telling of crashes that are known when the gossip items are full

Cause: while the store is down each request that was on a crashed replica becomes a gossip item, for ten minutes. At 512 of them no record was put any more, not even a newer one of a request or part that had one: later crashes of it stayed on the VM that saw them.

Change: known records are always replaced, and those of parts have a limit of their own, so that the many requests of a crash do not keep out the few parts.

Measured: TestGossipOfCrashesWhenFull (three crashes with 512 requests each on one VM, the store down) fails on the code before and passes now.

--- a/io/entry/crash_id.go
+++ b/io/entry/crash_id.go
@@ -6,6 +6,7 @@
 	"github.com/juju/errors"
 
 	"gentianwell/core/poison"
+	"gentianwell/core/spread"
 )
 
 // crashKind is the kind of what crashes replicas.
@@ -17,6 +18,14 @@
 	crashPart    crashKind = "part"
 )
 
+// gossipKind returns the kind of the gossip items for records of this kind.
+func (k crashKind) gossipKind() spread.Kind {
+	if k == crashPart {
+		return kindPartCrash
+	}
+	return kindCrash
+}
+
 // partKeyPrefix distinguishes the keys of parts from those of requests.
 const partKeyPrefix = "part-"
 
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -16,8 +16,12 @@
 	"gentianwell/io/proxy"
 )
 
-// kindCrash is the kind of the gossip items for records of crashes.
-const kindCrash spread.Kind = poison.Kind
+// kindCrash and kindPartCrash are the kinds of the gossip items for records of crashes, by
+// request and by part of a prompt.
+const (
+	kindCrash     spread.Kind = poison.Kind
+	kindPartCrash spread.Kind = "suspectPart"
+)
 
 const (
 	// suspectAfterCrashes is the number of crashes after which all VMs are told of a
@@ -38,8 +42,9 @@
 	// maxCrashRecords and rememberedFinishes limit the memory for fingerprints.
 	maxCrashRecords    = 4096
 	rememberedFinishes = 4096
-	// maxCrashItems limits the records among the gossip items, which share their space
-	// with the changes of replicas.
+	// maxCrashItems limits the records of each kind among the gossip items, which share
+	// their space with the changes of replicas. A crash leaves a record for each request that
+	// was on the replica, and these must not keep out the few parts.
 	maxCrashItems = 512
 )
 
@@ -156,13 +161,15 @@
 func (c *crashes) gossip(now time.Time, id crashID) {
 	registry := c.registries.of(id.kind)
 	v := registry.Judge(now, id.fingerprint)
-	if v.Crashes < suspectAfterCrashes && c.storeUp() || len(c.items.All(now, kindCrash)) >= maxCrashItems {
+	if v.Crashes < suspectAfterCrashes && c.storeUp() {
+		return
+	}
+	item := spread.ID{Kind: id.kind.gossipKind(), Key: id.String()}
+	if _, known := c.items.Get(now, item); !known && len(c.items.All(now, item.Kind)) >= maxCrashItems {
 		return
 	}
 	s := registry.Snapshot(id.fingerprint)
-	c.items.Put(now, spread.Item{
-		ID: spread.ID{Kind: kindCrash, Key: id.String()}, Version: s.Version, Value: s.Value, Expires: now.Add(crashRetention),
-	})
+	c.items.Put(now, spread.Item{ID: item, Version: s.Version, Value: s.Value, Expires: now.Add(crashRetention)})
 }
 
 // apply applies the records of a request or part from the store or another VM.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -230,7 +230,7 @@
 		switch item.Kind {
 		case kindReplica:
 			e.replicas.applyItem(item)
-		case kindCrash:
+		case kindCrash, kindPartCrash:
 			e.crashes.apply(now, item.Key, item.Value)
 		}
 	}
