--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -19,10 +19,13 @@
 	defer p.releaseTakeover()
 	p.s.c.Router.Arrived(p.arrived, p.call)
 	p.s.c.Retry.RecordFirstAttempt(p.arrived, call.Class(p.call.Model), p.s.c.RetryShare())
+	permitted := false
 	for {
-		if !p.s.c.MayRun(p.fingerprint()) {
-			p.failWithoutReplica(ctx, http.StatusServiceUnavailable, ReasonCrashedReplicas)
-			return
+		if !permitted {
+			if reason := p.s.c.Forbids(p.fingerprint(), p.parts, p.possibleRuns == 0); reason != "" {
+				p.failWithoutReplica(ctx, http.StatusServiceUnavailable, reason)
+				return
+			}
 		}
 		d, status, reason, err := p.pickReplica(ctx)
 		if status != 0 {
@@ -32,6 +35,7 @@
 		}
 		p.sends++
 		p.lastAttempt = p.attempt(ctx, d)
+		permitted = !p.lastAttempt.mayHaveRun
 		if p.lastAttempt.done {
 			p.finished(ReasonDone)
 			return
--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -89,8 +89,9 @@
 		return d, err.Error()
 	case d.Reason == route.ReasonLastResort:
 		return d, string(d.Reason)
-	case !t.p.s.c.MayRun(t.p.fingerprint()):
-		return d, string(ReasonCrashedReplicas)
+	}
+	if reason := t.p.s.c.Forbids(t.p.fingerprint(), t.p.parts, false); reason != "" {
+		return d, string(reason)
 	}
 	if decision := t.p.s.c.Retry.Decide(now, t.attempt); decision.Action != retry.ActionRetry {
 		return d, string(decision.Reason)
