io/proxy, io/entry: a takeover is permitted already; log events named in their calls

A request that gives up a silent replica has been asked for when the place at the next one was taken; a refusal that came in between would have ended a stream that its replica might have completed.

--- a/io/entry/trials.go
+++ b/io/entry/trials.go
@@ -51,12 +51,12 @@
 	t.claiming = false
 	t.pauseUntil = t.now().Add(time.Duration(t.vms()) * trialPausePerVM)
 	t.mu.Unlock()
-	log := t.log.WithFields(logrus.Fields{"event": "trial", "parts": len(parts), "part": parts[0].String()})
+	log := t.log.WithFields(logrus.Fields{"parts": len(parts), "part": parts[0].String()})
 	if err != nil {
-		log.WithError(err).Info("no trial of a refused part")
+		log.WithField("event", "trial").WithError(err).Info("no trial of a refused part")
 		return false
 	}
-	log.Warn("a refused part of a prompt is tried once more")
+	log.WithField("event", "trial").Warn("a refused part of a prompt is tried once more")
 	return true
 }
 
--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -35,7 +35,7 @@
 		}
 		p.sends++
 		p.lastAttempt = p.attempt(ctx, d)
-		permitted = !p.lastAttempt.mayHaveRun
+		permitted = !p.lastAttempt.mayHaveRun || p.takeover.ready()
 		if p.lastAttempt.done {
 			p.finished(ReasonDone)
 			return
