io/proxy: answer 408 to a request whose body does not arrive in time

Cause: a body that was still incomplete at the deadline or the route's timeout got 400, as a malformed one does. Callers do not try again after 400, although the request has not run.

--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -167,7 +167,10 @@
 		if errors.As(err, &tooLarge) {
 			return http.StatusRequestEntityTooLarge, ReasonTooLarge
 		}
-		// The caller disconnected, or the body did not arrive in time.
+		if !p.s.c.Now().Before(p.deadline) {
+			return http.StatusRequestTimeout, ReasonTimeout
+		}
+		// The caller disconnected, or the body is malformed.
 		return http.StatusBadRequest, ReasonMalformed
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
