io/proxy: let no request be answered by net/http itself

Cause: net/http answers "OPTIONS *" with 200 before any handler is asked: a success that no replica has given.

--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -39,7 +39,9 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	return &http.Server{
-		Handler: s, Protocols: protocols,
+		// Otherwise net/http itself answers "OPTIONS *" with 200.
+		DisableGeneralOptionsHandler: true,
+		Handler:                      s, Protocols: protocols,
 		ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: connContext, ConnState: connState, ErrorLog: front.ErrorLog(s.c.Log),
 	}
