io/back: close no connection that the next attempt uses

A request could end with 502, or a stream with its connection, because this VM itself closed the connection to a sound replica under it.

Cause: net/http hands a connection to the next attempt as soon as a response was read to its end. The attempt that read it then still wrote the response to its caller, and at its end marked the connection as idle, or closed it if the response was invalid. An idle connection is closed when another one to the same replica is silent. So the silence of one request ended others, also those that must not be repeated.

Change: a connection knows the attempt that uses it. Only that attempt closes it or makes it idle, and a connection is sealed against writes before it is closed as idle, so that a request that gets it at that moment is sent on another one.

--- a/io/back/attempt.go
+++ b/io/back/attempt.go
@@ -56,7 +56,7 @@
 	a.watchdog.stop()
 	a.cancel(nil)
 	if a.conn != nil {
-		a.conn.active.Store(false)
+		a.conn.release(a)
 	}
 }
 
@@ -76,7 +76,7 @@
 func (a *attempt) open() (*http.Response, error) {
 	res, err := a.roundTrip(a.transport())
 	if a.closedUnused(err) {
-		a.conn.active.Store(false)
+		a.conn.release(a)
 		a.conn = nil
 		res, err = a.roundTrip(a.client.unpooled)
 	}
@@ -98,11 +98,12 @@
 }
 
 // closedUnused reports whether this side had closed the idle connection that the request
-// was to be sent on, so that certainly no byte of it was sent. An earlier attempt closes
-// its connection if its response turns out to be incomplete at its end, when net/http may
-// have handed the connection to another attempt already.
+// was to be sent on, so that certainly no byte of it was sent. Another attempt closes
+// connections if its response turns out to be incomplete at its end or its connection is
+// silent, when net/http may have handed them to this attempt already.
 func (a *attempt) closedUnused(err error) bool {
-	return errors.Is(err, net.ErrClosed) && a.ctx.Err() == nil && a.conn != nil && !a.mayHaveWritten()
+	closed := errors.Is(err, net.ErrClosed) || errors.Is(err, errSealed)
+	return closed && a.ctx.Err() == nil && a.conn != nil && !a.mayHaveWritten()
 }
 
 // transport returns the transport with which net/http cannot replay this request.
@@ -148,9 +149,8 @@
 	if !ok {
 		return
 	}
-	c.active.Store(true)
 	a.conn = c
-	a.writesBefore = c.writeCount()
+	a.writesBefore = c.acquire(a)
 	a.result.Reused = info.Reused
 	a.watchdog.setConn(c)
 	if info.Reused {
@@ -177,13 +177,13 @@
 }
 
 // fail returns the result of an attempt that got no complete response, and closes its
-// connection.
+// connection, unless another attempt uses it already.
 func (a *attempt) fail(err error) Result {
 	silent := a.watchdog.stop()
 	a.result.BytesWritten = a.mayHaveWritten()
 	a.result.Total = time.Since(a.started)
 	a.result.Ending = a.ending(err, silent)
-	if a.conn != nil {
+	if a.conn != nil && a.conn.seal(a) {
 		a.client.conns.close(a.conn)
 	}
 	if a.result.Ending == EndingSilent {
--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -10,9 +10,9 @@
 	"github.com/juju/errors"
 )
 
-// errSealed is the error of a write on a connection whose request was abandoned before
-// its first byte.
-const errSealed = errors.ConstError("connection is sealed: its request was abandoned before the first byte")
+// errSealed is the error of a write on a connection that is being closed, because its
+// request was abandoned before the first byte or another connection is silent.
+const errSealed = errors.ConstError("connection is sealed: it is being closed")
 
 // conn is a connection that counts its writes and records when it last made progress.
 type conn struct {
@@ -23,14 +23,15 @@
 	progress atomic.Int64
 	// broken is set when a read or write fails other than because this side closed the
 	// connection, such as when the backend server closes or resets it.
-	broken atomic.Bool
-	// active is true while an attempt uses the connection.
-	active  atomic.Bool
+	broken  atomic.Bool
 	onClose func(*conn)
 
 	mu     sync.Mutex
 	writes int
 	sealed bool
+	// user is the attempt that uses the connection, nil while it is idle. net/http may
+	// hand the connection to the next attempt before the last one has ended.
+	user *attempt
 }
 
 // Read reads and records progress.
@@ -109,3 +110,33 @@
 	c.sealed = true
 	return true
 }
+
+// acquire makes the attempt the user of the connection and returns the write count.
+func (c *conn) acquire(a *attempt) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.user = a
+	return c.writes
+}
+
+// release makes the connection idle if the attempt is still its user.
+func (c *conn) release(a *attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.user == a {
+		c.user = nil
+	}
+}
+
+// seal makes further writes fail if the attempt is still the connection's user; nil
+// stands for an idle connection. It reports whether it has sealed the connection, which
+// is then to be closed.
+func (c *conn) seal(a *attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.user != a {
+		return false
+	}
+	c.sealed = true
+	return true
+}
