io/proxy: leave a stream that has begun to its replica for 1.2 s of silence

Cause: a stream that may be resumed was taken from its replica after four times the gap target, 0.4 s at least and 0.8 s on the users' site, although a sound replica may fall silent for about a second. Its prompt and events were read again elsewhere, at the cost of a retry from the budget, which was then missing for replicas that had really failed.

Change: the lower bound is 1.2 s. The caller is late in either case once the gap target has passed, and waits two seconds for the next event. Before the first event nothing changes.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -103,19 +103,22 @@
 
 // A request that may be repeated goes on at another replica, if it can, after a time
 // without progress. firstByteTimeoutFactor and gapTimeoutFactor are that time as a
-// multiple of the route's LatencyTarget and GapTarget, minSilenceTimeout its lower bound.
+// multiple of the route's LatencyTarget and GapTarget. Its lower bounds are
+// minFirstByteTimeout, and minGapTimeout for a stream that has begun: the work on it
+// would be done again, and a sound replica may be silent for about a second.
 const (
 	firstByteTimeoutFactor = 4
 	gapTimeoutFactor       = 4
-	minSilenceTimeout      = 400 * time.Millisecond
+	minFirstByteTimeout    = 400 * time.Millisecond
+	minGapTimeout          = 1200 * time.Millisecond
 )
 
 func (p *proxyRequest) firstByteTimeout() time.Duration {
-	return max(minSilenceTimeout, firstByteTimeoutFactor*p.route.LatencyTarget)
+	return max(minFirstByteTimeout, firstByteTimeoutFactor*p.route.LatencyTarget)
 }
 
 func (p *proxyRequest) gapTimeout() time.Duration {
-	return max(minSilenceTimeout, gapTimeoutFactor*p.route.GapTarget)
+	return max(minGapTimeout, gapTimeoutFactor*p.route.GapTarget)
 }
 
 // receive reads the response and forwards it.
