--- a/cmd/gentianwell/entry.go
+++ b/cmd/gentianwell/entry.go
@@ -87,11 +87,10 @@
 	log.SetOutput(logWriter)
 	log.SetLevel(level)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	dialTCP := dial.TCP(dial.Config{})
-	store := platform.NewStore(platform.StoreConfig{Address: config.StoreAddress, Dial: dialTCP, Log: log})
+	store := platform.NewStore(platform.StoreConfig{Address: config.StoreAddress, Dial: dial.TCP(dial.Config{}), Log: log})
 	e, err := entry.New(entry.Options{
 		Config: config, Source: platform.Source(store.Service()), Headers: platform.Wire(), Log: log,
-		Now: time.Now, Seed: newSeed(), Dial: dialTCP,
+		Now: time.Now, Seed: newSeed(),
 	})
 	if err != nil {
 		return cli.Exit("gentianwell: settings: "+err.Error(), exitUsage)
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -33,8 +33,8 @@
 
 // Config configures the connections.
 type Config struct {
-	// UserTimeout is how long sent bytes may stay unacknowledged before the connection
-	// fails (TCP_USER_TIMEOUT).
+	// UserTimeout is how long sent bytes may stay unacknowledged, or a peer whose buffers
+	// are full may read nothing, before the connection fails (TCP_USER_TIMEOUT).
 	UserTimeout time.Duration
 	// KeepAliveIdle is how long nothing may arrive before the first keep-alive probe,
 	// KeepAliveInterval the time between probes, and KeepAliveCount how many probes
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -112,7 +112,7 @@
 		return nil, errors.Annotate(err, "entry.New")
 	}
 	if o.Dial == nil {
-		o.Dial = dial.TCP(dial.Config{})
+		o.Dial = dial.TCP(dial.Config{UserTimeout: pauseTimeout})
 	}
 	e := &Entry{options: o, log: o.Log, timers: timer.New(timer.Config{Now: o.Now}), rng: o.rand(randProxy), stopped: make(chan struct{})}
 	e.config.Store(&o.Config)
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -34,6 +34,9 @@
 	budgetInterval = time.Second
 	// seedInterval is how often the seeds that are not known VMs are contacted.
 	seedInterval = time.Second
+	// pauseTimeout is how long a caller or backend server may read nothing while bytes wait
+	// for it. A process that is suspended for a second or two is sound and goes on.
+	pauseTimeout = 3 * time.Second
 	// readyHeaderTimeout limits the time to read the header of a readiness check.
 	readyHeaderTimeout = 2 * time.Second
 )
@@ -116,7 +119,7 @@
 // serveCallers adds the server for callers. It keeps serving requests in progress while
 // the process stops.
 func (e *Entry) serveCallers(ctx context.Context, group *components) (*http.Server, error) {
-	listener, err := dial.Listen(ctx, dial.Config{}, e.options.Config.CallerAddress)
+	listener, err := dial.Listen(ctx, dial.Config{UserTimeout: pauseTimeout}, e.options.Config.CallerAddress)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
