io/proxy: a stream that ends with its connection before its first event is broken off

Cause: the end of such a stream is the end of its connection, and a replica that crashes looks the same. Any end counted as the proper one, and as a finished run.

Change: without a length, chunks or an event the attempt has failed. A comment is no event any more. Streams in chunks and with a length keep their meaning. What it costs: a resumed stream of which nothing is left is broken off too if it has no length, as nothing tells it from a crash.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -18,7 +18,7 @@
 type Prefix struct {
 	// Bytes is the length of the prefix.
 	Bytes int
-	// Events is the number of events in the prefix.
+	// Events is the number of events in the prefix. Comments and empty lines are none.
 	Events int
 	// LastID is the id of the last event with an id, or the id given to Scan if none
 	// of the events has one.
@@ -41,7 +41,9 @@
 		line := bytes.TrimSuffix(data[start:start+n], []byte("\r"))
 		start += n + 1
 		if len(line) > 0 {
-			lines++
+			if line[0] != ':' {
+				lines++
+			}
 			if value, ok := field(line, "id"); ok {
 				id = value
 			}
--- a/core/event/event_test.go
+++ b/core/event/event_test.go
@@ -22,6 +22,8 @@
 		{"no id", "data: x\n\n", Prefix{Bytes: 9, Events: 1}},
 		{"repeated id", "id: 1\n\nid: 2\n\nid: 2\n\nid: 3\n\n", Prefix{Bytes: 14, Events: 2, LastID: "2", OutOfOrder: true}},
 		{"empty lines", "\n\n", Prefix{Bytes: 2}},
+		{"comment", ": busy\n\n", Prefix{Bytes: 8}},
+		{"event with a comment", ": busy\nid: 1\n\n", Prefix{Bytes: 14, Events: 1, LastID: "1"}},
 	} {
 		assert.Equal(t, Scan([]byte(test.data), ""), test.want, test.name)
 	}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -48,6 +48,7 @@
 	errWrongID      = errors.ConstError("response has the id of another request or none")
 	errEncoded      = errors.ConstError("response body is encoded, but no encoding was requested")
 	errPartialEvent = errors.ConstError("stream ended in the middle of an event")
+	errNoEvent      = errors.ConstError("stream has no length and ended with its connection before the first event")
 	errOutOfOrder   = errors.ConstError("stream events are out of order")
 	errNotStream    = errors.ConstError("response to a stream request is not text/event-stream")
 	errTooLarge     = errors.ConstError("response or stream event is larger than the limit")
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -41,6 +41,7 @@
 			streamBuffers.Put(pooled)
 		}
 	}()
+	events := 0
 	for {
 		if len(buf) == cap(buf) {
 			if cap(buf) >= maxEventBytes {
@@ -51,6 +52,7 @@
 		n, err := x.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		prefix := event.Scan(buf, p.lastEvent)
+		events += prefix.Events
 		if prefix.Bytes > 0 {
 			if err := p.writeEvents(x, e, buf[:prefix.Bytes], prefix); err != nil {
 				return err
@@ -64,6 +66,10 @@
 			if len(buf) > 0 {
 				return errPartialEvent
 			}
+			// A replica that crashes after the header looks the same.
+			if events == 0 && !x.HasDelimitedBody() {
+				return errNoEvent
+			}
 			return p.finishStream(x, e)
 		}
 		if err != nil {
