io/proxy: forward streams without a Content-Length

Cause: the response keeps the header of its first replica, with the length. Another replica may divide the rest of the text into other events, and net/http cuts a response that is longer or shorter than declared.

Change: streams are always forwarded in chunks, which also tell a caller whether the stream is complete.

--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -30,6 +30,8 @@
 	if p.route.Repeatable() {
 		x.SetProgressTimeout(p.gapTimeout())
 	}
+	// Another replica may resume the stream and make it shorter or longer.
+	x.Header.Del("Content-Length")
 	pooled, ok := streamBuffers.Get().(*[]byte)
 	if !ok {
 		return errors.New("streamBuffers contains a value that is not a *[]byte")
