io/proxy: a response with a status below 200 is malformed

Cause: net/http takes any three digits for a status, and the transport returns 000 to 099 and 101 as final responses. Below 300 they counted as success; the server panics when it is to write a status below 100. The panic skips the router's count of the attempt's end, so each leaves one of the replica's slots taken until the VM restarts.

Change: a status below 200 makes the response malformed, as a truncated one is: the request is sent again where it may be, and otherwise answered 502.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -45,6 +45,7 @@
 // Errors of a response that cannot be forwarded.
 const (
 	errUnsigned     = errors.ConstError("response lacks the backend server's signature")
+	errStatus       = errors.ConstError("response has a status that no final response has (allowed: 200 to 999)")
 	errWrongID      = errors.ConstError("response has the id of another request or none")
 	errEncoded      = errors.ConstError("response body is encoded, but no encoding was requested")
 	errPartialEvent = errors.ConstError("stream ended in the middle of an event")
@@ -138,6 +139,8 @@
 func (p *proxyRequest) checkResponse(x *back.Exchange, respInfo ResponseInfo) error {
 	success := x.Status < http.StatusMultipleChoices
 	switch {
+	case x.Status < http.StatusOK:
+		return errors.Annotatef(errStatus, "status %d", x.Status)
 	case respInfo.ID != "" && respInfo.ID != p.info.ID:
 		return errors.Annotatef(errWrongID, "id %q, want %q", respInfo.ID, p.info.ID)
 	case success && respInfo.ID == "":
