io/proxy: forward an error response only with the request's id

Cause: the id was required of successes only. Replicas echo it in every response, and it is what tells a response from surplus bytes and from another program at the address.

Change: an error response without the id is malformed: the request is sent again where it may be, and otherwise answered 502.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -143,7 +143,7 @@
 		return errors.Annotatef(errStatus, "status %d", x.Status)
 	case respInfo.ID != "" && respInfo.ID != p.info.ID:
 		return errors.Annotatef(errWrongID, "id %q, want %q", respInfo.ID, p.info.ID)
-	case success && respInfo.ID == "":
+	case respInfo.ID == "" && (success || !respInfo.NotRun):
 		return errors.Annotatef(errWrongID, "no id, want %q", p.info.ID)
 	case success && !respInfo.Signed:
 		return errUnsigned
