io/proxy: a refusal counts from its header on

Cause: the refusal was noted after its body was read. If that broke off, the replica could have run the request for all the router knew.

Change: the header of the refusal is enough. The connection is closed as before.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -167,6 +167,10 @@
 // readResponse reads a response that is not a stream. A success is forwarded; an error
 // response is kept.
 func (p *proxyRequest) readResponse(x *back.Exchange, e *attemptResult, respInfo ResponseInfo) error {
+	if respInfo.NotRun && x.Status >= http.StatusMultipleChoices {
+		// The header says so, even if the body breaks off.
+		e.cause = retry.CauseBusy
+	}
 	body, err := io.ReadAll(io.LimitReader(x, maxBufferedBytes+1))
 	if err != nil {
 		return errors.Annotate(err, "reading the response body")
@@ -179,9 +183,7 @@
 	}
 	res := &response{status: x.Status, header: x.Header, body: body}
 	if x.Status >= http.StatusMultipleChoices {
-		if respInfo.NotRun {
-			e.cause = retry.CauseBusy
-		} else {
+		if e.cause != retry.CauseBusy {
 			e.replicaFailure = res
 		}
 		return nil
