io/proxy: count 421 as a failure of the replica

Cause: 421 counted as a refusal by a full replica, which is never ejected for it. Refusals are quick, so that the address even looked idle.

Change: the request still counts as not run and goes to another replica. For the choice of replicas 421 is a failure, and three in a row eject.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -228,6 +228,9 @@
 	switch {
 	case e.done:
 		out.Status = route.StatusOK
+	case e.cause == retry.CauseBusy && e.status == http.StatusMisdirectedRequest:
+		// Another replica has the address now.
+		out.Status = route.StatusFailed
 	case e.callerGone, e.cause == retry.CauseBusy:
 		out.Status = route.StatusCanceled
 	case e.cause == retry.CauseUnreachable:
