io/back: an attempt closes only a connection that is still its own

Cause: net/http hands a connection to the next attempt before the one that it comes from has ended, and that one closed it or marked it idle.

Change: a connection knows the attempt that uses it. Only that attempt closes it, and only an idle one is closed after another went silent. Both seal the connection first, so that a request that net/http puts on it in between is certainly not written and goes out on a new connection.

--- a/io/back/attempt.go
+++ b/io/back/attempt.go
@@ -55,8 +55,13 @@
 func (a *attempt) close() {
 	a.watchdog.stop()
 	a.cancel(nil)
+	a.release()
+}
+
+// release gives up the connection, if net/http has not yet handed it to another attempt.
+func (a *attempt) release() {
 	if a.conn != nil {
-		a.conn.active.Store(false)
+		a.conn.release(a)
 	}
 }
 
@@ -76,7 +81,7 @@
 func (a *attempt) open() (*http.Response, error) {
 	res, err := a.roundTrip(a.transport())
 	if a.closedUnused(err) {
-		a.conn.active.Store(false)
+		a.release()
 		a.conn = nil
 		res, err = a.roundTrip(a.client.unpooled)
 	}
@@ -97,12 +102,13 @@
 	return res, errors.Trace(err)
 }
 
-// closedUnused reports whether this side had closed the idle connection that the request
-// was to be sent on, so that certainly no byte of it was sent. An earlier attempt closes
-// its connection if its response turns out to be incomplete at its end, when net/http may
-// have handed the connection to another attempt already.
+// closedUnused reports whether this side had closed or sealed the idle connection that the
+// request was to be sent on, so that certainly no byte of it was sent. An earlier attempt
+// closes its connection if its response turns out to be incomplete at its end, when net/http
+// may hand the connection to another attempt already.
 func (a *attempt) closedUnused(err error) bool {
-	return errors.Is(err, net.ErrClosed) && a.ctx.Err() == nil && a.conn != nil && !a.mayHaveWritten()
+	closed := errors.Is(err, net.ErrClosed) || errors.Is(err, errSealed)
+	return closed && a.ctx.Err() == nil && a.conn != nil && !a.mayHaveWritten()
 }
 
 // transport returns the transport with which net/http cannot replay this request.
@@ -148,9 +154,8 @@
 	if !ok {
 		return
 	}
-	c.active.Store(true)
 	a.conn = c
-	a.writesBefore = c.writeCount()
+	a.writesBefore = c.take(a)
 	a.result.Reused = info.Reused
 	a.watchdog.setConn(c)
 	if info.Reused {
@@ -183,7 +188,7 @@
 	a.result.BytesWritten = a.mayHaveWritten()
 	a.result.Total = time.Since(a.started)
 	a.result.Ending = a.ending(err, silent)
-	if a.conn != nil {
+	if a.conn != nil && a.conn.sealFor(a) {
 		a.client.conns.close(a.conn)
 	}
 	if a.result.Ending == EndingSilent {
--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -10,9 +10,8 @@
 	"github.com/juju/errors"
 )
 
-// errSealed is the error of a write on a connection whose request was abandoned before
-// its first byte.
-const errSealed = errors.ConstError("connection is sealed: its request was abandoned before the first byte")
+// errSealed is the error of a write on a connection that this side is about to close.
+const errSealed = errors.ConstError("connection is sealed: it is about to be closed")
 
 // conn is a connection that counts its writes and records when it last made progress.
 type conn struct {
@@ -23,12 +22,12 @@
 	progress atomic.Int64
 	// broken is set when a read or write fails other than because this side closed the
 	// connection, such as when the backend server closes or resets it.
-	broken atomic.Bool
-	// active is true while an attempt uses the connection.
-	active  atomic.Bool
+	broken  atomic.Bool
 	onClose func(*conn)
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// user is the attempt that uses the connection; nil while it is idle.
+	user   *attempt
 	writes int
 	sealed bool
 }
@@ -98,6 +97,42 @@
 	return c.writes
 }
 
+// take makes an attempt the user of the connection, and returns the number of writes so
+// far.
+func (c *conn) take(a *attempt) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.user = a
+	return c.writes
+}
+
+// release makes the connection idle if the attempt is still its user.
+func (c *conn) release(a *attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.user == a {
+		c.user = nil
+	}
+}
+
+func (c *conn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.user == nil
+}
+
+// sealFor seals the connection, so that further writes fail, if the attempt, or none if
+// it is nil, is its user. It reports whether it has sealed it.
+func (c *conn) sealFor(user *attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.user != user {
+		return false
+	}
+	c.sealed = true
+	return true
+}
+
 // sealUnwritten seals the connection, so that further writes fail, if the write count
 // has not increased since it was writesBefore. It reports whether it has sealed it.
 func (c *conn) sealUnwritten(writesBefore int) bool {
--- a/io/back/conns.go
+++ b/io/back/conns.go
@@ -66,7 +66,7 @@
 	defer s.mu.Unlock()
 	var out []*conn
 	for c := range s.open[address] {
-		if !c.active.Load() {
+		if c.isIdle() {
 			out = append(out, c)
 		}
 	}
@@ -78,7 +78,9 @@
 func (s *connTracker) closeIdle(t Target) {
 	idle := s.idle(t.Address)
 	for _, c := range idle {
-		s.close(c)
+		if c.sealFor(nil) {
+			s.close(c)
+		}
 	}
 	s.log.WithFields(logrus.Fields{"event": "silentConnection", "replica": t.ID, "address": t.Address, "idleClosed": len(idle)}).
 		Warn("connection to the backend server is silent; closed its idle connections")
