io/back: use no connection past the replica's Keep-Alive timeout

Cause: the Keep-Alive header was dropped unread. Idle connections are kept for two seconds, which is longer than a timeout of one second or zero.

Change: a connection that has been idle until 200 ms before its timeout is sealed when net/http hands it out, and the request goes out on a new one, as it does where this side has closed the connection. No timer, and no change for replicas that send no such header. A replica whose timeout is below a second may send none: it still closes under requests.

--- a/io/back/attempt.go
+++ b/io/back/attempt.go
@@ -18,6 +18,10 @@
 // The connection can be reused only if the body was read to its end.
 const drainTimeout = 100 * time.Millisecond
 
+// keepAliveMargin is how long before the end of a backend server's idle timeout its
+// connections get no request any more, as the server may close them before it arrives.
+const keepAliveMargin = 200 * time.Millisecond
+
 // Errors of an attempt that are not errors of the connection.
 const (
 	errTruncated     = errors.ConstError("stream ended without its [DONE] event")
@@ -88,6 +92,9 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	if timeout, ok := keepAliveTimeout(res.Header); ok && a.conn != nil {
+		a.conn.limitIdle(timeout - keepAliveMargin)
+	}
 	a.result.Status = res.StatusCode
 	a.result.Header = endToEnd(res.Header)
 	return res, nil
--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -27,9 +27,13 @@
 
 	mu sync.Mutex
 	// user is the attempt that uses the connection; nil while it is idle.
-	user   *attempt
-	writes int
-	sealed bool
+	user *attempt
+	// idleLimit is how long the connection may have been idle when a request is sent on
+	// it, if idleLimited.
+	idleLimit   time.Duration
+	idleLimited bool
+	writes      int
+	sealed      bool
 }
 
 // Read reads and records progress.
@@ -97,12 +101,22 @@
 	return c.writes
 }
 
+// limitIdle sets how long the connection may have been idle when a request is sent on it.
+func (c *conn) limitIdle(limit time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleLimit, c.idleLimited = limit, true
+}
+
 // take makes an attempt the user of the connection, and returns the number of writes so
-// far.
+// far. It seals a connection that has been idle for too long.
 func (c *conn) take(a *attempt) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.user = a
+	if c.idleLimited && time.Since(c.lastProgress()) >= c.idleLimit {
+		c.sealed = true
+	}
 	return c.writes
 }
 
--- a/io/back/header.go
+++ b/io/back/header.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 )
 
 // hopByHop are the header fields that apply to one connection only.
@@ -27,3 +29,20 @@
 	}
 	return out
 }
+
+// keepAliveTimeout returns how long the backend server keeps an idle connection, if it says
+// so.
+func keepAliveTimeout(h http.Header) (time.Duration, bool) {
+	for _, list := range h.Values("Keep-Alive") {
+		for parameter := range strings.SplitSeq(list, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+			if !strings.EqualFold(name, "timeout") {
+				continue
+			}
+			if seconds, err := strconv.ParseUint(value, 10, 16); err == nil {
+				return time.Duration(seconds) * time.Second, true
+			}
+		}
+	}
+	return 0, false
+}
