io/proxy: do not resume a stream after an event without an id

Cause: a stream is resumed after the last id that the caller has. Events without an id that came after it were forgotten, and the other replica sent them again.

Change: if the last event has no id, the stream that breaks off is not resumed, and the response ends incomplete. Comments are no events.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -23,6 +23,9 @@
 	// LastID is the id of the last event with an id, or the id given to Scan if none
 	// of the events has one.
 	LastID string
+	// EndsWithoutID is true if the last event has no id: the stream cannot be resumed
+	// after it.
+	EndsWithoutID bool
 	// OutOfOrder is true if the prefix ends before a complete event whose numeric id
 	// is not greater than LastID.
 	OutOfOrder bool
@@ -59,6 +62,7 @@
 		prefix.Bytes = start
 		if lines > 0 {
 			prefix.Events++
+			prefix.EndsWithoutID = id == ""
 		}
 		id, lines = "", 0
 	}
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -38,9 +38,11 @@
 	tried   []call.ReplicaID
 	replica call.ReplicaID
 	// responseStarted is true once the header of a stream was written to the caller;
-	// lastEvent is the id of the last event that the caller has.
+	// lastEvent is the last id of an event that the caller has; endsWithoutID is true if
+	// the last event has none.
 	responseStarted bool
 	lastEvent       string
+	endsWithoutID   bool
 	// firstAt is when the response or the first event was forwarded; events counts the
 	// forwarded events.
 	firstAt time.Time
--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -102,7 +102,7 @@
 	if ctx.Err() != nil || e.callerGone || p.sends >= p.s.c.MaxSends {
 		return 0, false
 	}
-	if p.responseStarted && !p.route.Resumes {
+	if p.responseStarted && (!p.route.Resumes || p.endsWithoutID) {
 		return 0, false
 	}
 	p.tried = append(p.tried, e.replica)
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -87,6 +87,9 @@
 	defer x.ResumeTimeout()
 	p.events += prefix.Events
 	p.lastEvent = prefix.LastID
+	if prefix.Events > 0 {
+		p.endsWithoutID = prefix.EndsWithoutID
+	}
 	if _, err := p.w.Write(data); err != nil {
 		e.callerGone = true
 		return errors.Annotate(err, "writing to the caller")
