io/proxy: keep the length in the response to a HEAD request

Cause: the router sets the length to that of the body it has read, which HEAD leaves out.

Change: the replica's Content-Length stays.

--- a/io/proxy/response.go
+++ b/io/proxy/response.go
@@ -26,10 +26,13 @@
 	p.w.WriteHeader(status)
 }
 
-// writeResponse writes a response that is not a stream, with its Content-Length.
+// writeResponse writes a response that is not a stream, with its Content-Length. The
+// response to HEAD keeps the replica's.
 func (p *proxyRequest) writeResponse(res *response) error {
 	p.firstAt = p.s.c.Now()
-	res.header.Set("Content-Length", strconv.Itoa(len(res.body)))
+	if p.r.Method != http.MethodHead {
+		res.header.Set("Content-Length", strconv.Itoa(len(res.body)))
+	}
 	p.writeHeader(res.status, res.header)
 	_, err := p.w.Write(res.body)
 	return errors.Annotate(err, "writing to the caller")
