--- a/core/event/event.go
+++ b/core/event/event.go
@@ -18,11 +18,14 @@
 type Prefix struct {
 	// Bytes is the length of the prefix.
 	Bytes int
-	// Events is the number of events in the prefix.
+	// Events is the number of events in the prefix. Comments and empty lines are none.
 	Events int
 	// LastID is the id of the last event with an id, or the id given to Scan if none
 	// of the events has one.
 	LastID string
+	// EndsWithoutID is true if the last event has no id: the stream cannot be resumed
+	// after it.
+	EndsWithoutID bool
 	// OutOfOrder is true if the prefix ends before a complete event whose numeric id
 	// is not greater than LastID.
 	OutOfOrder bool
@@ -41,7 +44,9 @@
 		line := bytes.TrimSuffix(data[start:start+n], []byte("\r"))
 		start += n + 1
 		if len(line) > 0 {
-			lines++
+			if line[0] != ':' {
+				lines++
+			}
 			if value, ok := field(line, "id"); ok {
 				id = value
 			}
@@ -57,6 +62,7 @@
 		prefix.Bytes = start
 		if lines > 0 {
 			prefix.Events++
+			prefix.EndsWithoutID = id == ""
 		}
 		id, lines = "", 0
 	}
--- a/io/back/attempt.go
+++ b/io/back/attempt.go
@@ -18,6 +18,10 @@
 // The connection can be reused only if the body was read to its end.
 const drainTimeout = 100 * time.Millisecond
 
+// keepAliveMargin is how long before the end of a backend server's idle timeout its
+// connections get no request any more, as the server may close them before it arrives.
+const keepAliveMargin = 200 * time.Millisecond
+
 // Errors of an attempt that are not errors of the connection.
 const (
 	errTruncated     = errors.ConstError("stream ended without its [DONE] event")
@@ -55,6 +59,11 @@
 func (a *attempt) close() {
 	a.watchdog.stop()
 	a.cancel(nil)
+	a.release()
+}
+
+// release gives up the connection, if net/http has not yet handed it to another attempt.
+func (a *attempt) release() {
 	if a.conn != nil {
 		a.conn.release(a)
 	}
@@ -76,13 +85,16 @@
 func (a *attempt) open() (*http.Response, error) {
 	res, err := a.roundTrip(a.transport())
 	if a.closedUnused(err) {
-		a.conn.release(a)
+		a.release()
 		a.conn = nil
 		res, err = a.roundTrip(a.client.unpooled)
 	}
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	if timeout, ok := keepAliveTimeout(res.Header); ok && a.conn != nil {
+		a.conn.limitIdle(timeout - keepAliveMargin)
+	}
 	a.result.Status = res.StatusCode
 	a.result.Header = endToEnd(res.Header)
 	return res, nil
--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -32,6 +32,10 @@
 	// user is the attempt that uses the connection, nil while it is idle. net/http may
 	// hand the connection to the next attempt before the last one has ended.
 	user *attempt
+	// idleLimit is how long the connection may have been idle when a request is sent on
+	// it, if idleLimited.
+	idleLimit   time.Duration
+	idleLimited bool
 }
 
 // Read reads and records progress.
@@ -99,6 +103,13 @@
 	return c.writes
 }
 
+// limitIdle sets how long the connection may have been idle when a request is sent on it.
+func (c *conn) limitIdle(limit time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleLimit, c.idleLimited = limit, true
+}
+
 // sealUnwritten seals the connection, so that further writes fail, if the write count
 // has not increased since it was writesBefore. It reports whether it has sealed it.
 func (c *conn) sealUnwritten(writesBefore int) bool {
@@ -111,11 +122,15 @@
 	return true
 }
 
-// acquire makes the attempt the user of the connection and returns the write count.
+// acquire makes the attempt the user of the connection and returns the write count. It
+// seals a connection that has been idle for too long.
 func (c *conn) acquire(a *attempt) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.user = a
+	if c.idleLimited && time.Since(c.lastProgress()) >= c.idleLimit {
+		c.sealed = true
+	}
 	return c.writes
 }
 
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -53,9 +53,11 @@
 // Errors of a response that cannot be forwarded.
 const (
 	errUnsigned     = errors.ConstError("response lacks the backend server's signature")
+	errStatus       = errors.ConstError("response has a status that no final response has (allowed: 200 to 999)")
 	errWrongID      = errors.ConstError("response has the id of another request or none")
 	errEncoded      = errors.ConstError("response body is encoded, but no encoding was requested")
 	errPartialEvent = errors.ConstError("stream ended in the middle of an event")
+	errNoEvent      = errors.ConstError("stream has no length and ended with its connection before the first event")
 	errOutOfOrder   = errors.ConstError("stream events are out of order")
 	errNotStream    = errors.ConstError("response to a stream request is not text/event-stream")
 	errTooLarge     = errors.ConstError("response or stream event is larger than the limit")
@@ -153,9 +155,11 @@
 func (p *proxyRequest) checkResponse(x *back.Exchange, respInfo ResponseInfo) error {
 	success := x.Status < http.StatusMultipleChoices
 	switch {
+	case x.Status < http.StatusOK:
+		return errors.Annotatef(errStatus, "status %d", x.Status)
 	case respInfo.ID != "" && respInfo.ID != p.info.ID:
 		return errors.Annotatef(errWrongID, "id %q, want %q", respInfo.ID, p.info.ID)
-	case success && respInfo.ID == "":
+	case respInfo.ID == "" && (success || !respInfo.NotRun):
 		return errors.Annotatef(errWrongID, "no id, want %q", p.info.ID)
 	case success && !respInfo.Signed:
 		return errUnsigned
@@ -179,6 +183,10 @@
 // readResponse reads a response that is not a stream. A success is forwarded; an error
 // response is kept.
 func (p *proxyRequest) readResponse(x *back.Exchange, e *attemptResult, respInfo ResponseInfo) error {
+	if respInfo.NotRun && x.Status >= http.StatusMultipleChoices {
+		// The header says so, even if the body breaks off.
+		e.cause = retry.CauseBusy
+	}
 	body, err := io.ReadAll(io.LimitReader(x, maxBufferedBytes+1))
 	if err != nil {
 		return errors.Annotate(err, "reading the response body")
@@ -191,9 +199,7 @@
 	}
 	res := &response{status: x.Status, header: x.Header, body: body}
 	if x.Status >= http.StatusMultipleChoices {
-		if respInfo.NotRun {
-			e.cause = retry.CauseBusy
-		} else {
+		if e.cause != retry.CauseBusy {
 			e.replicaFailure = res
 		}
 		return nil
@@ -238,6 +244,9 @@
 	switch {
 	case e.done:
 		out.Status = route.StatusOK
+	case e.cause == retry.CauseBusy && e.status == http.StatusMisdirectedRequest:
+		// Another replica has the address now.
+		out.Status = route.StatusFailed
 	case e.callerGone, e.cause == retry.CauseBusy, e.cause == retry.CauseSilent && p.takeover.countsAsFailure():
 		out.Status = route.StatusCanceled
 	case e.cause == retry.CauseUnreachable:
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -44,9 +44,11 @@
 	// takeover is that of the current or last attempt; nil before the first one.
 	takeover *takeover
 	// responseStarted is true once the header of a stream was written to the caller;
-	// lastEvent is the id of the last event that the caller has.
+	// lastEvent is the last id of an event that the caller has; endsWithoutID is true if
+	// the last event has none.
 	responseStarted bool
 	lastEvent       string
+	endsWithoutID   bool
 	// firstAt is when the response or the first event was forwarded; events counts the
 	// forwarded events.
 	firstAt time.Time
--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -143,7 +143,7 @@
 // waitForRetry waits until another attempt may be made. It returns false if none may.
 func (p *proxyRequest) waitForRetry(ctx context.Context) bool {
 	e := &p.lastAttempt
-	if ctx.Err() != nil || e.callerGone || p.responseStarted && !p.route.Resumes {
+	if ctx.Err() != nil || e.callerGone || p.responseStarted && (!p.route.Resumes || p.endsWithoutID) {
 		return false
 	}
 	p.tried = append(p.tried, e.replica)
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -30,6 +30,8 @@
 	if p.route.Repeatable() {
 		x.SetProgressTimeout(p.gapTimeout())
 	}
+	// Another replica may resume the stream and make it shorter or longer.
+	x.Header.Del("Content-Length")
 	pooled, ok := streamBuffers.Get().(*[]byte)
 	if !ok {
 		return errors.New("streamBuffers contains a value that is not a *[]byte")
@@ -64,6 +66,10 @@
 			if len(buf) > 0 {
 				return errPartialEvent
 			}
+			// A replica that crashes after the header looks the same.
+			if e.events == 0 && !x.HasDelimitedBody() {
+				return errNoEvent
+			}
 			return p.finishStream(x, e)
 		}
 		if err != nil {
@@ -74,6 +80,12 @@
 
 // writeEvents writes complete events to the caller.
 func (p *proxyRequest) writeEvents(x *back.Exchange, e *attemptResult, data []byte, prefix event.Prefix) error {
+	if prefix.Events > 0 {
+		p.endsWithoutID = prefix.EndsWithoutID
+	}
+	if p.endsWithoutID && !p.takeover.deliver() {
+		return errGivenUp
+	}
 	p.startResponse(x)
 	x.PauseTimeout()
 	defer x.ResumeTimeout()
