core/spread: an item larger than a message blocks gossip (failing test)

Records of crashes in gossip hold all VMs' records of a request or part. Store.Batch stops at the first item that does not fit. It counts as never sent, so that it is among the first of each later message too.

Measured: TestBatchWithItemLargerThanMessage fails, 'large was sent 0 times'.

--- a/core/spread/store_test.go
+++ b/core/spread/store_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -123,3 +124,30 @@
 	}
 	// Output: e1 leaving
 }
+
+// An item that is larger than a message kept all other items from being sent often enough,
+// and was never sent itself: the records of a crash that several VMs had seen.
+func TestBatchWithItemLargerThanMessage(t *testing.T) {
+	s := newStore("a")
+	s.Put(epoch, item("large", 1, strings.Repeat("v", 2*s.config.BatchBytes)))
+	for i := range 3 {
+		s.Put(epoch, item(fmt.Sprint("small", i), 1, "v"))
+	}
+	sent := map[string]int{}
+	for range 8 {
+		for _, it := range s.Batch(epoch, 9) {
+			sent[it.ID.Key]++
+		}
+	}
+	for _, key := range []string{"large", "small0", "small1", "small2"} {
+		assert.Assert(t, sent[key] >= 2, "%s was sent %d times", key, sent[key])
+	}
+	// Also a VM that was cut off gets it.
+	clear(sent)
+	for range 100 {
+		for _, it := range s.Batch(epoch, 9) {
+			sent[it.ID.Key]++
+		}
+	}
+	assert.Assert(t, sent["large"] > sendsPerDoubling*4, "sent %d times", sent["large"])
+}
