core/spread: send an item that is larger than a message alone

Callers could see: while the store is down, VMs do not learn of parts that crash replicas, and learn late of replicas and of each other: items were sent to the neighbours of one round and then kept back.

Cause: Store.Batch stopped at the first item that did not fit into a message, and an item larger than a message never does. Now such an item is sent alone, in its turn.

--- a/core/spread/store.go
+++ b/core/spread/store.go
@@ -34,7 +34,8 @@
 	Rand *rand.Rand
 	// Fanout is the number of neighbours to exchange items with in one round.
 	Fanout int
-	// BatchBytes limits the size of one message, MaxItems the number of items kept.
+	// BatchBytes limits the size of a message with several items, MaxItems the number of
+	// items kept.
 	BatchBytes int
 	MaxItems   int
 	// Join merges two items with the same ID; nil keeps the newer one. It has to be
@@ -236,10 +237,11 @@
 }
 
 // appendFitting appends up to most items to the batch, until one does not fit into
-// room bytes, and returns the batch and the room left.
+// room bytes, and returns the batch and the room left. An item that is larger than a
+// message is sent alone.
 func (s *Store) appendFitting(batch Items, from []*entry, room, most int) (Items, int) {
 	for _, e := range from[:min(most, len(from))] {
-		if e.item.size() > room {
+		if e.item.size() > room && (len(batch) > 0 || e.item.size() <= s.config.BatchBytes) {
 			break
 		}
 		room -= e.item.size()
