core/poison: refused parts and requests are evicted by others (failing tests)

A refused part or request gets no further crashes, so that its record becomes the oldest of those that other VMs know too. When later crashes leave as many records as a VM keeps, it is evicted and run again.

--- a/core/poison/refuse_test.go
+++ b/core/poison/refuse_test.go
@@ -130,3 +130,22 @@
 	}
 	assert.Equal(t, r.remove(1), maxRecentFinishes)
 }
+
+// A refused request was forgotten, and sent on, when later crashes had left records of as
+// many other requests as a VM keeps.
+func TestRefusedRequestIsKeptBeforeOthers(t *testing.T) {
+	r := newRegistry(t, Config{Self: "e1", RefuseAfter: 3, MaxFingerprints: 64})
+	const bad Fingerprint = 1 << 40
+	crash := func(at time.Time, fp Fingerprint, replica call.ReplicaID) {
+		r.Crashed(at, fp, replica, false)
+		r.Publish(at, fp)
+	}
+	for i, replica := range []call.ReplicaID{"a", "b", "c"} {
+		crash(ms(100*i), bad, replica)
+	}
+	for i := range 256 {
+		crash(ms(1000+10*i), Fingerprint(i), "d")
+	}
+	assert.Equal(t, r.Judge(ms(20000), bad).Action, ActionRefuse)
+	assert.Assert(t, r.Len() <= 64)
+}
--- a/core/poison/successive_test.go
+++ b/core/poison/successive_test.go
@@ -235,3 +235,23 @@
 	assert.Assert(t, !refuses(b, 31600, 1))
 	assert.Assert(t, !b.TrialDue(ms(31600), 1))
 }
+
+// A refused part was forgotten, and its requests sent on, when later crashes had left records
+// of as many other parts as a VM keeps.
+func TestRefusedPartIsKeptBeforeOthers(t *testing.T) {
+	c := partConfig
+	c.Self, c.MaxFingerprints = "e1", 64
+	r := newRegistry(t, c)
+	const bad Fingerprint = 1 << 40
+	for _, lost := range []run{{"a", 0, 100}, {"b", 200, 300}, {"c", 400, 500}} {
+		r.CrashedRun(ms(lost.lost), bad, lost.crash())
+	}
+	r.TakeChanged(ms(600))
+	for i := range 4 * c.MaxFingerprints {
+		now := 1000 + 10*i
+		r.CrashedRun(ms(now), Fingerprint(i), run{"d", now - 5, now}.crash())
+		r.TakeChanged(ms(now))
+	}
+	assert.Assert(t, refuses(r, 20000, bad))
+	assert.Assert(t, r.Len() <= c.MaxFingerprints)
+}
