core/poison: evict what is refused last

Callers could see: requests with a part that is refused, or requests that are refused, are sent to replicas again.

Cause: eviction went by age and by who knows a record; what is refused gets no new crashes, and is the oldest. Now requests and parts that may run are evicted before the others.

Measured: TestRefusedPartIsKeptBeforeOthers and TestRefusedRequestIsKeptBeforeOthers failed before and pass, with all tests of core/poison.

--- a/core/poison/registry.go
+++ b/core/poison/registry.go
@@ -263,26 +263,30 @@
 }
 
 // evict deletes entries older than Retention once MaxFingerprints is reached and,
-// if that is not enough, a quarter of the entries: first those that only this
-// VM knows, then by age, oldest first.
+// if that is not enough, a quarter of the entries: those that may run before the
+// others, first those that only this VM knows, then by age, oldest first.
 func (r *Registry) evict(now time.Time) {
 	if len(r.entries) < r.c.MaxFingerprints {
 		return
 	}
 	kept := make([]Fingerprint, 0, len(r.entries))
+	restricted := make(map[Fingerprint]bool)
 	for fp, e := range r.entries {
 		if now.Sub(e.updated) >= r.c.Retention {
 			r.remove(fp)
 			continue
 		}
 		kept = append(kept, fp)
+		if e.judge(now, r.c).Action != ActionRun {
+			restricted[fp] = true
+		}
 	}
 	if len(kept) < r.c.MaxFingerprints {
 		return
 	}
 	slices.SortFunc(kept, func(a, b Fingerprint) int {
 		x, y := r.entries[a], r.entries[b]
-		return cmp.Or(compareBool(x.shared(), y.shared()), x.updated.Compare(y.updated), cmp.Compare(a, b))
+		return cmp.Or(compareBool(restricted[a], restricted[b]), compareBool(x.shared(), y.shared()), x.updated.Compare(y.updated), cmp.Compare(a, b))
 	})
 	for _, fp := range kept[:len(kept)/4+1] {
 		r.remove(fp)
