core/poison: a lookup costs as much as all refused parts (failing test)

RefusedParts compares a refused part with all others, and collects and sorts the crashes of each for that.

--- a/core/poison/successive_test.go
+++ b/core/poison/successive_test.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -255,3 +256,19 @@
 	assert.Assert(t, refuses(r, 20000, bad))
 	assert.Assert(t, r.Len() <= c.MaxFingerprints)
 }
+
+// Each request with a refused part cost as much as all records of refused parts hold: after
+// hundreds of parts had been refused, the lookups kept the VM busy.
+func TestRefusedPartsCostsLittleAmongMany(t *testing.T) {
+	r := newPartRegistry(t, "e1")
+	const others = 200
+	for i := range others {
+		for n := range 3 {
+			replica := call.ReplicaID(fmt.Sprint(i, "-", n))
+			r.CrashedRun(ms(300*n+100), Fingerprint(i), run{replica, 300 * n, 300*n + 100}.crash())
+		}
+	}
+	assert.Assert(t, refuses(r, 1000, 7))
+	allocations := testing.AllocsPerRun(10, func() { refuses(r, 1000, 7) })
+	assert.Assert(t, allocations < others, "%.0f allocations", allocations)
+}
