core/poison: compare a refused part only with those of the same latest crash

Cause: explainedWithout collected the crashes of all refused parts for each refused part of a request. Now a part is looked at only if it was in flight at the latest crash, which allocates nothing.

--- a/core/poison/bench_test.go
+++ b/core/poison/bench_test.go
@@ -106,3 +106,25 @@
 		i++
 	}
 }
+
+// The parts have records of six VMs each, and no crashes in common.
+func BenchmarkManyRefusedParts(b *testing.B) {
+	for _, n := range []int{10, 100, 500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := newPartRegistry(b, "e1")
+			for i := range n {
+				for vm := range 6 {
+					other := newPartRegistry(b, call.VMID(fmt.Sprint("v", vm)))
+					for c := range 3 {
+						lost := run{call.ReplicaID(fmt.Sprint(i, "-", c)), 1000 * c, 1000*c + 100}
+						other.CrashedRun(ms(lost.lost), Fingerprint(i), lost.crash())
+					}
+					assert.NilError(b, r.MergeSnapshot(ms(4000), Fingerprint(i), other.Snapshot(Fingerprint(i)).Value))
+				}
+			}
+			for b.Loop() {
+				r.RefusedParts(ms(5000), []Fingerprint{1, 2, 3, 4})
+			}
+		})
+	}
+}
--- a/core/poison/successive.go
+++ b/core/poison/successive.go
@@ -66,8 +66,9 @@
 func (r *Registry) explainedWithout(now time.Time, fp Fingerprint, list []Fingerprint) bool {
 	e := r.entries[fp]
 	crashes := e.crashes(now, r.c).since(e.finishedAt())
+	latest := crashes[len(crashes)-1:]
 	for other := range r.refused {
-		if slices.Contains(list, other) || !r.refuses(now, other) {
+		if slices.Contains(list, other) || !r.entries[other].anyCovers(latest, r.c.CrashWindow) || !r.refuses(now, other) {
 			continue
 		}
 		o := r.entries[other]
@@ -96,6 +97,16 @@
 	return n
 }
 
+// anyCovers reports whether the record of a VM covers the crashes.
+func (e *entry) anyCovers(crashes Crashes, window time.Duration) bool {
+	for _, record := range e.records {
+		if record.Crashes.cover(crashes, window) {
+			return true
+		}
+	}
+	return false
+}
+
 // finishedAt returns when the latest run finished on any VM, as far as known.
 func (e *entry) finishedAt() time.Time {
 	var at time.Time
