io/entry: write records of crashes again whose leases ended in an outage

Callers could see: after an outage of the store and a restart of VMs, requests that had crashed three replicas were sent to more than three others.

Cause: the leases of the records may expire while the store is down. Now records that are gone from the store and count for more than a minute still are written again by the VMs that hold them, whoever wrote them first. Each VM waits for a random time, on average 50 ms for each VM, and writes only what is not back by then. After a conflict, a VM does not write again what the store holds already.

TestLapsedRecords is new.

--- a/io/entry/crash_writer.go
+++ b/io/entry/crash_writer.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"slices"
@@ -119,10 +120,10 @@
 func (w *crashWriter) write(batch []crashID) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashWriteTimeout)
 	defer cancel()
-	err := w.writeBatch(ctx, batch)
+	left, err := w.writeBatch(ctx, batch)
 	if err != nil {
-		w.log.WithFields(logrus.Fields{"event": "crashWrite", "records": len(batch)}).WithError(err).Info("records of crashes were not written to the store, trying again")
-		w.add(batch)
+		w.log.WithFields(logrus.Fields{"event": "crashWrite", "records": len(left)}).WithError(err).Info("records of crashes were not written to the store, trying again")
+		w.add(left)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -132,11 +133,12 @@
 	}
 }
 
-// writeBatch writes records with a lease, which removes them after crashRetention.
-func (w *crashWriter) writeBatch(ctx context.Context, batch []crashID) error {
+// writeBatch writes records with a lease, which removes them after crashRetention. If that
+// fails, it returns those that still have to be written.
+func (w *crashWriter) writeBatch(ctx context.Context, batch []crashID) ([]crashID, error) {
 	lease, err := w.currentLease(ctx)
 	if err != nil {
-		return errors.Annotate(err, "crashWriter.writeBatch")
+		return batch, errors.Annotate(err, "crashWriter.writeBatch")
 	}
 	txn := kvs.Txn{}
 	for _, id := range batch {
@@ -148,14 +150,14 @@
 	switch {
 	case errors.Is(err, kvs.ErrLeaseLapsed):
 		w.setLease(0)
-		return errors.Annotate(err, "crashWriter.writeBatch")
+		return batch, errors.Annotate(err, "crashWriter.writeBatch")
 	case err != nil:
-		return errors.Annotate(err, "crashWriter.writeBatch")
+		return batch, errors.Annotate(err, "crashWriter.writeBatch")
 	case !result.Succeeded:
 		return w.mergeStored(ctx, batch)
 	}
 	w.written(txn, result.Revision)
-	return nil
+	return nil, nil
 }
 
 // writeTrials claims trials of parts for this VM, with the records that the store has in force.
@@ -192,7 +194,7 @@
 			}
 			return nil
 		}
-		if err := w.mergeStored(ctx, ids); !errors.Is(err, errCrashKnown) {
+		if _, err := w.mergeStored(ctx, ids); !errors.Is(err, errCrashKnown) {
 			return errors.Annotate(err, "crashWriter.writeTrials")
 		}
 	}
@@ -231,23 +233,28 @@
 }
 
 // mergeStored merges the stored records of a batch into the registry, because at least
-// one key was not as expected. It returns errCrashKnown if that succeeds.
-func (w *crashWriter) mergeStored(ctx context.Context, batch []crashID) error {
+// one key was not as expected. It returns errCrashKnown if that succeeds, and those of which
+// the store does not have all that is known.
+func (w *crashWriter) mergeStored(ctx context.Context, batch []crashID) ([]crashID, error) {
+	left := make([]crashID, 0, len(batch))
 	for _, id := range batch {
 		key := w.key(id)
 		found, err := w.store.Get(ctx, key)
 		if err != nil {
-			return errors.Annotate(err, "crashWriter.mergeStored")
+			return batch, errors.Annotate(err, "crashWriter.mergeStored")
 		}
 		w.setRevision(key, found)
-		if !found.Found {
-			continue
+		registry := w.registries.of(id.kind)
+		if found.Found {
+			if err := registry.MergeSnapshot(w.now(), id.fingerprint, found.Entry.Value); err != nil {
+				w.log.WithFields(logrus.Fields{"event": "crashStored", "key": key}).WithError(err).Warn("stored record of crashes is not valid, it is replaced")
+			}
 		}
-		if err := w.registries.of(id.kind).MergeSnapshot(w.now(), id.fingerprint, found.Entry.Value); err != nil {
-			w.log.WithFields(logrus.Fields{"event": "crashStored", "key": key}).WithError(err).Warn("stored record of crashes is not valid, it is replaced")
+		if !found.Found || w.key(id) != key || !bytes.Equal(registry.Snapshot(id.fingerprint).Value, found.Entry.Value) {
+			left = append(left, id)
 		}
 	}
-	return errCrashKnown
+	return left, errCrashKnown
 }
 
 func (w *crashWriter) setRevision(key string, found kvs.Lookup) {
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -39,6 +39,9 @@
 	// crashRetention is how long crashes count. It is also the longest lease of the
 	// platform's store, so that no record has to be renewed or removed.
 	crashRetention = 10 * time.Minute
+	// lapsedPausePerVM is, times the number of VMs, the longest wait of a VM before it writes
+	// records again that are gone from the store.
+	lapsedPausePerVM = 100 * time.Millisecond
 	// maxCrashRecords and rememberedFinishes limit the memory for fingerprints.
 	maxCrashRecords    = 4096
 	rememberedFinishes = 4096
@@ -77,11 +80,17 @@
 	log        logrus.FieldLogger
 	// observe is called with each lost run, and whether its replica had crashed.
 	observe func(crashed bool)
+	vms     func() int
+	// random returns a random number in [0, 1).
+	random func() float64
 
 	mu sync.Mutex
 	// checks are the checks in progress of whether a replica still accepts connections.
 	checks map[call.ReplicaID]*crashCheck
 
+	// lapsed holds when records that are gone from the store are written again.
+	lapsed map[crashID]time.Time
+
 	// applied holds the values of the store's entries that were applied. Only
 	// applySnapshot uses it.
 	applied map[string]string
@@ -186,7 +195,8 @@
 }
 
 // applySnapshot applies the records of suspect requests in the store. Removed ones stay
-// known: entries go when their lease ends, and the registry has its own retention.
+// known: entries go when their lease ends, and the registry has its own retention. Leases
+// may end early while the store is down; such records are written again.
 func (c *crashes) applySnapshot(snap kvs.Snapshot) {
 	now := c.now()
 	applied := make(map[string]string, len(snap.Entries))
@@ -196,9 +206,47 @@
 			c.apply(now, strings.TrimPrefix(entry.Key, suspectPrefix), entry.Value)
 		}
 	}
+	c.updateLapsed(now, applied)
 	c.applied = applied
 }
 
+// updateLapsed decides when to write again the records that are gone from the store though
+// they count for longer than their lease could be too short. The VMs wait for different
+// times, so that mostly one of them writes.
+func (c *crashes) updateLapsed(now time.Time, applied map[string]string) {
+	due := now.Add(time.Duration(c.random() * float64(c.vms()) * float64(lapsedPausePerVM)))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key := range applied {
+		if id, err := parseCrashID(strings.TrimPrefix(key, suspectPrefix)); err == nil {
+			delete(c.lapsed, id)
+		}
+	}
+	for key := range c.applied {
+		if _, stored := applied[key]; stored {
+			continue
+		}
+		id, err := parseCrashID(strings.TrimPrefix(key, suspectPrefix))
+		if err == nil && c.registries.of(id.kind).Judge(now.Add(crashLeaseUse), id.fingerprint).Crashes >= suspectAfterCrashes {
+			c.lapsed[id] = due
+		}
+	}
+}
+
+// takeLapsed returns the ids of the records that have to be written again now.
+func (c *crashes) takeLapsed(now time.Time) []crashID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []crashID
+	for id, due := range c.lapsed {
+		if !now.Before(due) {
+			out = append(out, id)
+			delete(c.lapsed, id)
+		}
+	}
+	return out
+}
+
 // writeAgain makes all records of this VM be written again, after the store has lost some.
 // It returns their number.
 func (c *crashes) writeAgain() int {
@@ -216,6 +264,10 @@
 	}
 	c.writer.add(changed)
 	if c.storeUp() {
+		if lapsed := c.takeLapsed(now); len(lapsed) > 0 {
+			c.writer.reset()
+			c.writer.add(lapsed)
+		}
 		c.writer.start(now)
 	}
 }
--- a/io/entry/crashes_test.go
+++ b/io/entry/crashes_test.go
@@ -11,6 +11,7 @@
 	"gentianwell/core/call"
 	"gentianwell/core/poison"
 	"gentianwell/core/spread"
+	"gentianwell/io/kvs"
 )
 
 // newCrashes returns the records of a VM that cannot read the store, and can only gossip.
@@ -19,6 +20,7 @@
 	log, _ := logtest.NewNullLogger()
 	c := &crashes{
 		items: spread.New(spread.Config{Self: vm, Rand: rand.New(rand.NewPCG(1, 2))}), storeUp: func() bool { return false }, now: now, log: log,
+		vms: func() int { return 9 }, random: func() float64 { return 0.5 }, lapsed: map[crashID]time.Time{},
 	}
 	var err error
 	c.registries.requests, err = poison.New(crashConfig(vm))
@@ -54,3 +56,38 @@
 	}
 	assert.Equal(t, len(b.registries.parts.RefusedParts(now, []poison.Fingerprint{part})), 1)
 }
+
+// Records that are gone from the store are written again only while they count for long, and
+// only if no other VM has done so.
+func TestLapsedRecords(t *testing.T) {
+	for name, test := range map[string]struct {
+		goneAfter time.Duration
+		back      bool
+		want      int
+	}{
+		"in an outage":                    {goneAfter: time.Minute, want: 1},
+		"in an outage, written by others": {goneAfter: time.Minute, back: true},
+		"at the end of their time":        {goneAfter: crashRetention - crashLeaseUse},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			clock := func() time.Time { return now }
+			a, b := newCrashes(t, "a", clock), newCrashes(t, "b", clock)
+			for _, replica := range []call.ReplicaID{"r1", "r2"} {
+				a.registries.requests.Crashed(now, 7, replica, false)
+			}
+			id := crashID{crashRequest, 7}
+			stored := kvs.Snapshot{Entries: kvs.Entries{{Key: suspectPrefix + id.String(), Value: a.registries.requests.Snapshot(7).Value}}}
+			b.applySnapshot(stored)
+			now = now.Add(test.goneAfter)
+			b.applySnapshot(kvs.Snapshot{})
+			assert.Equal(t, len(b.takeLapsed(now)), 0, "before its turn")
+			if test.back {
+				b.applySnapshot(stored)
+			}
+			now = now.Add(9 * lapsedPausePerVM)
+			assert.Equal(t, len(b.takeLapsed(now)), test.want)
+			assert.Equal(t, len(b.takeLapsed(now)), 0, "twice")
+		})
+	}
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -164,7 +164,8 @@
 			unwritten: map[crashID]bool{}, revisions: map[string]kvs.Revision{},
 		},
 		dial: e.options.Dial, now: e.options.Now, log: e.log, observe: func(crashed bool) { e.metrics.observeLostRun(crashed) },
-		checks: map[call.ReplicaID]*crashCheck{}, applied: map[string]string{},
+		checks: map[call.ReplicaID]*crashCheck{}, applied: map[string]string{}, lapsed: map[crashID]time.Time{},
+		vms: e.members.count, random: e.random,
 	}
 	e.crashes.trials = &trials{
 		registry: suspects.parts, write: e.crashes.writer.writeTrials, storeUp: e.storeStatus.up, vms: e.members.count, now: e.options.Now, log: e.log,
