io/entry: many crashes at once are not written to the store (failing test)

The users' page says that a transaction accepts at most 32 entries: rows of expectedRevision, writes and remove. If these count together, a batch of more than 16 records, a condition and a write each, is refused for good. The store of the platform tests now counts them together.

nextBatch is split from crashWriter.start for the test.

--- a/io/entry/crash_writer.go
+++ b/io/entry/crash_writer.go
@@ -104,6 +104,11 @@
 		return
 	}
 	w.writing = true
+	go w.write(w.nextBatch())
+}
+
+// nextBatch takes ids to write in one transaction; w.mu is held.
+func (w *crashWriter) nextBatch() []crashID {
 	batch := make([]crashID, 0, maxCrashWrites)
 	for id := range w.unwritten {
 		if len(batch) == maxCrashWrites {
@@ -113,7 +118,7 @@
 		delete(w.unwritten, id)
 	}
 	slices.SortFunc(batch, func(a, b crashID) int { return cmp.Compare(a.String(), b.String()) })
-	go w.write(batch)
+	return batch
 }
 
 // write writes records. Those that could not be written are written again later.
--- a/io/entry/crashes_test.go
+++ b/io/entry/crashes_test.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 
@@ -91,3 +93,37 @@
 		})
 	}
 }
+
+// The records of crashes were not written if many requests were on the replicas: a record
+// takes a condition and a write, and the store accepts 32 entries in one transaction.
+func TestManyCrashesAreWritten(t *testing.T) {
+	const maxEntries, records = 32, 100
+	now := time.Unix(1000, 0)
+	c := newCrashes(t, "a", func() time.Time { return now })
+	stored := map[string]bool{}
+	w := &crashWriter{
+		registries: c.registries, now: c.now, log: c.log, unwritten: map[crashID]bool{}, revisions: map[string]kvs.Revision{},
+		store: kvs.Service{
+			Grant: func(context.Context, time.Duration) (kvs.Lease, error) { return kvs.Lease{ID: 1}, nil },
+			Transact: func(_ context.Context, txn kvs.Txn) (kvs.TxnResult, error) {
+				if n := len(txn.Compares) + len(txn.Then); n > maxEntries {
+					return kvs.TxnResult{}, errors.NotValidf("transaction with %d entries (at most %d)", n, maxEntries)
+				}
+				for _, op := range txn.Then {
+					stored[op.Key] = true
+				}
+				return kvs.TxnResult{Succeeded: true, Revision: 1}, nil
+			},
+		},
+	}
+	for i := range records {
+		id := crashID{crashRequest, poison.Fingerprint(i)}
+		c.registries.requests.Crashed(now, id.fingerprint, "r1", false)
+		w.add([]crashID{id})
+	}
+	for range records {
+		w.writing = true
+		w.write(w.nextBatch())
+	}
+	assert.Equal(t, len(stored), records)
+}
