io/entry: write at most 16 records of crashes in one transaction

Cause: maxCrashWrites was 32, and each record takes two entries of a transaction, a condition and a write. Whether the platform counts them together is not known; 16 records are within its limit of 32 either way. A crash with more records takes one more call for each further 16.

Measured: TestManyCrashesAreWritten failed with 0 of 100 records written and passes; so do TestCrashCostsFewStoreCalls and the tests of trials.

--- a/io/entry/crash_writer.go
+++ b/io/entry/crash_writer.go
@@ -26,8 +26,9 @@
 	// crashWriteTimeout limits one write, crashWriteBackoff is the wait after a failed one.
 	crashWriteTimeout = time.Second
 	crashWriteBackoff = 500 * time.Millisecond
-	// maxCrashWrites is the platform's limit for the entries of one transaction.
-	maxCrashWrites = 32
+	// maxCrashWrites limits the records of one transaction, to which the platform allows 32
+	// entries: each record takes two, a condition and a write.
+	maxCrashWrites = 16
 	// crashLeaseUse is how long one lease is used for new records. It bounds how much
 	// earlier than crashRetention a record may go.
 	crashLeaseUse = time.Minute
--- a/io/entry/trials.go
+++ b/io/entry/trials.go
@@ -17,7 +17,7 @@
 	// trialPausePerVM bounds the claims of all VMs together: each pauses for this time,
 	// times the number of VMs, after a claim.
 	trialPausePerVM = 25 * time.Millisecond
-	// maxTrialParts limits the parts of one trial; each is an entry of one transaction.
+	// maxTrialParts limits the parts of one trial, which are claimed in one transaction.
 	maxTrialParts = maxCrashWrites
 )
 
