io/entry: keep a claimed trial in the store

Cause: writeTrials took the revision of its write into use before the registry knew of the trial. A write of crashes of the same part in between overwrote the record without the trial, so that another VM that had not read it could claim the trial once more.

There is no test that meets this moment each time.

--- a/io/entry/crash_writer.go
+++ b/io/entry/crash_writer.go
@@ -194,10 +194,11 @@
 			return errors.Annotate(err, "crashWriter.writeTrials")
 		}
 		if result.Succeeded {
-			w.written(txn, result.Revision)
+			// The trial has to be known before another write may follow this one.
 			for _, part := range parts {
 				w.registries.parts.BeginTrial(now, part)
 			}
+			w.written(txn, result.Revision)
 			return nil
 		}
 		if _, err := w.mergeStored(ctx, ids); !errors.Is(err, errCrashKnown) {
