core/poison: a finished run of a part with records allocates nothing

A popular part that has records of crashes merged and sorted all of them at each finished run; counting those after the last finish is enough.

--- a/core/poison/successive.go
+++ b/core/poison/successive.go
@@ -146,7 +146,7 @@
 		return
 	}
 	own := e.records[r.c.Self]
-	if len(e.crashes(now, r.c).since(own.FinishedAt)) == 0 {
+	if e.countSince(later(own.FinishedAt, now.Add(-r.c.Retention))) == 0 {
 		return
 	}
 	own.FinishedAt = now
