io/proxy: a response without a length is not complete if its replica has crashed

Callers would see part of a response as a success, and a request or a part of a prompt that crashes replicas was sent on without end: each such run counted as finished and cleared it.

Cause: a response with neither length nor chunks ends with its connection, and so does one whose replica crashes, without a reset.

Change: at the end of such a response it is asked whether the replica still accepts connections, with the one check that all lost runs share. If not, the run is a crash.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -191,7 +191,7 @@
 		Admit: func() bool { return e.drain.Admit(e.options.Now()) }, Finish: e.drain.Finish,
 		Stopping: func() bool { return !e.drain.Ready() },
 		Random:   e.random, Now: e.options.Now, Log: e.log, Observe: e.metrics.observe,
-		Forbids: e.crashes.forbids, RunLost: e.crashes.runLost, RunCompleted: e.crashes.runCompleted,
+		Forbids: e.crashes.forbids, HasCrashed: e.crashes.hasCrashed, RunLost: e.crashes.runLost, RunCompleted: e.crashes.runCompleted,
 		RetryShare: func() float64 { return e.config.Load().RetryRatio * budgetFraction },
 	}
 }
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -19,6 +19,7 @@
 // attemptResult is the outcome of one attempt.
 type attemptResult struct {
 	replica call.ReplicaID
+	target  back.Target
 	started time.Time
 	// done is true if a successful response was read to its end. If it is not a
 	// stream, done is true even if writing it to the caller failed.
@@ -61,14 +62,15 @@
 	errOutOfOrder   = errors.ConstError("stream events are out of order")
 	errNotStream    = errors.ConstError("response to a stream request is not text/event-stream")
 	errTooLarge     = errors.ConstError("response or stream event is larger than the limit")
+	errCrashed      = errors.ConstError("response without a length ended, and its replica accepts no connections")
 	errGivenUp      = errors.ConstError("replica was given up as silent before its response was forwarded")
 )
 
 // attempt sends the request to a replica once and forwards the response.
 func (p *proxyRequest) attempt(ctx context.Context, d route.Decision) attemptResult {
-	e := attemptResult{replica: d.Replica.ID, started: p.s.c.Now()}
-	p.takeover = p.newTakeover(d.Replica.ID)
 	target := back.Target{ID: d.Replica.ID, Address: d.Replica.Address}
+	e := attemptResult{replica: d.Replica.ID, target: target, started: p.s.c.Now()}
+	p.takeover = p.newTakeover(d.Replica.ID)
 	x, result, err := p.s.c.Open(ctx, target, p.attemptRequest(d.Replica.ID))
 	if err == nil {
 		result, err = p.receive(x, &e)
@@ -197,6 +199,9 @@
 		}
 		return p.forwardLarge(x, e, body)
 	}
+	if p.endedByCrash(x, e) {
+		return errCrashed
+	}
 	res := &response{status: x.Status, header: x.Header, body: body}
 	if x.Status >= http.StatusMultipleChoices {
 		if e.cause != retry.CauseBusy {
@@ -212,6 +217,13 @@
 	return nil
 }
 
+// endedByCrash reports whether a response that has been read ended because its replica
+// crashed. The end of the connection looks the same then, if it is the only end of the
+// response.
+func (p *proxyRequest) endedByCrash(x *back.Exchange, e *attemptResult) bool {
+	return !x.HasDelimitedBody() && p.s.c.HasCrashed(e.target)
+}
+
 // classify sets the cause of a failed attempt and whether the replica may have run the
 // request.
 func (p *proxyRequest) classify(ctx context.Context, e *attemptResult, result back.Result) {
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -65,6 +65,9 @@
 	// may run as the trial of refused parts, and the call may take up to some tenths of a
 	// second for these. By default, any request may be sent.
 	Forbids func(request poison.Fingerprint, parts []poison.Fingerprint, mayTry bool) Reason
+	// HasCrashed reports whether a replica accepts no connections. It is asked at the end of
+	// a response that only the end of its connection delimits. By default, none has crashed.
+	HasCrashed func(back.Target) bool
 	// RunLost is called when the connection to a replica was lost while the replica may
 	// have been running a request, RunCompleted when a replica has completed a request.
 	// Both must return at once; they may be nil.
@@ -111,6 +114,9 @@
 	if c.Forbids == nil {
 		c.Forbids = func(poison.Fingerprint, []poison.Fingerprint, bool) Reason { return "" }
 	}
+	if c.HasCrashed == nil {
+		c.HasCrashed = func(back.Target) bool { return false }
+	}
 	if c.RunLost == nil {
 		c.RunLost = func(LostRun) {}
 	}
--- a/io/proxy/large.go
+++ b/io/proxy/large.go
@@ -34,6 +34,9 @@
 		n, err := x.Read(buf)
 		part = buf[:n]
 		if errors.Is(err, io.EOF) && n == 0 {
+			if p.endedByCrash(x, e) {
+				return errCrashed
+			}
 			e.done = true
 			return nil
 		}
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -70,6 +70,9 @@
 			if e.events == 0 && !x.HasDelimitedBody() {
 				return errNoEvent
 			}
+			if p.endedByCrash(x, e) {
+				return errCrashed
+			}
 			return p.finishStream(x, e)
 		}
 		if err != nil {
