io/proxy: claim the trial of a refused part once a place at a replica is taken

Cause: the claim came before the choice of a replica. If no replica had room then, the trial was used up without a run, and the next one came five times later.

Evidence: TestRefusedPartIsTriedOnce failed once beside other tests and once of ten beside nine processes of the same tests; there the trial was claimed 2.07 s after the last crash, and no run followed.

Change: Forbids returns the claim, which is made after the place is taken; if another VM has been faster, the place is given back and the request refused.

--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -96,18 +96,21 @@
 	applied map[string]string
 }
 
-// forbids returns why a request must not be sent to a replica; empty if it may. With mayTry
-// it may run as the trial of its refused parts.
-func (c *crashes) forbids(request poison.Fingerprint, parts []poison.Fingerprint, mayTry bool) proxy.Reason {
+// forbids returns why a request must not be sent to a replica; empty if it may. If a trial
+// of its refused parts is due, it also returns what claims it.
+func (c *crashes) forbids(request poison.Fingerprint, parts []poison.Fingerprint) (proxy.Reason, func() bool) {
 	now := c.now()
 	if c.registries.requests.Judge(now, request).Action == poison.ActionRefuse {
-		return proxy.ReasonCrashedReplicas
+		return proxy.ReasonCrashedReplicas, nil
 	}
 	refused := c.registries.parts.RefusedParts(now, parts)
-	if len(refused) > 0 && !(mayTry && c.trials.claim(refused)) {
-		return proxy.ReasonCrashingPart
+	switch {
+	case len(refused) == 0:
+		return "", nil
+	case c.trials.due(refused):
+		return proxy.ReasonCrashingPart, func() bool { return c.trials.claim(refused) }
 	}
-	return ""
+	return proxy.ReasonCrashingPart, nil
 }
 
 // runLost handles a run whose connection was lost. It returns at once.
--- a/io/entry/trials.go
+++ b/io/entry/trials.go
@@ -60,10 +60,25 @@
 	return true
 }
 
-// begin reports whether a claim may begin now.
+// begin reports whether a claim begins now.
 func (t *trials) begin(parts []poison.Fingerprint) bool {
+	if !t.due(parts) {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	begins := !t.claiming
+	t.claiming = true
+	return begins
+}
+
+// due reports whether a trial of all the parts is due and this VM may claim it.
+func (t *trials) due(parts []poison.Fingerprint) bool {
 	now := t.now()
-	if len(parts) > maxTrialParts || !t.storeUp() {
+	t.mu.Lock()
+	pauses := t.claiming || now.Before(t.pauseUntil)
+	t.mu.Unlock()
+	if pauses || len(parts) > maxTrialParts || !t.storeUp() {
 		return false
 	}
 	for _, part := range parts {
@@ -71,11 +86,5 @@
 			return false
 		}
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.claiming || now.Before(t.pauseUntil) {
-		return false
-	}
-	t.claiming = true
 	return true
 }
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -61,10 +61,11 @@
 	// Observe is called with each finished request. It may be nil.
 	Observe func(RequestStats)
 	// Forbids returns why a request with a fingerprint and parts of its prompt must not be
-	// sent to a replica; empty if it may, until a replica may have run it. With mayTry it
-	// may run as the trial of refused parts, and the call may take up to some tenths of a
-	// second for these. By default, any request may be sent.
-	Forbids func(request poison.Fingerprint, parts []poison.Fingerprint, mayTry bool) Reason
+	// sent to a replica; empty if it may, until a replica may have run it. If a trial of its
+	// refused parts is due, claim makes the request the trial, or returns false if another
+	// one has become it. It is to be called once a place at a replica has been taken, and
+	// may take some tenths of a second. By default, any request may be sent.
+	Forbids func(request poison.Fingerprint, parts []poison.Fingerprint) (reason Reason, claim func() bool)
 	// HasCrashed reports whether a replica accepts no connections. It is asked at the end of
 	// a response that only the end of its connection delimits. By default, none has crashed.
 	HasCrashed func(back.Target) bool
@@ -112,7 +113,7 @@
 		c.Observe = func(RequestStats) {}
 	}
 	if c.Forbids == nil {
-		c.Forbids = func(poison.Fingerprint, []poison.Fingerprint, bool) Reason { return "" }
+		c.Forbids = func(poison.Fingerprint, []poison.Fingerprint) (Reason, func() bool) { return "", nil }
 	}
 	if c.HasCrashed == nil {
 		c.HasCrashed = func(back.Target) bool { return false }
--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -21,11 +21,14 @@
 	p.s.c.Retry.RecordFirstAttempt(p.arrived, call.Class(p.call.Model), p.s.c.RetryShare())
 	permitted := false
 	for {
+		var forbidden Reason
+		var claim func() bool
 		if !permitted {
-			if reason := p.s.c.Forbids(p.fingerprint(), p.parts, p.possibleRuns == 0); reason != "" {
-				p.failWithoutReplica(ctx, http.StatusServiceUnavailable, reason)
-				return
-			}
+			forbidden, claim = p.s.c.Forbids(p.fingerprint(), p.parts)
+		}
+		if forbidden != "" && (claim == nil || p.possibleRuns > 0) {
+			p.failWithoutReplica(ctx, http.StatusServiceUnavailable, forbidden)
+			return
 		}
 		d, status, reason, err := p.pickReplica(ctx)
 		if status != 0 {
@@ -33,6 +36,11 @@
 			p.failWithoutReplica(ctx, status, reason)
 			return
 		}
+		if forbidden != "" && !claim() {
+			p.s.c.Router.Finished(p.s.c.Now(), d.Replica.ID, p.cost(), route.Result{Status: route.StatusCanceled})
+			p.failWithoutReplica(ctx, http.StatusServiceUnavailable, forbidden)
+			return
+		}
 		p.sends++
 		p.lastAttempt = p.attempt(ctx, d)
 		permitted = !p.lastAttempt.mayHaveRun || p.takeover.ready()
--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -90,7 +90,7 @@
 	case d.Reason == route.ReasonLastResort:
 		return d, string(d.Reason)
 	}
-	if reason := t.p.s.c.Forbids(t.p.fingerprint(), t.p.parts, false); reason != "" {
+	if reason, _ := t.p.s.c.Forbids(t.p.fingerprint(), t.p.parts); reason != "" {
 		return d, string(reason)
 	}
 	if decision := t.p.s.c.Retry.Decide(now, t.attempt); decision.Action != retry.ActionRetry {
