io/proxy, io/entry: check the replica after an answer that ends with its connection

Callers could see: requests with a part that crashes replicas are sent on, if the replicas answer with neither a length nor chunks and crash before the first event, or anywhere in an answer that is not a stream.

Cause: the end of such an answer cannot be distinguished from a crash. The run counted as finished, which cleared the part. Now it is handled as a lost run is: it counts as a crash if the replica accepts no connections, and as finished otherwise.

--- a/io/back/exchange.go
+++ b/io/back/exchange.go
@@ -39,6 +39,10 @@
 // for a response without a length, that is the end of the connection.
 func (x *Exchange) Read(p []byte) (int, error) { return x.res.Body.Read(p) }
 
+// Delimited reports whether the end of the response body can be distinguished from a lost
+// connection.
+func (x *Exchange) Delimited() bool { return hasDelimitedBody(x.res) }
+
 // SetProgressTimeout sets the longest time without progress, counted from now.
 func (x *Exchange) SetProgressTimeout(timeout time.Duration) { x.a.watchdog.setTimeout(timeout) }
 
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -115,6 +115,10 @@
 // recordLost records a crash if the replica of a lost run accepts no connections.
 func (c *crashes) recordLost(lost proxy.LostRun) {
 	crashed := c.hasCrashed(lost.Target)
+	if lost.MayBeComplete && !crashed {
+		c.runCompleted(lost.Fingerprint, lost.Parts)
+		return
+	}
 	c.observe(crashed)
 	log := c.log.WithFields(logrus.Fields{
 		"request": lost.Request, "fingerprint": lost.Fingerprint.String(), "parts": fmt.Sprint(lost.Parts), "replica": lost.Target.ID,
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -23,6 +23,9 @@
 	// done is true if a successful response was read to its end. If it is not a
 	// stream, done is true even if writing it to the caller failed.
 	done bool
+	// undelimited is true if the end of the response cannot be distinguished from a lost
+	// connection.
+	undelimited bool
 	// mayHaveRun is false only if the replica certainly has not run the request.
 	mayHaveRun bool
 	// callerGone is true if the caller disconnected or writing to it failed.
@@ -70,11 +73,12 @@
 	e.err = err
 	p.classify(ctx, &e, result)
 	switch {
-	case e.done:
+	case e.done && !e.undelimited:
 		p.s.c.RunCompleted(p.fingerprint(), p.parts)
-	case result.Ending == back.EndingCrashed && e.mayHaveRun:
+	case e.done, result.Ending == back.EndingCrashed && e.mayHaveRun:
 		p.s.c.RunLost(LostRun{
-			Request: p.info.ID, Fingerprint: p.fingerprint(), Parts: p.parts, Target: target,
+			MayBeComplete: e.done,
+			Request:       p.info.ID, Fingerprint: p.fingerprint(), Parts: p.parts, Target: target,
 			Sent: e.started, Answered: e.answeredAt, FirstEvent: e.firstEventAt, At: p.s.c.Now(), Status: e.status, Events: e.events,
 		})
 	}
@@ -125,7 +129,7 @@
 
 // receive reads the response and forwards it.
 func (p *proxyRequest) receive(x *back.Exchange, e *attemptResult) (back.Result, error) {
-	e.status, e.answeredAt = x.Status, p.s.c.Now()
+	e.status, e.answeredAt, e.undelimited = x.Status, p.s.c.Now(), !x.Delimited()
 	respInfo := p.s.c.Headers.ReadResponse(x.Status, x.Header, p.s.c.Now())
 	if respInfo.Load != nil {
 		p.s.c.Router.Report(p.s.c.Now(), e.replica, *respInfo.Load)
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -65,7 +65,8 @@
 	// may.
 	Forbids func(request poison.Fingerprint, parts []poison.Fingerprint) Reason
 	// RunLost is called when the connection to a replica was lost while the replica may
-	// have been running a request, RunCompleted when a replica has completed a request.
+	// have been running a request, or may have been so, see LostRun.MayBeComplete;
+	// RunCompleted when a replica has certainly completed a request.
 	// Both must return at once; they may be nil.
 	RunLost      func(LostRun)
 	RunCompleted func(request poison.Fingerprint, parts []poison.Fingerprint)
--- a/io/proxy/fingerprint.go
+++ b/io/proxy/fingerprint.go
@@ -9,8 +9,8 @@
 	"gentianwell/io/back"
 )
 
-// LostRun is a run of a request whose replica lost the connection before the response
-// was complete.
+// LostRun is a run of a request whose connection to the replica ended before the response
+// was complete, or with a response of which nothing else tells whether it is complete.
 type LostRun struct {
 	Request     string
 	Fingerprint poison.Fingerprint
@@ -25,6 +25,9 @@
 	// Status is the status of the response; zero if its header had not arrived. Events
 	// counts the events of a stream that had arrived.
 	Status, Events int
+	// MayBeComplete is true if the response ended with its connection, as it had neither a
+	// length nor chunks.
+	MayBeComplete bool
 }
 
 func (p *proxyRequest) fingerprint() poison.Fingerprint {
