io/entry: gossip full of single crashes keeps out suspects (failing test)

While the store is down, records of single crashes go into gossip too, at most 512 of a kind. A part that crashes replicas later gets no place among them, and each VM has to see three crashes by itself.

--- a/io/entry/crashes_test.go
+++ b/io/entry/crashes_test.go
@@ -127,3 +127,24 @@
 	}
 	assert.Equal(t, len(stored), records)
 }
+
+// While the store is down and the records of one crash fill the gossip items, a part that has
+// crashed several replicas since was not told of.
+func TestGossipOfSuspectsWhenFull(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newCrashes(t, "a", func() time.Time { return now })
+	const part poison.Fingerprint = 1 << 40
+	crash := func(fp poison.Fingerprint, replica call.ReplicaID) {
+		c.registries.parts.CrashedRun(now, fp, poison.Crash{Replica: replica, Began: now.Add(-time.Millisecond), At: now})
+		c.gossip(now, crashID{crashPart, fp})
+	}
+	for i := range maxCrashItems {
+		crash(poison.Fingerprint(i), "r0")
+	}
+	for _, replica := range []call.ReplicaID{"r1", "r2", "r3"} {
+		now = now.Add(time.Second)
+		crash(part, replica)
+	}
+	_, told := c.items.Get(now, spread.ID{Kind: kindPartCrash, Key: crashID{crashPart, part}.String()})
+	assert.Assert(t, told)
+}
