io/entry: keep room among the gossip items for suspects

Cause: one limit held for all records of crashes in gossip, in the order in which they came. Suspects, with two crashes or more, now have 512 places of each kind that records of one crash cannot take.

Measured: TestGossipOfSuspectsWhenFull failed before and passes, with TestGossipOfCrashesWhenFull.

--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -47,8 +47,10 @@
 	rememberedFinishes = 4096
 	// maxCrashItems limits the records of each kind among the gossip items, which share
 	// their space with the changes of replicas. A crash leaves a record for each request that
-	// was on the replica, and these must not keep out the few parts.
-	maxCrashItems = 512
+	// was on the replica, and these must not keep out the few parts; nor must records of one
+	// crash keep out those of suspects, for which maxSuspectItems is the limit.
+	maxCrashItems   = 512
+	maxSuspectItems = 2 * maxCrashItems
 )
 
 func crashConfig(vm call.VMID) poison.Config {
@@ -178,7 +180,11 @@
 		return
 	}
 	item := spread.ID{Kind: id.kind.gossipKind(), Key: id.String()}
-	if _, known := c.items.Get(now, item); !known && len(c.items.All(now, item.Kind)) >= maxCrashItems {
+	most := maxCrashItems
+	if v.Crashes >= suspectAfterCrashes {
+		most = maxSuspectItems
+	}
+	if _, known := c.items.Get(now, item); !known && len(c.items.All(now, item.Kind)) >= most {
 		return
 	}
 	s := registry.Snapshot(id.fingerprint)
