io/proxy: count a request as in progress until its response was sent

A process that stops could end, and close its callers' connections, while the last bytes of a response were still in its buffers: the caller's connection ended without a complete answer.

Cause: Config.Finish was called when the handler returned. net/http sends what is left of a response, such as a small body or the end of a stream, only after that. The stop ends when no request is in progress.

Evidence: TestRequestFinishesAfterItsResponseWasSent, where Finish waits for the caller. It is not known that callers saw it; the window is short.

Change: Finish is called when net/http reports the connection as idle or closed.

Measured: both cases of the test failed 2 of 2 before and pass 10 of 10.

--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -49,8 +49,9 @@
 	Retry          *retry.Policy
 	// Open sends one attempt and reads the response header.
 	Open func(context.Context, back.Target, back.Request) (*back.Exchange, back.Result, error)
-	// Admit and Finish count the requests in progress; Admit returns false if the VM
-	// no longer takes requests. Stopping is true from the start of a shutdown.
+	// Admit and Finish count the requests in progress, until their response was sent;
+	// Admit returns false if the VM no longer takes requests. Stopping is true from the
+	// start of a shutdown.
 	Admit    func() bool
 	Finish   func()
 	Stopping func() bool
--- a/io/proxy/framing.go
+++ b/io/proxy/framing.go
@@ -20,6 +20,9 @@
 	inHeader        bool
 	line            []byte
 	length, chunked bool
+	// finish is called once the response to the request in progress was sent or the
+	// connection closed; nil if there is none.
+	finish func()
 }
 
 // maxHeaderLine is how many bytes of a line are kept: enough for the two header names.
@@ -100,11 +103,48 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// connState prepares a keep-alive connection for its next request.
+// onSent makes fn be called once the response to the request in progress was sent or the
+// connection closed.
+func (c *headerScanConn) onSent(fn func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finish = fn
+}
+
+func (c *headerScanConn) sent() {
+	c.mu.Lock()
+	fn := c.finish
+	c.finish = nil
+	c.mu.Unlock()
+	if fn != nil {
+		fn()
+	}
+}
+
+// connState ends the request in progress and prepares a keep-alive connection for its
+// next one.
 func connState(c net.Conn, state http.ConnState) {
-	if scanned, ok := c.(*headerScanConn); ok && state == http.StateIdle {
+	scanned, ok := c.(*headerScanConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		scanned.sent()
 		scanned.expectHeader()
+	case http.StateClosed, http.StateHijacked:
+		scanned.sent()
+	}
+}
+
+// onResponseSent makes fn be called once the response to the request was sent or its
+// connection closed. It returns false if the connection is not from WrapListener.
+func onResponseSent(r *http.Request, fn func()) bool {
+	c, ok := r.Context().Value(connKey{}).(*headerScanConn)
+	if ok {
+		c.onSent(fn)
 	}
+	return ok
 }
 
 // requestHasBothLengths reports whether the request has both Content-Length and
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -53,7 +53,10 @@
 		p.refuse(http.StatusServiceUnavailable, ReasonStopping)
 		return
 	}
-	defer s.c.Finish()
+	// net/http sends the last bytes of a response after this method.
+	if !onResponseSent(r, s.c.Finish) {
+		defer s.c.Finish()
+	}
 	if s.c.Stopping() {
 		// Moves the caller's next request to a VM that is not shutting down.
 		p.closeConnection()
