--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -130,7 +130,8 @@
 }
 
 // A request that gave up a silent replica waits before a further attempt: minRetryPause
-// after the first failure, twice as long after each further one, up to maxRetryPause.
+// after the next attempt has failed, twice as long after each further one, up to
+// maxRetryPause.
 const (
 	minRetryPause = 25 * time.Millisecond
 	maxRetryPause = 400 * time.Millisecond
@@ -157,7 +158,7 @@
 		sleep(ctx, d.Wait)
 		return d.Action == retry.ActionRetry
 	}
-	pause := minRetryPause << min(p.sends, 8)
+	pause := minRetryPause << min(max(0, p.sends-2), 4)
 	for sleep(ctx, min(pause, maxRetryPause)); ctx.Err() == nil; sleep(ctx, maxRetryPause) {
 		d := p.decide()
 		if d.Action == retry.ActionRetry || !passes(d.Reason) {
