io/entry: be ready only with the records of crashes

Callers could see: each VM that restarts sends a refused request or part on once more.

Cause: Ready did not ask for the records. Now a VM that starts waits for its first read of them, unless the store cannot be read, and two seconds at most.

--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -42,6 +43,8 @@
 	// lapsedPausePerVM is, times the number of VMs, the longest wait of a VM before it writes
 	// records again that are gone from the store.
 	lapsedPausePerVM = 100 * time.Millisecond
+	// crashReadTimeout limits how long a VM that starts waits for the records in the store.
+	crashReadTimeout = 2 * time.Second
 	// maxCrashRecords and rememberedFinishes limit the memory for fingerprints.
 	maxCrashRecords    = 4096
 	rememberedFinishes = 4096
@@ -86,6 +89,11 @@
 	// random returns a random number in [0, 1).
 	random func() float64
 
+	// read is true once the records in the store have been read; readBy is until when the
+	// VM waits for that before it is ready.
+	read   atomic.Bool
+	readBy time.Time
+
 	mu sync.Mutex
 	// checks are the checks in progress of whether a replica still accepts connections.
 	checks map[call.ReplicaID]*crashCheck
@@ -218,6 +226,7 @@
 	}
 	c.updateLapsed(now, applied)
 	c.applied = applied
+	c.read.Store(true)
 }
 
 // updateLapsed decides when to write again the records that are gone from the store though
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -165,7 +165,7 @@
 		},
 		dial: e.options.Dial, now: e.options.Now, log: e.log, observe: func(crashed bool) { e.metrics.observeLostRun(crashed) },
 		checks: map[call.ReplicaID]*crashCheck{}, applied: map[string]string{}, lapsed: map[crashID]time.Time{},
-		vms: e.members.count, random: e.random,
+		vms: e.members.count, random: e.random, readBy: e.options.Now().Add(crashReadTimeout),
 	}
 	e.crashes.trials = &trials{
 		registry: suspects.parts, write: e.crashes.writer.writeTrials, storeUp: e.storeStatus.up, vms: e.members.count, now: e.options.Now, log: e.log,
@@ -204,9 +204,10 @@
 }
 
 // Ready reports whether this VM is ready for requests: no stop has begun, and it has a
-// routing table and a list of replicas.
+// routing table, a list of replicas and the records of crashes, if it can get those soon.
 func (e *Entry) Ready() bool {
-	return e.drain.Ready() && e.tables.Current() != nil && e.replicas.hasList()
+	return e.drain.Ready() && e.tables.Current() != nil && e.replicas.hasList() &&
+		(e.crashes.read.Load() || !e.storeStatus.up() || !e.options.Now().Before(e.crashes.readBy))
 }
 
 // UsableReplicas returns the number of replicas that may get new work.
