io/entry: VMs that saw a part finish write its key again and again (failing test)

When other VMs come to suspect a part, each VM that has seen it finish since writes that to the part's one key, at the same moment. One of them succeeds, and all others read the key and write again, though the part is cleared.

--- a/io/entry/crashes_test.go
+++ b/io/entry/crashes_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -148,3 +150,64 @@
 	_, told := c.items.Get(now, spread.ID{Kind: kindPartCrash, Key: crashID{crashPart, part}.String()})
 	assert.Assert(t, told)
 }
+
+// All VMs that had seen a part finish wrote that to its one key of the store at the same time,
+// and each again after each conflict: calls grew with the square of the number of VMs.
+func TestFinishesOnManyVMsCostFewCalls(t *testing.T) {
+	const vms, part = 20, poison.Fingerprint(7)
+	now := time.Unix(1000, 0)
+	var mu sync.Mutex
+	var stored kvs.Entry
+	calls := 0
+	store := kvs.Service{
+		Grant: func(context.Context, time.Duration) (kvs.Lease, error) { return kvs.Lease{ID: 1}, nil },
+		Get: func(context.Context, string) (kvs.Lookup, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			calls++
+			return kvs.Lookup{Found: stored.Key != "", Entry: stored}, nil
+		},
+		Transact: func(_ context.Context, txn kvs.Txn) (kvs.TxnResult, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			calls++
+			if txn.Compares[0].Revision != stored.ModRevision {
+				return kvs.TxnResult{}, nil
+			}
+			stored = kvs.Entry{Key: txn.Then[0].Key, Value: txn.Then[0].Value, ModRevision: stored.ModRevision + 1}
+			return kvs.TxnResult{Succeeded: true, Revision: stored.ModRevision}, nil
+		},
+	}
+	all := make([]*crashes, vms)
+	for i := range all {
+		c := newCrashes(t, call.VMID(fmt.Sprint("e", i)), func() time.Time { return now })
+		c.writer = &crashWriter{registries: c.registries, now: c.now, log: c.log, unwritten: map[crashID]bool{}, revisions: map[string]kvs.Revision{}, store: store}
+		all[i] = c
+	}
+	crashed := newCrashes(t, "crashed", func() time.Time { return now })
+	for i, replica := range []call.ReplicaID{"r1", "r2"} {
+		at := now.Add(time.Duration(i) * time.Second)
+		crashed.registries.parts.CrashedRun(now, part, poison.Crash{Replica: replica, Began: at.Add(-time.Millisecond), At: at})
+	}
+	record := crashed.registries.parts.Snapshot(part)
+	now = now.Add(2 * time.Second)
+	for i, c := range all {
+		c.registries.parts.Finished(now.Add(time.Duration(i)*time.Millisecond), part)
+		c.apply(now, crashID{crashPart, part}.String(), record.Value)
+	}
+	for range vms {
+		now = now.Add(crashWriteInterval)
+		var writes sync.WaitGroup
+		for _, c := range all {
+			c.writer.add(c.ids(func(r *poison.Registry) []poison.Fingerprint { return r.TakeChanged(now) }))
+			if batch := c.writer.nextBatch(); len(batch) > 0 {
+				writes.Go(func() { c.writer.write(batch) })
+			}
+		}
+		writes.Wait()
+	}
+	assert.Assert(t, calls >= 1 && calls <= 4*vms, "%d calls", calls)
+	known := newCrashes(t, "known", func() time.Time { return now })
+	known.apply(now, crashID{crashPart, part}.String(), stored.Value)
+	assert.Equal(t, known.registries.parts.Judge(now, part).Reason, poison.ReasonExonerated)
+}
