--- a/io/proxy/takeover_test.go
+++ b/io/proxy/takeover_test.go
@@ -38,7 +38,7 @@
 	p := &proxyRequest{
 		s: &Server{c: Config{
 			Router: router, Retry: policy, Now: time.Now, Log: log,
-			MayRun: func(poison.Fingerprint) bool { return true },
+			Forbids: func(poison.Fingerprint, []poison.Fingerprint) (Reason, func() bool) { return "", nil },
 		}},
 		route:    &table.Route{Kind: table.KindIdempotent, Attempts: 2},
 		call:     call.Call{ID: "1", Model: "m", Idempotent: true},
@@ -84,7 +84,11 @@
 				p.s.c.Router.Silent(time.Now(), "r1")
 			}
 		}},
-		"crashes replicas": {false, func(p *proxyRequest) { p.s.c.MayRun = func(poison.Fingerprint) bool { return false } }},
+		"crashes replicas": {false, func(p *proxyRequest) {
+			p.s.c.Forbids = func(poison.Fingerprint, []poison.Fingerprint) (Reason, func() bool) {
+				return ReasonCrashedReplicas, nil
+			}
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := newSilentRequest(t, 2, 1, route.Config{})
