io/entry: a crash is missing in the record of a suspect (failing test)

A VM with two crashes of a request writes below suspectPrefix at once. Another VM's crash may be below crashPrefix, where the first does not look. The other VM reads the new key, and tells by gossip, but does not write: in the store the crash is missing, and after a restart of all VMs each sends the request on once more.

--- a/io/entry/crashes_test.go
+++ b/io/entry/crashes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -211,3 +212,28 @@
 	known.apply(now, crashID{crashPart, part}.String(), stored.Value)
 	assert.Equal(t, known.registries.parts.Judge(now, part).Reason, poison.ReasonExonerated)
 }
+
+// A VM whose crash was in the store below crashPrefix did not add it when another VM, which had
+// seen two others, wrote below suspectPrefix: after a restart of all VMs it was not counted.
+func TestOwnCrashIsAddedToSuspect(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	a, b := newCrashes(t, "a", clock), newCrashes(t, "b", clock)
+	b.writer = &crashWriter{registries: b.registries, now: clock, log: b.log, unwritten: map[crashID]bool{}, revisions: map[string]kvs.Revision{}}
+	id := crashID{crashRequest, 7}
+	crash := func(c *crashes, replica call.ReplicaID) {
+		c.registries.requests.Crashed(now, id.fingerprint, replica, false)
+		c.registries.requests.Publish(now, id.fingerprint)
+	}
+	crash(a, "r1")
+	crash(a, "r2")
+	crash(b, "r3")
+	assert.Equal(t, len(b.registries.requests.TakeChanged(now)), 1, "written below crashPrefix")
+	snapshot := func(c *crashes) kvs.Snapshot {
+		return kvs.Snapshot{Entries: kvs.Entries{{Key: suspectPrefix + id.String(), Value: c.registries.requests.Snapshot(id.fingerprint).Value}}}
+	}
+	b.applySnapshot(snapshot(a))
+	assert.Assert(t, slices.Equal(b.writer.nextBatch(), []crashID{id}))
+	b.applySnapshot(snapshot(b))
+	assert.Equal(t, len(b.writer.nextBatch()), 0)
+}
