io/entry: add this VM's crashes to the record of a suspect

Callers could see: after a restart of all VMs, each sends a refused request or part on once more.

A VM that reads an entry below suspectPrefix without its own published crashes now writes them. It costs a transaction for each VM with such a crash, once for a request or part.

--- a/core/poison/snapshot.go
+++ b/core/poison/snapshot.go
@@ -79,6 +79,24 @@
 	return nil
 }
 
+// LacksOwn reports whether a snapshot lacks crashes of this VM's published record that count
+// still.
+func (r *Registry) LacksOwn(now time.Time, fp Fingerprint, value []byte) bool {
+	var records map[call.VMID]Record
+	if json.Unmarshal(value, &records) != nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[fp]
+	if e == nil || !e.published {
+		return false
+	}
+	counted := now.Add(-r.c.Retention)
+	own, stored := e.records[r.c.Self].Crashes.since(counted), records[r.c.Self].Crashes.since(counted)
+	return len(own) > len(stored) || own.latest().After(stored.latest())
+}
+
 // Adds reports whether the records of a fingerprint have crashes, trials or finishes that
 // count and that a snapshot lacks. With Config.Successive, a finish counts only if it clears
 // crashes of the snapshot.
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -214,7 +214,8 @@
 
 // applySnapshot applies the records of suspect requests in the store. Removed ones stay
 // known: entries go when their lease ends, and the registry has its own retention. Leases
-// may end early while the store is down; such records are written again.
+// may end early while the store is down; such records are written again. This VM's crashes
+// that are missing are added: they may be below crashPrefix, which other VMs do not watch.
 func (c *crashes) applySnapshot(snap kvs.Snapshot) {
 	now := c.now()
 	applied := make(map[string]string, len(snap.Entries))
@@ -222,6 +223,7 @@
 		applied[entry.Key] = string(entry.Value)
 		if c.applied[entry.Key] != applied[entry.Key] {
 			c.apply(now, strings.TrimPrefix(entry.Key, suspectPrefix), entry.Value)
+			c.addOwn(now, entry)
 		}
 	}
 	c.updateLapsed(now, applied)
@@ -229,6 +231,14 @@
 	c.read.Store(true)
 }
 
+// addOwn makes this VM's record be written if an entry of the store lacks crashes of it.
+func (c *crashes) addOwn(now time.Time, entry kvs.Entry) {
+	id, err := parseCrashID(strings.TrimPrefix(entry.Key, suspectPrefix))
+	if err == nil && c.registries.of(id.kind).LacksOwn(now, id.fingerprint, entry.Value) {
+		c.writer.add([]crashID{id})
+	}
+}
+
 // updateLapsed decides when to write again the records that are gone from the store though
 // they count for longer than their lease could be too short. The VMs wait for different
 // times, so that mostly one of them writes.
