platform, io/entry: use the entries that come with a failed condition

Cause: where several VMs had requests with one part on a crashed replica, each VM but the first failed its condition and read every record of its write, one call each. The store's response to the failed condition has these entries already.

Change: kvs.TxnResult has the entries of compared keys if the service tells them, and the writer merges those. It reads only keys that it expected to exist and that are not among them.

--- a/io/entry/crash_writer.go
+++ b/io/entry/crash_writer.go
@@ -159,7 +159,7 @@
 	case err != nil:
 		return batch, errors.Annotate(err, "crashWriter.writeBatch")
 	case !result.Succeeded:
-		return w.mergeStored(ctx, batch)
+		return w.mergeStored(ctx, batch, result.Current)
 	}
 	w.written(txn, result.Revision)
 	return nil, nil
@@ -200,7 +200,7 @@
 			w.written(txn, result.Revision)
 			return nil
 		}
-		if _, err := w.mergeStored(ctx, ids); !errors.Is(err, errCrashKnown) {
+		if _, err := w.mergeStored(ctx, ids, result.Current); !errors.Is(err, errCrashKnown) {
 			return errors.Annotate(err, "crashWriter.writeTrials")
 		}
 	}
@@ -240,14 +240,23 @@
 
 // mergeStored merges the stored records of a batch into the registry, because at least
 // one key was not as expected. It returns errCrashKnown if that succeeds, and those of which
-// the store does not have all that counts.
-func (w *crashWriter) mergeStored(ctx context.Context, batch []crashID) ([]crashID, error) {
+// the store does not have all that counts. current has the entries that came with the
+// result; a key that is not among them is read, unless it is expected to be absent: then a
+// further write tells.
+func (w *crashWriter) mergeStored(ctx context.Context, batch []crashID, current []kvs.Entry) ([]crashID, error) {
 	left := make([]crashID, 0, len(batch))
 	for _, id := range batch {
 		key := w.key(id)
-		found, err := w.store.Get(ctx, key)
-		if err != nil {
-			return batch, errors.Annotate(err, "crashWriter.mergeStored")
+		found, told := lookUp(current, key)
+		if !told && len(current) > 0 && w.condition(key).Target == kvs.TargetCreate {
+			left = append(left, id)
+			continue
+		}
+		if !told {
+			var err error
+			if found, err = w.store.Get(ctx, key); err != nil {
+				return batch, errors.Annotate(err, "crashWriter.mergeStored")
+			}
 		}
 		w.setRevision(key, found)
 		registry := w.registries.of(id.kind)
@@ -263,6 +272,15 @@
 	return left, errCrashKnown
 }
 
+// lookUp returns the entry of a key, and whether there is one.
+func lookUp(entries []kvs.Entry, key string) (kvs.Lookup, bool) {
+	i := slices.IndexFunc(entries, func(e kvs.Entry) bool { return e.Key == key })
+	if i < 0 {
+		return kvs.Lookup{}, false
+	}
+	return kvs.Lookup{Found: true, Entry: entries[i]}, true
+}
+
 func (w *crashWriter) setRevision(key string, found kvs.Lookup) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/io/kvs/types.go
+++ b/io/kvs/types.go
@@ -124,10 +124,13 @@
 
 // TxnResult is the result of a transaction. Succeeded is true if all compares held.
 // Lookups has the results of the OpGet operations that were applied, in their order.
+// Current has the entries of compared keys, in any order, if a compare did not hold and the
+// service tells them; a key that is missing there need not be absent.
 type TxnResult struct {
 	Succeeded bool
 	Revision  Revision
 	Lookups   []Lookup
+	Current   []Entry
 }
 
 // EventKind is the kind of an Event.
