core/route: a request may leave a silent replica with its VM's share used up

On a VM that had used up its share of a busy long lane, no request left a silent replica: the takeover asked Router.Pick, which refused it since the request's own place counted against the share (TestTakeoverLeavesItsOwnPlace failed).

Router.PickOther takes the replica that the call is about to leave. If calls on that one count towards the share, the call needs no further part of it. Until the silent connection is closed both places count, so that other requests are not admitted meanwhile.

--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -36,6 +36,20 @@
 //
 // Errors: ErrNoReplica, ErrBusy.
 func (r *Router) Pick(now time.Time, c call.Call, exclude []call.ReplicaID) (Decision, error) {
+	return r.pick(now, c, exclude, "")
+}
+
+// PickOther chooses another replica for a call in flight on the replica from, which the
+// call is about to leave. It does as Pick does, except that a call that stays in the long
+// lane needs no further part of the VM's share of it.
+//
+// Errors: ErrNoReplica, ErrBusy.
+func (r *Router) PickOther(now time.Time, c call.Call, exclude []call.ReplicaID, from call.ReplicaID) (Decision, error) {
+	return r.pick(now, c, exclude, from)
+}
+
+// pick chooses a replica for a call that is in flight on the replica from, if any.
+func (r *Router) pick(now time.Time, c call.Call, exclude []call.ReplicaID, from call.ReplicaID) (Decision, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.pools[c.Model]
@@ -44,7 +58,7 @@
 	}
 	var d Decision
 	lane := r.laneOf(now, c, p)
-	if inFlight, share, over := r.overShare(now, p, lane); over {
+	if inFlight, share, over := r.overShare(now, p, lane); over && !p.counts(now, lane, from) {
 		return d, errors.Annotatef(ErrBusy, "Router.Pick: %s: %g long-prompt calls in flight on this VM, its share is %.1f", c.Model, inFlight, share)
 	}
 	maxLoad := p.classes.slotShare(now, c)
--- a/core/route/share.go
+++ b/core/route/share.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"time"
+
+	"gentianwell/core/call"
+)
 
 const (
 	// busyLoad is the load per slot of the long lane from which each VM is limited
@@ -27,7 +31,7 @@
 	}
 	var load, slots float64
 	for _, s := range p.all {
-		if l.has(s) && !s.ejected(now) {
+		if s.counts(now, l) {
 			inFlight += float64(s.inFlight)
 			load += s.load(now, shareReportMaxAge)
 			slots += float64(s.Slots)
@@ -39,3 +43,17 @@
 	share = max(1, longMaxLoad*slots*p.classes.ownShare(now, p.classes.longThreshold(now), r.vms))
 	return inFlight, share, inFlight+1 > share
 }
+
+// counts reports whether calls on the replica count towards the VM's share of the lane.
+func (s *state) counts(now time.Time, l lane) bool { return l.has(s) && !s.ejected(now) }
+
+// counts reports whether the pool has the replica and calls on it count towards the VM's
+// share of the lane.
+func (p *pool) counts(now time.Time, l lane, id call.ReplicaID) bool {
+	for _, s := range p.all {
+		if s.ID == id {
+			return s.counts(now, l)
+		}
+	}
+	return false
+}
--- a/core/route/share_test.go
+++ b/core/route/share_test.go
@@ -101,3 +101,55 @@
 		r.Started(now, d.Replica.ID, 1)
 	}
 }
+
+// A call in the long lane may move to another replica although its VM's share is used up,
+// but the VM gets no more calls by it: neither while both places are taken nor afterwards,
+// and not for a call whose place does not count against the share.
+func TestMoveNeedsNoFurtherShare(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := newRouters(t, 60, 10)[0]
+	summary := longCall(1)
+	summary.Class = "summary"
+	for range 60 {
+		r.Arrived(now, summary)
+		r.Arrived(now, call.Call{Model: "m", Class: "question", PromptTokens: 900})
+	}
+	p := r.pools["m"]
+	l := r.laneOf(now, summary, p)
+	assert.Assert(t, l.long)
+	var outside call.ReplicaID
+	for _, s := range p.all {
+		r.Report(now, s.ID, Load{Running: 7, Slots: 8, MeasuredAt: now})
+		if !l.has(s) {
+			outside = s.ID
+		}
+	}
+	var from call.ReplicaID
+	for d, err := r.Pick(now, summary, nil); err == nil; d, err = r.Pick(now, summary, nil) {
+		from = d.Replica.ID
+		r.Started(now, from, 1)
+	}
+	assert.Assert(t, from != "")
+	refused := func(from call.ReplicaID) {
+		t.Helper()
+		_, err := r.PickOther(now, summary, []call.ReplicaID{from}, from)
+		assert.ErrorContains(t, err, "its share is")
+	}
+	refused("")
+	refused(outside)
+	refused("unknown")
+	before, _, _ := r.overShare(now, p, l)
+	d, err := r.PickOther(now, summary, []call.ReplicaID{from}, from)
+	assert.NilError(t, err)
+	assert.Assert(t, d.Replica.ID != from)
+	r.Started(now, d.Replica.ID, 1)
+	refused("")
+	r.Finished(now, from, 1, Result{Status: StatusCanceled})
+	refused("")
+	after, _, over := r.overShare(now, p, l)
+	assert.Assert(t, over)
+	assert.Equal(t, after, before)
+	r.eject(now, r.byID[d.Replica.ID], EjectFailing)
+	r.Started(now, from, 1)
+	refused(d.Replica.ID)
+}
--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -80,9 +80,9 @@
 
 // find chooses a replica and takes a retry. If it fails, it returns the reason.
 func (t *takeover) find(now time.Time) (d route.Decision, obstacle string) {
-	d, err := t.p.s.c.Router.Pick(now, t.p.call, t.tried)
+	d, err := t.p.s.c.Router.PickOther(now, t.p.call, t.tried, t.replica())
 	if err != nil {
-		d, err = t.p.s.c.Router.Pick(now, t.p.call, t.silent)
+		d, err = t.p.s.c.Router.PickOther(now, t.p.call, t.silent, t.replica())
 	}
 	switch {
 	case err != nil:
