io/proxy: try a replica that was given up again once it may have gone on

A replica that was given up counts as silent for minGapTimeout. Then it is preferred to replicas that refused the request, by Router.PickReplica also while it is ejected; replicas that have not had the request still go first. If it may have run the request and fails a second time, the request does not go back to it again. The retry policy has allowed a further run before.

--- a/core/route/decision.go
+++ b/core/route/decision.go
@@ -11,7 +11,7 @@
 // maxSkipped limits the length of Decision.Skipped.
 const maxSkipped = 8
 
-// Errors of Pick, PickOther and PickAlone, to be tested with errors.Is.
+// Errors of the Pick methods, to be tested with errors.Is.
 const (
 	// ErrNoReplica means that the model has no replica, or that none is left after
 	// exclusions and ejections.
@@ -54,7 +54,7 @@
 	Reason SkipReason
 }
 
-// Decision is the outcome of Pick, PickOther or PickAlone.
+// Decision is the outcome of a Pick method.
 type Decision struct {
 	Replica Replica
 	Reason  Reason
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -48,6 +48,34 @@
 	return r.pick(now, c, exclude, from)
 }
 
+// PickReplica chooses the given replica if it has room for the call, even if it is ejected
+// or in its slow start.
+//
+// Errors: ErrNoReplica, ErrBusy.
+func (r *Router) PickReplica(now time.Time, c call.Call, id call.ReplicaID) (Decision, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pools[c.Model]
+	if p == nil {
+		return Decision{}, errors.Annotatef(ErrNoReplica, "Router.PickReplica: %s", c.Model)
+	}
+	i := slices.IndexFunc(p.all, func(s *state) bool { return s.ID == id })
+	if i < 0 {
+		return Decision{}, errors.Annotatef(ErrNoReplica, "Router.PickReplica: %s on %s", c.Model, id)
+	}
+	s, lane := p.all[i], r.laneOf(now, c, p)
+	f := filtered{maxLoad: p.classes.slotShare(now, c)}
+	if lane.long {
+		f.maxLoad *= longMaxLoad
+	}
+	_, _, over := r.overShare(now, p, lane)
+	if over || s.reserved(now) || r.full(now, s, &f) {
+		return Decision{}, errors.Annotatef(ErrBusy, "Router.PickReplica: %s on %s", c.Model, id)
+	}
+	best := r.candidate(now, s, f.warm)
+	return Decision{Replica: s.Replica, Reason: r.reason(now, best, f), Load: best.load, Usable: 1}, nil
+}
+
 // pick chooses a replica for a call that is in flight on the replica from, if any.
 func (r *Router) pick(now time.Time, c call.Call, exclude []call.ReplicaID, from call.ReplicaID) (Decision, error) {
 	r.mu.Lock()
--- a/core/route/pick_test.go
+++ b/core/route/pick_test.go
@@ -248,3 +248,48 @@
 	assert.ErrorIs(t, err, ErrBusy)
 	send(t, r, t0, request, 3)
 }
+
+// PickReplica chooses its replica also while that is ejected, but only within the limits
+// that hold for every call.
+func TestPickReplica(t *testing.T) {
+	now := time.Unix(1000, 0)
+	summary := longCall(1)
+	for name, c := range map[string]struct {
+		setUp func(*Router, *state)
+		want  Reason
+		err   error
+	}{
+		"idle":    {func(*Router, *state) {}, ReasonLeastLoaded, nil},
+		"ejected": {func(r *Router, s *state) { r.eject(now, s, EjectFailing) }, ReasonLastResort, nil},
+		"full":    {func(r *Router, s *state) { r.Report(now, s.ID, Load{Running: 8, Slots: 8, MeasuredAt: now}) }, "", ErrBusy},
+		"ejected and full": {func(r *Router, s *state) {
+			r.eject(now, s, EjectFailing)
+			r.Report(now, s.ID, Load{Running: 8, Slots: 8, MeasuredAt: now})
+		}, "", ErrBusy},
+		"reserved": {func(_ *Router, s *state) { s.reservedUntil = now.Add(time.Second) }, "", ErrBusy},
+		"share used up": {func(r *Router, s *state) {
+			r.cfg.InitialLongShare = 0.5
+			for _, other := range r.pools["m"].all {
+				r.Report(now, other.ID, Load{Running: 7, Slots: 8, MeasuredAt: now})
+			}
+			for d, err := r.Pick(now, summary, nil); err == nil; d, err = r.Pick(now, summary, nil) {
+				r.Started(now, d.Replica.ID, 1)
+			}
+		}, "", ErrBusy},
+		"not listed": {func(r *Router, _ *state) { r.SetReplicas(now, threeZoneReplicas(10)[1:]) }, "", ErrNoReplica},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRouters(t, 60, 10)[0]
+			id := threeZoneReplicas(10)[0].ID
+			c.setUp(r, r.byID[id])
+			d, err := r.PickReplica(now, summary, id)
+			if c.err != nil {
+				assert.ErrorIs(t, err, c.err)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, d.Replica.ID, id)
+			assert.Equal(t, d.Reason, c.want)
+		})
+	}
+}
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -40,7 +40,9 @@
 	// tried holds the replicas that failed or refused the request, silent those of them
 	// that were given up because they were silent.
 	tried, silent []call.ReplicaID
-	replica       call.ReplicaID
+	// tryAgainAt holds when those of silent that may have gone on are tried again.
+	tryAgainAt map[call.ReplicaID]time.Time
+	replica    call.ReplicaID
 	// takeover is that of the current or last attempt; nil before the first one.
 	takeover *takeover
 	// responseStarted is true once the header of a stream was written to the caller;
--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -107,6 +108,9 @@
 		}
 	}
 	d, err := p.s.c.Router.Pick(now, p.call, p.tried)
+	if err != nil {
+		d, err = p.pickGivenUp(now, d, err)
+	}
 	// A replica that has already failed this request is better than none, one that
 	// refused it better than one that was silent.
 	if errors.Is(err, route.ErrNoReplica) && len(p.tried) > len(p.silent) {
@@ -121,6 +125,36 @@
 	return d, err
 }
 
+// pickGivenUp chooses a replica that was given up and may have gone on since. If there is
+// none, it returns d and err.
+func (p *proxyRequest) pickGivenUp(now time.Time, d route.Decision, err error) (route.Decision, error) {
+	for _, id := range p.silent {
+		at, ok := p.tryAgainAt[id]
+		if !ok || now.Before(at) {
+			continue
+		}
+		if again, err := p.s.c.Router.PickReplica(now, p.call, id); err == nil {
+			return again, nil
+		}
+	}
+	return d, err
+}
+
+// noteSilence records that the replica of the last attempt was given up, or was given up
+// before and now did not run the request. It is tried again after the time for which a
+// sound replica may be silent, but not if it was silent twice.
+func (p *proxyRequest) noteSilence() {
+	e := &p.lastAttempt
+	if slices.Contains(p.silent, e.replica) && e.mayHaveRun {
+		delete(p.tryAgainAt, e.replica)
+		return
+	}
+	if p.tryAgainAt == nil {
+		p.tryAgainAt = map[call.ReplicaID]time.Time{}
+	}
+	p.tryAgainAt[e.replica] = p.s.c.Now().Add(minGapTimeout)
+}
+
 // gaveUp reports whether a silent replica was given up, which might have completed the
 // request: such a request goes on until its deadline.
 func (p *proxyRequest) gaveUp() bool { return len(p.silent) > 0 }
@@ -158,10 +192,14 @@
 	p.tried = append(p.tried, e.replica)
 	if p.takeover.ready() && (e.cause == retry.CauseSilent || e.cause == retry.CauseUnreachable) {
 		e.retry = retry.ReasonIdempotent
+		p.noteSilence()
 		p.silent = append(p.silent, e.replica)
 		return true
 	}
 	p.takeover.release()
+	if slices.Contains(p.silent, e.replica) {
+		p.noteSilence()
+	}
 	if !p.gaveUp() {
 		if p.sends >= p.s.c.MaxSends {
 			return false
--- a/io/proxy/takeover_test.go
+++ b/io/proxy/takeover_test.go
@@ -123,3 +123,44 @@
 		})
 	}
 }
+
+// A replica that was given up is tried again once it may have gone on, before one that
+// refused the request and after one that has not had it, also while it is ejected. If it
+// is silent again, the request does not go back to it a second time.
+func TestGivenUpReplicaIsPreferredOnceItMayHaveGoneOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		replicas int
+		// ran is true if the replica may have run the request the second time.
+		ran                         bool
+		early, due, again, againDue call.ReplicaID
+	}{
+		"silent again":       {2, true, "r1", "r0", "r1", "r1"},
+		"refused then":       {2, false, "r1", "r0", "r1", "r0"},
+		"another is untried": {3, true, "r2", "r2", "r2", "r2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newSilentRequest(t, c.replicas, 4, route.Config{})
+			p.tried, p.lastAttempt = []call.ReplicaID{"r0", "r1"}, attemptResult{replica: "r0", mayHaveRun: true}
+			p.noteSilence()
+			p.silent = []call.ReplicaID{"r0"}
+			for range 3 {
+				p.s.c.Router.Silent(time.Now(), "r0")
+			}
+			assert.Equal(t, len(p.s.c.Router.Ejected(time.Now())), 1)
+			picked := func(after time.Duration) call.ReplicaID {
+				t.Helper()
+				now := time.Now().Add(after)
+				d, err := p.pick(now)
+				assert.NilError(t, err)
+				p.s.c.Router.Finished(now, d.Replica.ID, p.cost(), route.Result{Status: route.StatusCanceled})
+				return d.Replica.ID
+			}
+			assert.Equal(t, picked(0), c.early)
+			assert.Equal(t, picked(minGapTimeout), c.due)
+			p.lastAttempt.mayHaveRun = c.ran
+			p.noteSilence()
+			assert.Equal(t, picked(0), c.again)
+			assert.Equal(t, picked(minGapTimeout), c.againDue)
+		})
+	}
+}
