io/back: a failing test of a run closed as an idle connection

When a connection to a backend server goes silent, io/back closes the server's idle connections. net/http hands a connection to the next request at the end of the response's body; the former attempt marks it as idle at its own end, after it has written the response to the caller. In between the next request has begun, and its connection counts as idle for all of its run. A request that is never repeated then ends with 502, and a stream with its connection, although its replica is sound and sends.

--- a/io/back/silent_test.go
+++ b/io/back/silent_test.go
@@ -1,6 +1,8 @@
 package back
 
 import (
+	"io"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -112,3 +114,56 @@
 	res, err = b.do(t, r, discard)
 	assert.Equal(t, res.Ending, EndingSilent, "%v", err)
 }
+
+// A run on a reused connection goes on when another connection to the same backend server
+// goes silent, also if the connection's former attempt ends only after it was reused.
+func TestSilenceLeavesReusedConnections(t *testing.T) {
+	release := make(chan struct{})
+	b := newTestClient(t, nil, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-release
+		}
+		_, _ = io.WriteString(w, "done")
+	}))
+	open := func(path string) (*Exchange, Result) {
+		x, res, err := b.client.Open(t.Context(), b.target, Request{Method: http.MethodPost, Path: path, Body: []byte("x"), FirstByteTimeout: time.Hour, ProgressTimeout: time.Hour})
+		assert.Check(t, err)
+		return x, res
+	}
+	former, _ := open("/quick")
+	_, err := io.ReadAll(former)
+	assert.NilError(t, err)
+	type outcome struct {
+		x   *Exchange
+		res Result
+	}
+	reused := make(chan outcome)
+	go func() {
+		x, res := open("/slow")
+		reused <- outcome{x, res}
+	}()
+	for b.client.conns.usedAgain() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	former.End(nil)
+	b.client.conns.closeIdle(b.target)
+	close(release)
+	got := <-reused
+	assert.Assert(t, got.x != nil, "ending %q, bytes written: %t", got.res.Ending, got.res.BytesWritten)
+	assert.Assert(t, got.x.End(nil).Reused)
+}
+
+// usedAgain returns the number of connections on which a second request was written.
+func (s *connTracker) usedAgain() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, open := range s.open {
+		for c := range open {
+			if c.writeCount() > 1 {
+				n++
+			}
+		}
+	}
+	return n
+}
