io/back: do not close a connection that its next request already uses

Callers of requests that are never repeated got 502, or a stream broken off, when another connection to the same sound backend server went silent and was given up.

Cause: the idle connections of a server are closed when one connection to it goes silent. An attempt marked its connection as idle at its own end, after net/http had handed the connection to the next request; that request then ran on a connection that counted as idle. A connection that was idle when the list was made could also be handed out before it was closed.

Change: a connection knows the attempt that uses it, and an attempt releases it only if it is still its own. An idle connection is sealed before it is closed: a request that gets it at that moment has written nothing and uses a new connection.

--- a/io/back/attempt.go
+++ b/io/back/attempt.go
@@ -55,8 +55,14 @@
 func (a *attempt) close() {
 	a.watchdog.stop()
 	a.cancel(nil)
+	a.releaseConn()
+}
+
+// releaseConn marks the connection as idle, unless net/http has handed it to another
+// attempt already.
+func (a *attempt) releaseConn() {
 	if a.conn != nil {
-		a.conn.active.Store(false)
+		a.conn.user.CompareAndSwap(a, nil)
 	}
 }
 
@@ -76,7 +82,7 @@
 func (a *attempt) open() (*http.Response, error) {
 	res, err := a.roundTrip(a.transport())
 	if a.closedUnused(err) {
-		a.conn.active.Store(false)
+		a.releaseConn()
 		a.conn = nil
 		res, err = a.roundTrip(a.client.unpooled)
 	}
@@ -102,7 +108,7 @@
 // its connection if its response turns out to be incomplete at its end, when net/http may
 // have handed the connection to another attempt already.
 func (a *attempt) closedUnused(err error) bool {
-	return errors.Is(err, net.ErrClosed) && a.ctx.Err() == nil && a.conn != nil && !a.mayHaveWritten()
+	return (errors.Is(err, net.ErrClosed) || errors.Is(err, errSealed)) && a.ctx.Err() == nil && a.conn != nil && !a.mayHaveWritten()
 }
 
 // transport returns the transport with which net/http cannot replay this request.
@@ -148,7 +154,7 @@
 	if !ok {
 		return
 	}
-	c.active.Store(true)
+	c.user.Store(a)
 	a.conn = c
 	a.writesBefore = c.writeCount()
 	a.result.Reused = info.Reused
--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -11,8 +11,8 @@
 )
 
 // errSealed is the error of a write on a connection whose request was abandoned before
-// its first byte.
-const errSealed = errors.ConstError("connection is sealed: its request was abandoned before the first byte")
+// its first byte, or which is closed because it was idle.
+const errSealed = errors.ConstError("connection is sealed: its request was abandoned before the first byte, or it was idle and is closed")
 
 // conn is a connection that counts its writes and records when it last made progress.
 type conn struct {
@@ -24,8 +24,8 @@
 	// broken is set when a read or write fails other than because this side closed the
 	// connection, such as when the backend server closes or resets it.
 	broken atomic.Bool
-	// active is true while an attempt uses the connection.
-	active  atomic.Bool
+	// user is the attempt that uses the connection; nil while it is idle.
+	user    atomic.Pointer[attempt]
 	onClose func(*conn)
 
 	mu     sync.Mutex
@@ -109,3 +109,14 @@
 	c.sealed = true
 	return true
 }
+
+// sealIdle seals the connection unless an attempt uses it, and reports whether it has.
+func (c *conn) sealIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.user.Load() != nil {
+		return false
+	}
+	c.sealed = true
+	return true
+}
--- a/io/back/conns.go
+++ b/io/back/conns.go
@@ -61,12 +61,13 @@
 	}
 }
 
-func (s *connTracker) idle(address netip.AddrPort) []*conn {
+// sealIdle seals and returns the idle connections to a backend server.
+func (s *connTracker) sealIdle(address netip.AddrPort) []*conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []*conn
 	for c := range s.open[address] {
-		if !c.active.Load() {
+		if c.sealIdle() {
 			out = append(out, c)
 		}
 	}
@@ -76,7 +77,7 @@
 // closeIdle closes the idle connections to a backend server after one connection to it
 // went silent, since the others may be lost as well.
 func (s *connTracker) closeIdle(t Target) {
-	idle := s.idle(t.Address)
+	idle := s.sealIdle(t.Address)
 	for _, c := range idle {
 		s.close(c)
 	}
--- a/io/back/silent_test.go
+++ b/io/back/silent_test.go
@@ -167,3 +167,18 @@
 	}
 	return n
 }
+
+// A request that gets an idle connection just as it is closed uses a new one.
+func TestSealedConnectionIsReplaced(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		b := newTestClient(t, nil, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "done") }))
+		r := Request{Method: method, Path: "/", Body: []byte("x")}
+		_, err := b.do(t, r, discard)
+		assert.NilError(t, err)
+		assert.Equal(t, len(b.client.conns.sealIdle(b.target.Address)), 1)
+		res, err := b.do(t, r, discard)
+		assert.NilError(t, err)
+		assert.Equal(t, b.relay.Accepted(), 2)
+		assert.Equal(t, res.Ending, EndingComplete)
+	}
+}
