io/runner: a failing test of a silent engine and a used-up budget

io/runner still gives up a silent engine before it asks whether another attempt may follow: Runner.send sets no Request.GiveUp. On a reused connection the progress timeout holds from the start, also while the engine queues or prefills the request. With the retry budget used up, gentianwell serve then fails a request that its sound engine would have answered.

The progress timeout is a setting of a class (default 5 s), so that the users' silences of about a second do not reach it by default.

--- a/io/runner/stream_test.go
+++ b/io/runner/stream_test.go
@@ -378,3 +378,24 @@
 	}
 	assert.Equal(t, generated, fakes.AnswerLength("hello"))
 }
+
+// With the retry budget used up, a request on a reused connection gets its complete answer
+// although its sound engine sends nothing for longer than the progress timeout.
+func TestSilenceWithoutBudgetEndsNoAnswer(t *testing.T) {
+	e := newEngines(t, 1, fakeProfile, func(ec *fakes.EngineConfig, bc *back.Config) {
+		ec.PrefillTime = 2 * progress
+		bc.FirstByteTimeout = 20 * progress
+	})
+	warm := e.Run(t.Context(), streamJob(stream.KindChat, "warm", true), (&streamReader{ids: map[string]bool{}}).sink())
+	assert.Equal(t, warm.Outcome, call.OutcomeRan, warm.Message)
+	e.c.Retry.SetBudget(0, 1)
+	j := streamJob(stream.KindChat, strings.Repeat("x", fakes.BlockBytes), true)
+	spent := retry.Attempt{Class: j.Call.Class, Idempotent: true, Number: 1, Outcome: call.OutcomeUnknown, Cause: retry.CauseSilent}
+	for range 1000 {
+		e.c.Retry.Decide(time.Now(), spent)
+	}
+	r := &streamReader{ids: map[string]bool{}}
+	answer := e.Run(t.Context(), j, r.sink())
+	assert.Equal(t, answer.Outcome, call.OutcomeRan, "%s: %s", answer.Reason, answer.Message)
+	assert.Equal(t, r.done, 1)
+}
