io/entry: answer the requests in progress at the stop limit

At the limit of a planned stop, callers whose request had no part of its response got a closed connection: the process closed all connections and ended.

Change: at the limit the context of the requests in progress is cancelled, so that each ends with its error response (503 if it has not run, otherwise 504; a stream that has begun breaks off as before), and the server waits up to 100 ms until the responses are written. The stop used to close the connections as soon as the last request had ended, which may be before net/http has written the end of its response; this wait covers that too (not reproduced).

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -99,6 +99,9 @@
 	budgetVMs atomic.Int64
 	// stopped is closed at the end of a planned stop.
 	stopped chan struct{}
+	// requests is the context whose end ends the requests in progress.
+	requests       context.Context
+	cancelRequests context.CancelFunc
 	// fetching is true while the bundle of a peer is fetched.
 	fetching atomic.Bool
 }
@@ -116,6 +119,7 @@
 	}
 	e := &Entry{options: o, log: o.Log, timers: timer.New(timer.Config{Now: o.Now}), rng: o.rand(randProxy), stopped: make(chan struct{})}
 	e.config.Store(&o.Config)
+	e.requests, e.cancelRequests = context.WithCancel(context.Background())
 	e.drain = drain.New(drain.Config{Notice: o.Config.Notice, Limit: o.Config.StopLimit - stopMargin})
 	if err := e.makeComponents(); err != nil {
 		return nil, errors.Annotate(err, "entry.New")
@@ -182,8 +186,8 @@
 		Headers: e.options.Headers, Zone: e.options.Config.Zone, Table: e.tables.Current, TableIsCurrent: e.tableIsCurrent,
 		Router: e.router, Retry: e.retry, Open: e.client.Open,
 		Admit: func() bool { return e.drain.Admit(e.options.Now()) }, Finish: e.drain.Finish,
-		Stopping: func() bool { return !e.drain.Ready() },
-		Random:   e.random, Now: e.options.Now, Log: e.log, Observe: e.metrics.observe,
+		Stopping: func() bool { return !e.drain.Ready() }, Ended: e.requests,
+		Random: e.random, Now: e.options.Now, Log: e.log, Observe: e.metrics.observe,
 		MayRun: e.crashes.mayRun, RunLost: e.crashes.runLost, RunCompleted: e.crashes.runCompleted,
 		RetryShare: func() float64 { return e.config.Load().RetryRatio * budgetFraction },
 	}
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -228,6 +228,7 @@
 		switch e.drain.Advance(e.options.Now()) {
 		case drain.PhaseStopped:
 			e.logStop("stopped")
+			e.endRequests(runCtx, callers)
 			close(e.stopped)
 			return nil
 		case drain.PhaseFinish:
@@ -244,6 +245,14 @@
 	}
 }
 
+// endRequests ends the requests in progress and waits until the responses are written.
+func (e *Entry) endRequests(ctx context.Context, callers *http.Server) {
+	e.cancelRequests()
+	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout/2)
+	defer cancel()
+	e.closeIdle(ctx, callers)
+}
+
 // closeIdle closes the listener and the idle connections.
 func (e *Entry) closeIdle(ctx context.Context, callers *http.Server) {
 	if err := callers.Shutdown(ctx); err != nil {
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -54,6 +54,8 @@
 	Admit    func() bool
 	Finish   func()
 	Stopping func() bool
+	// Ended is done when the requests in progress have to end. The default never is.
+	Ended context.Context
 	// Random returns a random number in [0, 1).
 	Random func() float64
 	Now    func() time.Time
@@ -118,6 +120,9 @@
 	if c.RetryShare == nil {
 		c.RetryShare = func() float64 { return defaultRetryShare }
 	}
+	if c.Ended == nil {
+		c.Ended = context.Background()
+	}
 	if c.TableIsCurrent == nil {
 		c.TableIsCurrent = func() bool { return true }
 	}
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -66,6 +66,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(p.r.Context(), p.deadline, errDeadline)
 	defer cancel()
+	defer context.AfterFunc(p.s.c.Ended, cancel)()
 	p.run(ctx)
 }
 
