io/proxy: a failing test of a takeover in a used-up long lane

The place at the next replica is now taken before the request has left the silent one. In a busy long lane Router.Pick refuses calls beyond the VM's share and counts the request's own place: a VM whose share is used up moves none of its requests until another call of the lane ends.

--- a/io/proxy/takeover_test.go
+++ b/io/proxy/takeover_test.go
@@ -96,3 +96,26 @@
 		})
 	}
 }
+
+// A VM whose share of a busy long lane is used up by the request itself can still move it:
+// the place that the request leaves does not count against the one that it takes.
+func TestTakeoverLeavesItsOwnPlace(t *testing.T) {
+	for name, atSilentReplica := range map[string]bool{"its place is free": false, "its place is counted": true} {
+		t.Run(name, func(t *testing.T) {
+			p := newSilentRequest(t, 4, 10, route.Config{InitialLongShare: 0.5})
+			p.call.PromptTokens, p.call.SharedTokens = 5000, 2000
+			now := time.Now()
+			p.s.c.Router.SetVMs(40)
+			for i := range 4 {
+				p.s.c.Router.Report(now, call.ReplicaID(fmt.Sprintf("r%d", i)), route.Load{Running: 9, Slots: 10, MeasuredAt: now})
+			}
+			p.s.c.Router.Finished(now, "r0", 1, route.Result{Status: route.StatusCanceled})
+			d, err := p.s.c.Router.Pick(now, p.call, nil)
+			assert.NilError(t, err)
+			if atSilentReplica {
+				p.s.c.Router.Started(now, d.Replica.ID, p.cost())
+			}
+			assert.Assert(t, p.newTakeover(d.Replica.ID).take())
+		})
+	}
+}
