io/back: the first-byte timeout holds again once a request moves to a new connection

A sound engine that queues it was given up as silent.

Cause: gotConn shortened the timeout for a reused connection and did not restore it for the new one of the same attempt.

Change: each connection sets the timeout that holds for it.

Result: TestFirstByteTimeoutAfterClosedConnection failed 2 of 2 before, passes 5 of 5.

--- a/io/back/attempt.go
+++ b/io/back/attempt.go
@@ -165,11 +165,17 @@
 	a.writesBefore = c.acquire(a)
 	a.result.Reused = info.Reused
 	a.watchdog.setConn(c)
-	if info.Reused {
-		// A request waiting in an engine's queue looks the same as a connection that was
-		// lost while idle, so only a new connection gets the longer timeout.
-		a.watchdog.setTimeout(min(a.request.FirstByteTimeout, a.request.ProgressTimeout))
+	a.watchdog.setTimeout(a.headerTimeout())
+}
+
+// headerTimeout returns the longest time without progress before the response header. A
+// request waiting in an engine's queue looks the same as a connection that was lost while
+// idle, so only a new connection gets the longer timeout.
+func (a *attempt) headerTimeout() time.Duration {
+	if a.result.Reused {
+		return min(a.request.FirstByteTimeout, a.request.ProgressTimeout)
 	}
+	return a.request.FirstByteTimeout
 }
 
 // finish returns the result of an attempt that got a complete response.
