io/back: closed connections in the pool cost one dial, not one each

Cause: when a connection is silent, the idle ones are closed, but net/http drops them from its pool a moment later. A request that got one of them was sent on a connection of its own that nobody reuses, and so was the next one. The same happens to each connection whose idle limit (Keep-Alive) is over.

Change: such a request takes its next connection from the pool, as often as the pool may hold closed ones, and only then one of its own. Requests that never use the pool still do not.

--- a/io/back/attempt.go
+++ b/io/back/attempt.go
@@ -83,11 +83,17 @@
 
 // open sends the request and reads the response header.
 func (a *attempt) open() (*http.Response, error) {
-	res, err := a.roundTrip(a.transport())
-	if a.closedUnused(err) {
+	transport := a.transport()
+	res, err := a.roundTrip(transport)
+	// The pool may hold further connections that this side has closed, at most as many as
+	// fit into it.
+	for try := 0; a.closedUnused(err) && try <= a.client.config.MaxIdleConns; try++ {
 		a.release()
 		a.conn = nil
-		res, err = a.roundTrip(a.client.unpooled)
+		if try == a.client.config.MaxIdleConns {
+			transport = a.client.unpooled
+		}
+		res, err = a.roundTrip(transport)
 	}
 	if err != nil {
 		return nil, errors.Trace(err)
