--- a/io/back/silent_test.go
+++ b/io/back/silent_test.go
@@ -33,19 +33,8 @@
 // Connections that went silent while idle cost one progress timeout in total: when the
 // first is found silent, the other idle connections are closed too.
 func TestSilentWhileIdle(t *testing.T) {
-	b := newEngineClient(t, fakes.EngineConfig{TokenGap: 5 * time.Millisecond})
 	const pooled = 4
-	done := make(chan error, pooled)
-	for range pooled {
-		go func() {
-			_, err := b.client.Do(t.Context(), b.target, chat("hello"), discard)
-			done <- err
-		}()
-	}
-	for range pooled {
-		assert.NilError(t, <-done)
-	}
-	assert.Equal(t, b.relay.Accepted(), pooled)
+	b := pooledClient(t, pooled, fakes.EngineConfig{TokenGap: 5 * time.Millisecond})
 	b.relay.Freeze()
 	res, err := b.do(t, chat("again"), discard)
 	assert.Equal(t, res.Ending, EndingSilent, "%v", err)
