--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -126,7 +126,7 @@
 // runLost handles a run whose connection was lost. It returns at once.
 func (c *crashes) runLost(lost proxy.LostRun) { go c.recordLost(lost) }
 
-// recordLost records a crash if the replica of a lost run accepts no connections.
+// recordLost records a crash if the replica of a lost run refuses connections.
 func (c *crashes) recordLost(lost proxy.LostRun) {
 	crashed := c.hasCrashed(lost.Target)
 	c.observe(crashed)
@@ -135,7 +135,7 @@
 		"status": lost.Status, "events": lost.Events, "took": lost.At.Sub(lost.Sent).String(),
 	})
 	if !crashed {
-		log.WithFields(logrus.Fields{"event": "lostRun"}).Info("connection to a replica was lost, but the replica still accepts connections")
+		log.WithFields(logrus.Fields{"event": "lostRun"}).Info("connection to a replica was lost, but the replica does not refuse connections")
 		return
 	}
 	now := c.now()
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -62,7 +62,7 @@
 	errOutOfOrder   = errors.ConstError("stream events are out of order")
 	errNotStream    = errors.ConstError("response to a stream request is not text/event-stream")
 	errTooLarge     = errors.ConstError("response or stream event is larger than the limit")
-	errCrashed      = errors.ConstError("response without a length ended, and its replica accepts no connections")
+	errCrashed      = errors.ConstError("response without a length ended, and its replica refuses connections")
 	errGivenUp      = errors.ConstError("replica was given up as silent before its response was forwarded")
 )
 
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -69,7 +69,7 @@
 	// one has become it. It is to be called once a place at a replica has been taken, and
 	// may take some tenths of a second. By default, any request may be sent.
 	Forbids func(request poison.Fingerprint, parts []poison.Fingerprint) (reason Reason, claim func() bool)
-	// HasCrashed reports whether a replica accepts no connections. It is asked at the end of
+	// HasCrashed reports whether a replica refuses connections. It is asked at the end of
 	// a response that only the end of its connection delimits. By default, none has crashed.
 	HasCrashed func(back.Target) bool
 	// RunLost is called when the connection to a replica was lost while the replica may
