io/proxy: believe a refusal without an id on new connections only

Callers saw a request that may run once run twice (TestLateRefusalWithoutID failed in its three cases, 421, 429 and 503: 200 from a second run where 502 was due).

Cause: refusals need not name the request on the wire, so checkResponse took any of them for "not run". On a reused connection it may be a late response to an earlier request, while this one runs.

Change: a refusal without an id counts as "not run" only on a connection that has carried no other request; on any other the connection is closed. A request that may run once then gets 502. After one such refusal, on whatever connection, these requests use new connections to that service for ten minutes, where a refusal is clear again: callers get 503 with Retry-After, and the request may be sent to another replica. Requests that may be repeated are repeated at once as before; that the connection is closed keeps the response to the first run from the next request. For the choice of replicas the refusal counts as before.

Price: the requests that meet the first of these refusals get 502, at worst those in flight at full replicas of a service, on each VM and again ten minutes after the latest; then a dial for each request that may run once to such a service. Services that name the request pay nothing. A requirement of the id would cost 502 for every refusal at the busiest time, new connections always a dial for each of these requests also where no refusal is in doubt.

--- a/io/back/exchange.go
+++ b/io/back/exchange.go
@@ -16,6 +16,8 @@
 	// Status and Header are those of the response.
 	Status int
 	Header http.Header
+	// Reused is true if the connection had been used for an earlier request.
+	Reused bool
 }
 
 // Open sends a request to a backend server exactly once and reads the response header.
@@ -32,7 +34,7 @@
 		return nil, result, errors.Annotatef(err, "Client.Open: replica %q", t.ID)
 	}
 	a.result.FirstLatency = time.Since(a.started)
-	return &Exchange{a: a, res: res, Status: res.StatusCode, Header: a.result.Header}, Result{}, nil
+	return &Exchange{a: a, res: res, Status: res.StatusCode, Header: a.result.Header, Reused: a.result.Reused}, Result{}, nil
 }
 
 // Read reads from the response body. It returns io.EOF at the proper end of the body;
--- a/io/back/types.go
+++ b/io/back/types.go
@@ -25,7 +25,8 @@
 	Body   []byte
 	// NewConnection makes the client open a new connection. It is for requests that
 	// must not run twice: on a reused connection that was lost or went silent while idle,
-	// it would be unknown whether the request ran.
+	// or that carries a late response to an earlier request, it would be unknown whether
+	// the request ran.
 	NewConnection bool
 	// FirstByteTimeout and ProgressTimeout override those of Config if not zero.
 	FirstByteTimeout time.Duration
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -56,6 +56,7 @@
 	errUnsigned     = errors.ConstError("response lacks the backend server's signature")
 	errStatus       = errors.ConstError("response has a status that no final response has (allowed: 200 to 999)")
 	errWrongID      = errors.ConstError("response has the id of another request or none")
+	errUnclaimed    = errors.ConstError("refusal without an id came on a reused connection and may belong to an earlier request")
 	errEncoded      = errors.ConstError("response body is encoded, but no encoding was requested")
 	errPartialEvent = errors.ConstError("stream ended in the middle of an event")
 	errNoEvent      = errors.ConstError("stream has no length and ended with its connection before the first event")
@@ -110,6 +111,8 @@
 	if p.route.Repeatable() {
 		r.FirstByteTimeout = min(left, p.firstByteTimeout())
 		r.ProgressTimeout = r.FirstByteTimeout
+	} else {
+		r.NewConnection = p.s.unclaimed.areLikely(p.call.Model, p.s.c.Now())
 	}
 	return r
 }
@@ -142,6 +145,9 @@
 		p.s.c.Router.Report(p.s.c.Now(), e.replica, *respInfo.Load)
 	}
 	err := p.checkResponse(x, respInfo)
+	if err == nil && respInfo.ID == "" {
+		err = p.checkUnclaimed(x, e)
+	}
 	switch {
 	case err != nil:
 	case x.Status < http.StatusMultipleChoices && p.route.Kind == table.KindStream:
@@ -173,6 +179,21 @@
 	return nil
 }
 
+// checkUnclaimed checks a refusal without an id. On a connection that has carried an
+// earlier request it may be a late response to that one: whether this request runs is then
+// unknown, and the connection must not be used again. A request that may be repeated goes
+// on as after any other refusal.
+func (p *proxyRequest) checkUnclaimed(x *back.Exchange, e *attemptResult) error {
+	p.s.unclaimed.record(p.call.Model, p.s.c.Now())
+	if !x.Reused {
+		return nil
+	}
+	if p.route.Repeatable() {
+		e.cause = retry.CauseBusy
+	}
+	return errors.Annotatef(errUnclaimed, "status %d", x.Status)
+}
+
 func isStream(h http.Header) bool {
 	kind, _, err := mime.ParseMediaType(h.Get("Content-Type"))
 	return err == nil && kind == "text/event-stream"
@@ -253,13 +274,14 @@
 // routeResult returns the result that the attempt counts as for the replica.
 func (p *proxyRequest) routeResult(e *attemptResult, result back.Result) route.Result {
 	out := route.Result{Status: route.StatusFailed, FirstToken: result.FirstLatency}
+	refused := e.cause == retry.CauseBusy || errors.Is(e.err, errUnclaimed)
 	switch {
 	case e.done:
 		out.Status = route.StatusOK
-	case e.cause == retry.CauseBusy && e.status == http.StatusMisdirectedRequest:
+	case refused && e.status == http.StatusMisdirectedRequest:
 		// Another replica has the address now.
 		out.Status = route.StatusFailed
-	case e.callerGone, e.cause == retry.CauseBusy, e.cause == retry.CauseSilent && p.takeover.countsAsFailure():
+	case e.callerGone, refused, e.cause == retry.CauseSilent && p.takeover.countsAsFailure():
 		out.Status = route.StatusCanceled
 	case e.cause == retry.CauseUnreachable:
 		out.Status = route.StatusUnreachable
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -19,7 +19,8 @@
 
 // Server is the HTTP handler that serves callers.
 type Server struct {
-	c Config
+	c         Config
+	unclaimed unclaimedRefusals
 }
 
 // New returns a server.
