io/entry: a first configuration may have version 0

Cause: a VM without a table counted as one with version 0, so that version 0 was newer than none neither in core/table nor in what VMs tell each other.

Change: any table is newer than none, and a VM without one says -1 to others.

--- a/core/table/table.go
+++ b/core/table/table.go
@@ -53,8 +53,8 @@
 	return t.document.Version
 }
 
-// Newer reports whether t has a higher version than other, which may be nil.
-func (t *Table) Newer(other *Table) bool { return t.Version() > other.Version() }
+// Newer reports whether t has a higher version than other. Any table is newer than nil.
+func (t *Table) Newer(other *Table) bool { return other == nil || t.Version() > other.Version() }
 
 // MaxBodyBytes returns the limit for the body of a request; zero means no limit.
 func (t *Table) MaxBodyBytes() int64 { return t.document.MaxBodyBytes }
--- a/core/table/table_test.go
+++ b/core/table/table_test.go
@@ -123,3 +123,10 @@
 	assert.NilError(t, err)
 	assert.Assert(t, newer.Newer(older) && !older.Newer(newer) && older.Newer(nil) && !older.Newer(older))
 }
+
+// A first version of 0 was never newer than none, so that it did not get in force.
+func TestFirstVersionMayBeZero(t *testing.T) {
+	first, err := New(Document{Version: 0})
+	assert.NilError(t, err)
+	assert.Assert(t, first.Newer(nil) && !first.Newer(first))
+}
--- a/io/entry/bundle.go
+++ b/io/entry/bundle.go
@@ -30,7 +30,7 @@
 // serveBundle returns this VM's bundle if its configuration is newer than the version
 // have.
 func (e *Entry) serveBundle(_ context.Context, have int64) (int64, []byte, error) {
-	version := e.tables.Current().Version()
+	version := e.tables.version()
 	if version <= have {
 		return version, nil, nil
 	}
@@ -46,7 +46,7 @@
 func (e *Entry) fetchNewer(vm call.VMID, version int64) {
 	for _, p := range e.members.peers() {
 		if p.ID == vm {
-			go e.fetchBundle(p.ID, p.Address, e.tables.Current().Version())
+			go e.fetchBundle(p.ID, p.Address, e.tables.version())
 			return
 		}
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -177,7 +177,7 @@
 	e.pool = peer.NewPool(peer.PoolConfig{Dial: e.options.Dial})
 	e.gossip = peer.NewGossip(peer.GossipConfig{
 		Self: c.VM, Zone: c.Zone, Pool: e.pool, Store: e.items, Peers: e.members.peers, Now: e.options.Now,
-		SettingsVersion: func() int64 { return e.tables.Current().Version() },
+		SettingsVersion: e.tables.version,
 		ItemsChanged:    e.applyItems, ExchangeDone: e.members.exchangeDone, NewerSettings: e.fetchNewer, Settings: e.serveBundle,
 		Loads: e.loads.message, ReceiveLoads: e.loads.receive,
 		Demands: demands{e.router}.message, ReceiveDemands: demands{e.router}.receive,
@@ -266,7 +266,7 @@
 		return
 	}
 	for _, p := range e.members.peers() {
-		go e.fetchBundle(p.ID, p.Address, 0)
+		go e.fetchBundle(p.ID, p.Address, noVersion)
 		return
 	}
 }
--- a/io/entry/tables.go
+++ b/io/entry/tables.go
@@ -22,6 +22,17 @@
 // Current returns the current table, or nil if there is none yet.
 func (t *tables) Current() *table.Table { return t.current.Load() }
 
+// noVersion stands for the version of a VM without a table. Every version is newer.
+const noVersion = -1
+
+// version returns the version of the current table, or noVersion.
+func (t *tables) version() int64 {
+	if t.Current() == nil {
+		return noVersion
+	}
+	return t.Current().Version()
+}
+
 // adopt makes a configuration the current one if it is newer. One that is not valid is
 // logged and ignored.
 func (t *tables) adopt(raw []byte, source string) {
