io/proxy: take the limits for headers and idle connections from the configuration

Cause: net/http takes these limits when its server starts, before there is a configuration, and they were constants.

Change: the connection applies them. It counts the bytes of a header and answers 431 itself, and replaces the deadlines that net/http sets before the end of a header. In force is the larger one of the former constant and the operator's limit. Without a configuration a header may have 1 MB, as its request is to get 503, after which callers try again.

Measured: TestHeaderLimit fails on the code before (431 for a header of 190 KB where 200 KB are allowed) and passes now; TestTimeoutsOfConnections fails with the constants put back in connLimits ("10s != 20s"). The setup of TestRequestFinishesAfterItsResponseWasSent is now the function testServer; its checks are unchanged.

--- a/core/table/document.go
+++ b/core/table/document.go
@@ -1,5 +1,7 @@
 package table
 
+import "time"
+
 // Document is one complete version of the configuration.
 type Document struct {
 	Version int64
@@ -8,4 +10,9 @@
 	Teams []Team
 	// MaxBodyBytes limits the body of a request; zero means no limit.
 	MaxBodyBytes int64
+	// MaxHeaderBytes is how large the header of a request may be, HeaderTimeout how long
+	// it may take and IdleTimeout how long a caller's connection may be idle. Zero leaves
+	// the limit to the router.
+	MaxHeaderBytes             int64
+	HeaderTimeout, IdleTimeout time.Duration
 }
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -4,6 +4,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -59,6 +60,17 @@
 // MaxBodyBytes returns the limit for the body of a request; zero means no limit.
 func (t *Table) MaxBodyBytes() int64 { return t.document.MaxBodyBytes }
 
+// MaxHeaderBytes returns the limit for the header of a request; zero means none is set.
+func (t *Table) MaxHeaderBytes() int64 { return t.document.MaxHeaderBytes }
+
+// HeaderTimeout returns the limit for the time that a header takes; zero means none is
+// set.
+func (t *Table) HeaderTimeout() time.Duration { return t.document.HeaderTimeout }
+
+// IdleTimeout returns how long a caller's connection may be idle; zero means that no limit
+// is set.
+func (t *Table) IdleTimeout() time.Duration { return t.document.IdleTimeout }
+
 // Match returns the host's route whose prefix is the longest match for the path.
 // The host may have a port.
 func (t *Table) Match(host, path string) (*Route, bool) {
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -14,7 +14,6 @@
 	"gentianwell/io/kvs"
 	"gentianwell/io/mirror"
 	"gentianwell/io/peer"
-	"gentianwell/io/proxy"
 )
 
 const (
@@ -124,7 +123,7 @@
 		return nil, errors.Trace(err)
 	}
 	srv := e.proxy.HTTP()
-	group.add("callers", func() error { return waitIfClosed(ctx, srv.Serve(proxy.WrapListener(listener))) }, func(error) {
+	group.add("callers", func() error { return waitIfClosed(ctx, srv.Serve(e.proxy.WrapListener(listener))) }, func(error) {
 		if err := srv.Close(); err != nil {
 			e.log.WithField("event", "stop").WithError(err).Warn("closing the callers' connections failed")
 		}
--- a/io/proxy/doc.go
+++ b/io/proxy/doc.go
@@ -17,7 +17,7 @@
 // # Usage
 //
 //	s, err := proxy.New(proxy.Config{Headers: codec, Table: tables.Current, Router: router, …})
-//	err = s.HTTP().Serve(proxy.WrapListener(listener))
+//	err = s.HTTP().Serve(s.WrapListener(listener))
 //
 // The names of the headers depend on the deployment: HeaderCodec reads and writes them.
 package proxy
--- a/io/proxy/framing.go
+++ b/io/proxy/framing.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -12,12 +13,18 @@
 // both Content-Length and Transfer-Encoding. net/http uses the chunks and silently
 // ignores the length. This allows request smuggling: bytes that belong to the body by
 // the length would be taken for the next request.
+//
+// It also applies the limits in force for headers and idle connections.
 type headerScanConn struct {
 	net.Conn
+	limits func() connLimits
 
 	mu sync.Mutex
 	// inHeader is true from the start of a request to the end of its header.
-	inHeader        bool
+	inHeader bool
+	// idle is true from the end of a request until its idle timeout is set.
+	idle            bool
+	headerBytes     int
 	line            []byte
 	length, chunked bool
 	// finish is called once the response to the request in progress was sent or the
@@ -31,6 +38,10 @@
 // Read reads from the connection and scans the headers in the data.
 func (c *headerScanConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if c.headerTooLarge(n) {
+		c.refuseHeader()
+		return 0, io.EOF
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.inHeader {
@@ -68,7 +79,7 @@
 func (c *headerScanConn) expectHeader() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inHeader, c.length, c.chunked = true, false, false
+	c.inHeader, c.idle, c.headerBytes, c.length, c.chunked = true, true, 0, false, false
 	c.line = c.line[:0]
 }
 
@@ -81,11 +92,14 @@
 }
 
 // headerScanListener wraps each accepted connection in a headerScanConn.
-type headerScanListener struct{ net.Listener }
+type headerScanListener struct {
+	net.Listener
+	s *Server
+}
 
-// WrapListener wraps a listener for Server.HTTP, so that requests with both
-// Content-Length and Transfer-Encoding are detected.
-func WrapListener(l net.Listener) net.Listener { return headerScanListener{l} }
+// WrapListener wraps a listener for HTTP, so that requests with both Content-Length and
+// Transfer-Encoding are detected and the limits of the table are in force.
+func (s *Server) WrapListener(l net.Listener) net.Listener { return headerScanListener{l, s} }
 
 // Accept waits for the next connection.
 func (l headerScanListener) Accept() (net.Conn, error) {
@@ -93,7 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &headerScanConn{Conn: conn, inHeader: true}, nil
+	return &headerScanConn{Conn: conn, limits: l.s.connLimits, inHeader: true}, nil
 }
 
 // connKey is the context key of a request's connection.
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -2,21 +2,12 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/juju/errors"
 
 	"gentianwell/io/front"
 )
 
-// The limits of the HTTP server for headers and idle connections. They are constants
-// because they are needed before a routing table is in force.
-const (
-	maxHeaderBytes    = 64 << 10
-	idleTimeout       = time.Minute
-	headerReadTimeout = 10 * time.Second
-)
-
 // Server is the HTTP handler that serves callers.
 type Server struct {
 	c         Config
@@ -34,8 +25,8 @@
 	return &Server{c: c}, nil
 }
 
-// HTTP returns an HTTP server for a listener made by WrapListener. Its limits for
-// headers and idle connections are fixed; the limit for bodies comes from the table.
+// HTTP returns an HTTP server for a listener made by WrapListener, which applies the
+// limits for headers and idle connections.
 func (s *Server) HTTP() *http.Server {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
@@ -43,13 +34,14 @@
 		// Otherwise net/http itself answers "OPTIONS *" with 200.
 		DisableGeneralOptionsHandler: true,
 		Handler:                      s, Protocols: protocols,
-		ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: minHeaderTimeout, IdleTimeout: minIdleTimeout, MaxHeaderBytes: serverMaxHeaderBytes,
 		ConnContext: connContext, ConnState: connState, ErrorLog: front.ErrorLog(s.c.Log),
 	}
 }
 
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	headerEnded(r)
 	p := &proxyRequest{s: s, w: w, r: r, arrived: s.c.Now()}
 	if !s.c.Admit() {
 		p.closeConnection()
