io/entry: derive the probe and the grace periods from the platform's bounds

Cause: these times were constants; the bounds were not read.

Change: "drainMs", "configApplyMs" and "contactMs" are settings of the process, 2, 2 and 3 s if missing. The probe takes a third of the shorter one of the first two, the grace for watches an eighth, the grace for a mass removal three quarters of "drainMs"; none gets longer than before. On the known deployments nothing changes. All VMs have the same settings, so that the one VM that probes for all does so often enough for all. Not derived: gossip rounds, time-outs of store calls, writes of crash records.

--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -26,6 +27,10 @@
 	defaultRetryRatio  = 0.1
 	defaultRetrySlack  = 20
 	defaultRetryWindow = 10 * time.Second
+	// defaultApplyTime and the next two constants are the bounds of the known platforms.
+	defaultApplyTime  = 2 * time.Second
+	defaultDrainTime  = 2 * time.Second
+	defaultStableTime = 3 * time.Second
 	// defaultTrialAfter is longer than a replica takes to restart.
 	defaultTrialAfter = 15 * time.Second
 )
@@ -58,6 +63,10 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// ApplyTime is how soon a change of the configuration has to be in force, DrainTime how
+	// long a replica goes on serving after its entry says that it leaves or was removed.
+	// StableTime is how long after an outage the platform's store counts as stable again.
+	ApplyTime, DrainTime, StableTime time.Duration
 	// TrialAfter is how long after its latest crash a part of prompts that crashes replicas
 	// is tried once more; further trials wait ever longer.
 	TrialAfter time.Duration
@@ -74,6 +83,9 @@
 	if c.TrialAfter == 0 {
 		c.TrialAfter = defaultTrialAfter
 	}
+	c.ApplyTime = cmp.Or(c.ApplyTime, defaultApplyTime)
+	c.DrainTime = cmp.Or(c.DrainTime, defaultDrainTime)
+	c.StableTime = cmp.Or(c.StableTime, defaultStableTime)
 	if c.RetryWindow == 0 {
 		c.RetryRatio, c.RetrySlack, c.RetryWindow = defaultRetryRatio, defaultRetrySlack, defaultRetryWindow
 	}
@@ -89,6 +101,8 @@
 	case !c.CallerAddress.IsValid() || !c.ReadinessAddress.IsValid() || !c.StoreAddress.IsValid():
 		return errors.NotValidf("CallerAddress %s, ReadinessAddress %s, StoreAddress %s (each must be an IP address with a port)",
 			c.CallerAddress, c.ReadinessAddress, c.StoreAddress)
+	case c.ApplyTime < 0 || c.DrainTime < 0 || c.StableTime < 0:
+		return errors.NotValidf("ApplyTime %s, DrainTime %s, StableTime %s (none may be negative)", c.ApplyTime, c.DrainTime, c.StableTime)
 	case c.TrialAfter < 0:
 		return errors.NotValidf("TrialAfter %s (must not be negative)", c.TrialAfter)
 	case c.StopLimit < 0 || c.Notice < 0 || c.RetryRatio < 0 || c.RetrySlack < 0 || c.RetryWindow < 0:
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -149,7 +149,7 @@
 	e.replicas = &replicas{
 		onList: e.loads.setReplicas,
 		prefix: e.options.Source.ReplicaPrefix, parse: e.options.Source.ParseReplica, router: e.router, items: e.items, now: e.options.Now, log: e.log,
-		registry: fleet.New(fleet.Config{Era: func(revision int64) int64 { return kvs.Revision(revision).Era() }}), values: map[call.ReplicaID][]byte{},
+		registry: fleet.New(c.fleetConfig()), values: map[call.ReplicaID][]byte{},
 	}
 	e.members = &members{self: c.VM, address: c.PeerAddress, items: e.items, now: e.options.Now, log: e.log, unreachable: map[call.VMID]bool{}}
 	e.storeStatus = &storeStatus{now: e.options.Now, log: e.log, onRecovery: e.replicas.storeRecovered, onChange: func() { e.members.announce(e.options.Now()) }}
@@ -182,7 +182,7 @@
 		Loads: e.loads.message, ReceiveLoads: e.loads.receive,
 		Demands: demands{e.router}.message, ReceiveDemands: demands{e.router}.receive,
 	})
-	e.probe = &probe{list: e.options.Source.Store.List, members: e.members, push: e.pushReplicas, log: e.log}
+	e.probe = &probe{list: e.options.Source.Store.List, members: e.members, push: e.pushReplicas, grace: c.probeGrace(), log: e.log}
 	e.metrics = newMetrics(prometheus.NewRegistry(), e)
 	e.proxy, err = proxy.New(e.proxyConfig())
 	return errors.Trace(err)
--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// probeInterval is how often the store's revision is read: a change that no watch
-	// reports has to be in force two seconds later.
-	probeInterval = 700 * time.Millisecond
 	// probeTimeout limits one read.
 	probeTimeout = time.Second
 	// probePrefix is a prefix without keys, so that the response is just the revision.
@@ -32,7 +29,9 @@
 	mirrors []*mirror.Mirror
 	// push sends the other VMs the changes that are newer than a revision.
 	push func(after kvs.Revision)
-	log  logrus.FieldLogger
+	// grace is how long the watches have to deliver a change themselves.
+	grace time.Duration
+	log   logrus.FieldLogger
 	// running is true while check runs.
 	running atomic.Bool
 }
@@ -77,16 +76,12 @@
 		return
 	}
 	if snap.Revision > p.newestRevision() {
-		time.AfterFunc(probeGrace, func() { p.refresh(snap.Revision) })
+		time.AfterFunc(p.grace, func() { p.refresh(snap.Revision) })
 	}
 }
 
-const (
-	// probeGrace is how long the watches have to deliver a change themselves.
-	probeGrace = 250 * time.Millisecond
-	// rereadTime is about as long as reading everything again takes.
-	rereadTime = 150 * time.Millisecond
-)
+// rereadTime is about as long as reading everything again takes.
+const rereadTime = 150 * time.Millisecond
 
 // newestRevision returns the newest revision of the mirrors. All watches stop delivering
 // together, so one that delivers shows that the others do too.
