--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -149,7 +149,7 @@
 	e.replicas = &replicas{
 		onList: e.loads.setReplicas,
 		prefix: e.options.Source.ReplicaPrefix, parse: e.options.Source.ParseReplica, router: e.router, items: e.items, now: e.options.Now, log: e.log,
-		registry: fleet.New(fleet.Config{Era: func(revision int64) int64 { return kvs.Revision(revision).Era() }}), values: map[call.ReplicaID][]byte{},
+		registry: fleet.New(c.fleetConfig()), values: map[call.ReplicaID][]byte{},
 	}
 	e.members = &members{self: c.VM, address: c.PeerAddress, items: e.items, now: e.options.Now, log: e.log, unreachable: map[call.VMID]bool{}}
 	e.storeStatus = &storeStatus{now: e.options.Now, log: e.log, onRecovery: e.replicas.storeRecovered, onChange: func() { e.members.announce(e.options.Now()) }}
@@ -177,12 +177,12 @@
 	e.pool = peer.NewPool(peer.PoolConfig{Dial: e.options.Dial})
 	e.gossip = peer.NewGossip(peer.GossipConfig{
 		Self: c.VM, Zone: c.Zone, Pool: e.pool, Store: e.items, Peers: e.members.peers, Now: e.options.Now,
-		SettingsVersion: func() int64 { return e.tables.Current().Version() },
+		SettingsVersion: e.tables.version,
 		ItemsChanged:    e.applyItems, ExchangeDone: e.members.exchangeDone, NewerSettings: e.fetchNewer, Settings: e.serveBundle,
 		Loads: e.loads.message, ReceiveLoads: e.loads.receive,
 		Demands: demands{e.router}.message, ReceiveDemands: demands{e.router}.receive,
 	})
-	e.probe = &probe{list: e.options.Source.Store.List, members: e.members, push: e.pushReplicas, log: e.log}
+	e.probe = &probe{list: e.options.Source.Store.List, members: e.members, push: e.pushReplicas, grace: c.probeGrace(), log: e.log}
 	e.metrics = newMetrics(prometheus.NewRegistry(), e)
 	e.proxy, err = proxy.New(e.proxyConfig())
 	return errors.Trace(err)
@@ -266,7 +266,7 @@
 		return
 	}
 	for _, p := range e.members.peers() {
-		go e.fetchBundle(p.ID, p.Address, 0)
+		go e.fetchBundle(p.ID, p.Address, noVersion)
 		return
 	}
 }
