io/runner: give up a silent engine only once another attempt can follow

Callers of gentianwell serve saw answers that ended without being complete: 502 backendServerFailed, or a stream that ended with an error event, although the engine was sound and would have gone on after its silence. A request that must not run again ended after the progress timeout with an unknown outcome.

Cause: the attempt was closed after the progress timeout, and only then did shouldRetry ask the stream's rules, the attempts and the budget, and the queue for a replica. If one of them refused, nothing took the attempt's place.

Change: io/runner answers back.Request.GiveUp with a takeover, as io/proxy does: the judgement of core/stream (Answer.Obstacle, of which End makes use too), no suspicion of crashes, a place at a usable replica and a retry from the budget come first; then the attempt ends and the next one takes the place. Otherwise the request stays, the silence counts as one failure of the replica, and the question is put again. A silent attempt ends at the job's deadline, with its caller, and at a forced stop. In io/back the wait for the end of a body whose stream is complete asks nobody.

The job of TestResumeDoesNotWaitForAHungEngine had no deadline and its third attempt was given up with nothing to follow, which is the fault; it has a deadline now, and the test also requires that all three attempts were made.

--- a/core/stream/decide.go
+++ b/core/stream/decide.go
@@ -29,25 +29,34 @@
 	if a.complete {
 		return Decision{Action: ActionFinish, Reason: "answer is complete"}
 	}
-	if a.broken {
-		return a.fail(cause + "; the text so far is wrong")
-	}
-	if !a.config.Idempotent {
-		return a.fail(cause + "; the request must not run again")
-	}
-	if a.stats.Attempts >= a.config.MaxAttempts {
-		return a.fail(cause + "; no attempts are left")
+	if obstacle := a.Obstacle(); obstacle != "" {
+		return a.fail(cause + "; " + obstacle)
 	}
 	if !a.hasContent() {
 		a.restart()
 		return Decision{Action: ActionRestart, Reason: cause + "; the caller has no text yet"}
 	}
-	if reason := a.unresumableReason(); reason != "" {
-		return a.fail(cause + "; " + reason)
-	}
 	return Decision{Action: ActionResume, Reason: cause + "; the text so far is handed on"}
 }
 
+// Obstacle returns why no further attempt could follow the current one if it ended now,
+// or an empty string if one could.
+func (a *Answer) Obstacle() string {
+	switch {
+	case a.complete:
+		return "the answer is complete"
+	case a.broken:
+		return "the text so far is wrong"
+	case !a.config.Idempotent:
+		return "the request must not run again"
+	case a.stats.Attempts >= a.config.MaxAttempts:
+		return "no attempts are left"
+	case !a.hasContent():
+		return ""
+	}
+	return a.unresumableReason()
+}
+
 // Abandon fails the answer for an external reason, such as an exhausted retry
 // budget or a caller that has disconnected.
 func (a *Answer) Abandon(reason string) Decision {
--- a/core/tree/keys.go
+++ b/core/tree/keys.go
@@ -67,7 +67,7 @@
 		Key{"retryShare", typeNumber, "0.1", "0 to 1", inheritedKinds, "Greatest ratio of retries to first attempts."},
 		func(v *Values) **float64 { return &v.RetryShare }, between(0.0, 1.0)),
 	durationField(
-		Key{"progressTimeout", typeDuration, `"10s"`, "10ms to 1h, no shorter than tokenGapTarget", inheritedKinds, "Longest silence of a backend server."},
+		Key{"progressTimeout", typeDuration, `"10s"`, "10ms to 1h, no shorter than tokenGapTarget", inheritedKinds, "Silence of a backend server after which its request goes on elsewhere, if it can."},
 		func(v *Values) **Duration { return &v.ProgressTimeout }, minProgressTimeout, maxTarget),
 	optionalField(
 		Key{"defaultClass", typeString, `""`, "a name from classes, or empty (the caller has to name one)", siteAndTeam, "Class of a request that names none."},
--- a/io/back/receive.go
+++ b/io/back/receive.go
@@ -23,7 +23,7 @@
 		}
 		if e.Done {
 			done = true
-			a.watchdog.setTimeout(drainTimeout)
+			a.watchdog.drain(drainTimeout)
 		}
 	}
 	if done {
--- a/io/back/silent_test.go
+++ b/io/back/silent_test.go
@@ -1,8 +1,11 @@
 package back
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -116,6 +119,29 @@
 	assert.Equal(t, res.Ending, EndingSilent, "%v", err)
 }
 
+// A stream whose last event has arrived is complete although its body does not end, and
+// GiveUp is not asked about that.
+func TestCompleteStreamIsNotSilent(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "data: x\n\ndata: [DONE]\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	client, err := New(Config{FirstByteTimeout: testTimeout, ProgressTimeout: testTimeout})
+	assert.NilError(t, err)
+	defer client.Close()
+	r := chat("hello")
+	r.GiveUp = func() bool { return false }
+	ctx, cancel := context.WithTimeout(t.Context(), 20*testTimeout)
+	defer cancel()
+	res, err := client.Do(ctx, Target{ID: "r", Address: server.Listener.Addr().(*net.TCPAddr).AddrPort()}, r, discard)
+	assert.NilError(t, err)
+	assert.Equal(t, res.Ending, EndingComplete)
+	assert.Assert(t, res.Total < 10*testTimeout, "took %s", res.Total)
+}
+
 // A run on a reused connection goes on when another connection to the same backend server
 // goes silent, also if the connection's former attempt ends only after it was reused.
 func TestSilenceLeavesReusedConnections(t *testing.T) {
--- a/io/back/watchdog.go
+++ b/io/back/watchdog.go
@@ -58,6 +58,15 @@
 	}
 }
 
+// drain sets the timeout for the rest of a response whose content is complete: at its end
+// the attempt ends, without a call of giveUp.
+func (w *watchdog) drain(timeout time.Duration) {
+	w.mu.Lock()
+	w.giveUp = nil
+	w.mu.Unlock()
+	w.setTimeout(timeout)
+}
+
 // pause suspends the timeout while the sink runs: a caller that reads slowly must not
 // count as a silent backend server.
 func (w *watchdog) pause() {
--- a/io/runner/attempt.go
+++ b/io/runner/attempt.go
@@ -64,6 +64,7 @@
 		// An at-most-once request is not canceled when its caller disconnects.
 		ctx = context.WithoutCancel(ctx)
 	}
+	n.takeover = &takeover{n: n, replica: replica.ID}
 	target := back.Target{ID: replica.ID, Address: replica.Address}
 	end := attemptEnd{replica: replica.ID}
 	end.result, end.err = n.send(ctx, target)
@@ -107,6 +108,7 @@
 	req := back.Request{
 		Method: n.job.Method, Path: n.job.Path, Header: header, Body: n.job.Body,
 		NewConnection: n.job.AtMostOnce || n.freshConn, ProgressTimeout: n.job.ProgressTimeout,
+		GiveUp: n.takeover.take,
 	}
 	if err := n.prepareAttempt(&req); err != nil {
 		return back.Request{}, errors.Trace(err)
--- a/io/runner/retry.go
+++ b/io/runner/retry.go
@@ -11,6 +11,11 @@
 	if e.callerGone() || !n.retryCanHelp(e) {
 		return false
 	}
+	if n.takeover.ready() && e.result.Ending == back.EndingSilent {
+		n.retryReason = retry.ReasonIdempotent
+		return true
+	}
+	n.takeover.release()
 	d := n.r.c.Retry.Decide(n.r.c.Now(), n.retryAttempt(e))
 	n.retryPause = d.Wait
 	n.retryReason = d.Reason
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -83,8 +83,11 @@
 	// freshConn is true once an attempt on a reused connection has ended by silence;
 	// all further attempts use new connections.
 	freshConn bool
-	// exclude holds the replicas on which the job has been tried.
-	exclude  []call.ReplicaID
+	// exclude holds the replicas on which the job has been tried, silent those of them
+	// that were given up because they were silent.
+	exclude, silent []call.ReplicaID
+	// takeover is that of the current or last attempt; nil before the first one.
+	takeover *takeover
 	cost     int
 	estimate estim.Estimate
 	timings  timings
@@ -132,9 +135,10 @@
 
 // runAttempts makes attempts until one of them, or a refusal, ends the job.
 func (n *run) runAttempts(ctx context.Context) Answer {
+	defer n.releaseTakeover()
 	n.r.c.Retry.RecordFirstAttempt(n.r.c.Now(), n.job.Call.Class, n.job.RetryShare)
 	for {
-		g, refusal := n.waitForReplica(ctx)
+		g, refusal := n.nextReplica(ctx)
 		if refusal != nil {
 			return *refusal
 		}
@@ -145,10 +149,31 @@
 			return answer
 		}
 		n.exclude = append(n.exclude, end.replica)
+		if n.takeover.ready() {
+			n.silent = append(n.silent, end.replica)
+			continue
+		}
 		sleep(ctx, n.retryPause)
 	}
 }
 
+// nextReplica returns the replica of the next attempt: the one of the takeover if there
+// is one.
+func (n *run) nextReplica(ctx context.Context) (grant, *Answer) {
+	if n.takeover != nil {
+		if g, ok := n.takeover.use(); ok {
+			return g, nil
+		}
+	}
+	return n.waitForReplica(ctx)
+}
+
+func (n *run) releaseTakeover() {
+	if n.takeover != nil {
+		n.takeover.release()
+	}
+}
+
 // afterAttempt decides what follows an attempt: the job's final answer, or another
 // attempt.
 func (n *run) afterAttempt(e attemptEnd) (answer Answer, last bool) {
--- a/io/runner/stream_test.go
+++ b/io/runner/stream_test.go
@@ -304,15 +304,19 @@
 }
 
 // Once the caller has a part of the answer, the next attempt gets only the progress timeout
-// to its first token, since the caller is already waiting for the next part.
+// to its first token, since the caller is already waiting for the next part. The last one
+// waits until the deadline, as nothing can follow it.
 func TestResumeDoesNotWaitForAHungEngine(t *testing.T) {
 	e := newEngines(t, 1, fakeProfile, func(_ *fakes.EngineConfig, bc *back.Config) { bc.FirstByteTimeout = time.Hour })
 	e.list[0].Inject(fakes.Fault{Kind: fakes.FaultFreeze, AfterTokens: 3, Times: 1})
 	e.list[0].Inject(fakes.Fault{Kind: fakes.FaultHang})
 	ctx, cancel := context.WithTimeout(t.Context(), 20*progress)
 	defer cancel()
-	answer := e.Run(ctx, streamJob(stream.KindChat, "hello", true), (&streamReader{ids: map[string]bool{}}).sink())
+	j := streamJob(stream.KindChat, "hello", true)
+	j.Call.Deadline = time.Now().Add(8 * progress)
+	answer := e.Run(ctx, j, (&streamReader{ids: map[string]bool{}}).sink())
 	assert.Equal(t, answer.Reason, ReasonIncomplete, answer.Message)
+	assert.Equal(t, e.runs(), 3)
 }
 
 // An at-most-once request runs to its end even if its caller disconnects in mid-stream.
@@ -379,6 +383,15 @@
 	assert.Equal(t, generated, fakes.AnswerLength("hello"))
 }
 
+// spendBudget uses up the retry budget of the VM and of the job's class for good.
+func (e *engines) spendBudget(j *Job) {
+	e.c.Retry.SetBudget(0, 1)
+	spent := retry.Attempt{Class: j.Call.Class, Idempotent: true, Number: 1, Outcome: call.OutcomeUnknown, Cause: retry.CauseSilent}
+	for range 1000 {
+		e.c.Retry.Decide(time.Now(), spent)
+	}
+}
+
 // With the retry budget used up, a request on a reused connection gets its complete answer
 // although its sound engine sends nothing for longer than the progress timeout.
 func TestSilenceWithoutBudgetEndsNoAnswer(t *testing.T) {
@@ -388,14 +401,65 @@
 	})
 	warm := e.Run(t.Context(), streamJob(stream.KindChat, "warm", true), (&streamReader{ids: map[string]bool{}}).sink())
 	assert.Equal(t, warm.Outcome, call.OutcomeRan, warm.Message)
-	e.c.Retry.SetBudget(0, 1)
 	j := streamJob(stream.KindChat, strings.Repeat("x", fakes.BlockBytes), true)
-	spent := retry.Attempt{Class: j.Call.Class, Idempotent: true, Number: 1, Outcome: call.OutcomeUnknown, Cause: retry.CauseSilent}
-	for range 1000 {
-		e.c.Retry.Decide(time.Now(), spent)
-	}
+	e.spendBudget(j)
 	r := &streamReader{ids: map[string]bool{}}
 	answer := e.Run(t.Context(), j, r.sink())
 	assert.Equal(t, answer.Outcome, call.OutcomeRan, "%s: %s", answer.Reason, answer.Message)
 	assert.Equal(t, r.done, 1)
 }
+
+// A sound engine that sends nothing for longer than the progress timeout, before the first
+// token or in mid-stream, keeps a request that cannot go on elsewhere: the caller gets the
+// complete answer of its only run.
+func TestSilenceIsWaitedOut(t *testing.T) {
+	tests := []struct {
+		name       string
+		engines    int
+		idempotent bool
+		setUp      func(*engines, *Job)
+		midStream  bool
+	}{
+		{"budget", 2, true, (*engines).spendBudget, false},
+		{"attempts", 2, true, func(e *engines, _ *Job) { e.c.MaxAttempts = 1 }, false},
+		{"must not run again", 2, false, func(*engines, *Job) {}, false},
+		{"no other engine", 1, true, func(*engines, *Job) {}, false},
+		{"budget, in mid-stream", 2, true, (*engines).spendBudget, true},
+		{"attempts, in mid-stream", 2, true, func(e *engines, _ *Job) { e.c.MaxAttempts = 1 }, true},
+		{"must not run again, in mid-stream", 2, false, func(*engines, *Job) {}, true},
+		{"cannot be resumed, in mid-stream", 2, true, func(e *engines, _ *Job) {
+			e.c.Profile = func(call.Model) stream.Profile { return stream.Profile{} }
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newEngines(t, tt.engines, fakeProfile, func(ec *fakes.EngineConfig, _ *back.Config) {
+				if !tt.midStream {
+					ec.PrefillTime = 2 * progress
+				}
+			})
+			prompt := strings.Repeat("x", fakes.BlockBytes)
+			j := streamJob(stream.KindChat, prompt, tt.idempotent)
+			tt.setUp(e, j)
+			inject := func(f fakes.Fault) {
+				for _, engine := range e.list {
+					engine.Inject(f)
+				}
+			}
+			r := &streamReader{ids: map[string]bool{}, onPart: func(n int) {
+				switch {
+				case !tt.midStream:
+				case n == 4:
+					inject(fakes.Fault{Kind: fakes.FaultSlow, Factor: int(2 * progress / time.Millisecond)})
+				case n == 6:
+					inject(fakes.Fault{Kind: fakes.FaultRevive})
+				}
+			}}
+			answer := e.Run(t.Context(), j, r.sink())
+			assert.Equal(t, answer.Failed, false, answer.Message)
+			assert.Equal(t, r.text, fakes.AnswerText(prompt, 0, -1))
+			assert.Equal(t, r.done, 1)
+			assert.Equal(t, e.runs(), 1)
+		})
+	}
+}
--- a/io/runner/suspect.go
+++ b/io/runner/suspect.go
@@ -94,6 +94,9 @@
 // reportFinished reports the end of the attempt to the router and ends a reservation.
 func (n *run) reportFinished(now time.Time, e attemptEnd) {
 	result := route.Result{Status: routeStatus(e), FirstToken: e.result.FirstLatency}
+	if e.result.Ending == back.EndingSilent && n.takeover.countsAsFailure() {
+		result.Status = route.StatusCanceled
+	}
 	if n.alone {
 		n.r.c.Router.FinishedAlone(now, e.replica, float64(n.cost), result)
 		n.releaseReplica(now, e.replica)
--- a/io/runner/wait.go
+++ b/io/runner/wait.go
@@ -83,9 +83,7 @@
 	select {
 	case g := <-w.done:
 		if g.refusal == nil {
-			r.c.Router.Finished(now, g.decision.Replica.ID, float64(w.n.cost), route.Result{Status: route.StatusCanceled})
-			r.leaveWindow(w.n.job)
-			r.dispatch(now, c.Model)
+			r.leavePlace(now, w.n, g.decision)
 		}
 	default:
 	}
@@ -129,14 +127,26 @@
 		w.done <- grant{refusal: w.n.refusal(ReasonNoReplica, http.StatusServiceUnavailable, r.c.RetryAfter)}
 		return
 	}
-	r.c.Router.Started(now, d.Replica.ID, float64(item.Cost))
-	r.enterWindow(w.n.job)
 	r.c.Dispatched(now, item.Call.Model, item.Cost, r.c.Queue.Backlogged(item.Call.Model))
-	r.c.Router.Hints().Sent(item.Call.Model, item.Call.Prefixes, d.Replica.ID)
-	r.logDecision(now, w.n, d, reason)
+	r.takePlace(now, w.n, d, reason)
 	w.done <- grant{decision: d, reason: reason}
 }
 
+// takePlace records that the job is sent to the replica; r.mu is held.
+func (r *Runner) takePlace(now time.Time, n *run, d route.Decision, reason sched.Reason) {
+	r.c.Router.Started(now, d.Replica.ID, float64(n.cost))
+	r.enterWindow(n.job)
+	r.c.Router.Hints().Sent(n.job.Call.Model, n.job.Call.Prefixes, d.Replica.ID)
+	r.logDecision(now, n, d, reason)
+}
+
+// leavePlace undoes takePlace for a job that is not sent; r.mu is held.
+func (r *Runner) leavePlace(now time.Time, n *run, d route.Decision) {
+	r.c.Router.Finished(now, d.Replica.ID, float64(n.cost), route.Result{Status: route.StatusCanceled})
+	r.leaveWindow(n.job)
+	r.dispatch(now, n.job.Call.Model)
+}
+
 // pick chooses a replica. If none is usable except those on which the job has been tried,
 // it chooses one of these, because the job has already waited for its turn.
 func (r *Runner) pick(now time.Time, n *run) (route.Decision, error) {
