io/node: detect the loss of a backend server's host by its connection

With a request that stays at its silent engine, one whose host is lost without a word would keep the request until its deadline, five minutes by default, where another place or the budget is missing.

Cause: node.New passed no Dial on, and io/back, io/kvs and io/peer then dial TCP without TCP_USER_TIMEOUT and with keep-alive probes of 15 s. Only gentianwell entry used io/dial.

Change: the default of Options.Dial is io/dial with a user timeout of three seconds, as in io/entry; 1.5 s would also end connections to a peer that reads nothing for two seconds.

A lost host itself is not played by any test.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -32,6 +32,7 @@
 	"gentianwell/io/back"
 	"gentianwell/io/claims"
 	"gentianwell/io/conf"
+	"gentianwell/io/dial"
 	"gentianwell/io/front"
 	"gentianwell/io/kvs"
 	"gentianwell/io/metric"
@@ -59,8 +60,8 @@
 	Now    func() time.Time
 	// Seed seeds all random choices.
 	Seed uint64
-	// Dial opens connections to peers, backend servers and the platform; nil means
-	// TCP.
+	// Dial opens connections to peers, backend servers and the platform; nil means TCP
+	// connections that detect a lost peer within three seconds.
 	Dial peer.DialFunc
 	// Placement configures the planning of the orders to engines to load and unload
 	// models; zero fields get their defaults.
@@ -110,6 +111,7 @@
 	if err := o.Config.Validate(); err != nil {
 		return nil, errors.Trace(err)
 	}
+	o.defaultDial()
 	n := &Node{c: o.Config, log: o.Log, now: o.Now, seed: o.Seed}
 	n.requestCtx, n.cancelRequests = context.WithCancelCause(context.Background())
 	n.timers = timer.New(timer.Config{Now: o.Now})
@@ -125,6 +127,15 @@
 	return n, nil
 }
 
+// pauseTimeout is how long a peer may read nothing while bytes wait for it.
+const pauseTimeout = 3 * time.Second
+
+func (o *Options) defaultDial() {
+	if o.Dial == nil {
+		o.Dial = dial.TCP(dial.Config{UserTimeout: pauseTimeout})
+	}
+}
+
 // rand returns a separate random source for a part, so that the numbers one part
 // draws do not change those of another.
 func (n *Node) rand(part uint64) *rand.Rand { return rand.New(rand.NewPCG(n.seed, part)) }
