io/fakekv: a restore begins a new era

Before: Restore gave revisions and lease ids out again, but the fake could not tell it, so that no test of gentianwell serve could play a store that comes back from an older copy and says so.

Change: with Config.TellsEra each Restore moves all revisions to the next era (kvs.Revision). Conditions on revisions of an earlier era do not hold, watches from one end with ErrCompacted, leases since the copy are gone and their ids are given out again.

--- a/io/fakekv/fake.go
+++ b/io/fakekv/fake.go
@@ -31,12 +31,15 @@
 	Now func() time.Time
 	// ProgressInterval is the interval of the progress notices of a watch.
 	ProgressInterval time.Duration
+	// TellsEra makes each Restore begin a new era; see kvs.Revision.
+	TellsEra bool
 }
 
 // Fake is a fake key-value service.
 type Fake struct {
 	now      func() time.Time
 	progress time.Duration
+	tellsEra bool
 
 	mu     sync.Mutex
 	store  *store
@@ -56,7 +59,7 @@
 	if c.ProgressInterval == 0 {
 		c.ProgressInterval = defaultProgress
 	}
-	return &Fake{now: c.Now, progress: c.ProgressInterval, store: newStore(), changed: make(chan struct{})}
+	return &Fake{now: c.Now, progress: c.ProgressInterval, tellsEra: c.TellsEra, store: newStore(), changed: make(chan struct{})}
 }
 
 // Put stores a value without a lease, as an operator would do. No fault affects it.
@@ -94,15 +97,21 @@
 }
 
 // Restore returns to the state of the last Save, including its revision, as a service
-// does that is restored from a backup. All watches end. Without a Save it does
-// nothing.
+// does that is restored from a backup: later keys and leases are gone, and their revisions
+// and ids are given out again. All watches end. With Config.TellsEra, all revisions are
+// then of a new era. Without a Save it does nothing.
 func (f *Fake) Restore() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.saved == nil {
 		return
 	}
+	era := f.store.revision.Era()
+	if f.tellsEra {
+		era++
+	}
 	f.store = f.saved.clone()
+	f.store.setEra(era)
 	f.notifyWatches()
 }
 
--- a/io/fakekv/store.go
+++ b/io/fakekv/store.go
@@ -45,6 +45,24 @@
 	return &c
 }
 
+// setEra moves all revisions to an era. A watch from a revision of an earlier one fails.
+func (s *store) setEra(era int64) {
+	if s.revision.Era() == era {
+		return
+	}
+	in := func(r kvs.Revision) kvs.Revision { return kvs.MakeRevision(era, r.Number()) }
+	s.revision, s.compacted = in(s.revision), in(s.compacted)
+	for key, e := range s.entries {
+		e.CreateRevision, e.ModRevision = in(e.CreateRevision), in(e.ModRevision)
+		s.entries[key] = e
+	}
+	for i := range s.history {
+		c := &s.history[i]
+		c.revision = in(c.revision)
+		c.event.Entry.CreateRevision, c.event.Entry.ModRevision = in(c.event.Entry.CreateRevision), in(c.event.Entry.ModRevision)
+	}
+}
+
 // nextRevision increments the revision for a change and returns it.
 func (s *store) nextRevision() kvs.Revision {
 	s.revision++
--- a/io/fakekv/watch.go
+++ b/io/fakekv/watch.go
@@ -60,6 +60,9 @@
 	if f.faults.Outage {
 		return errors.Annotate(kvs.ErrUnavailable, "outage")
 	}
+	if w.next != 0 && w.next.Era() < f.store.revision.Era() {
+		return errors.Annotatef(kvs.ErrCompacted, "revision of era %d, the store has era %d", w.next.Era(), f.store.revision.Era())
+	}
 	if w.next == 0 {
 		w.next = f.store.revision + 1
 	}
