io/entry: the first check at the end of an answer decides about its record

Cause: at the end of an answer without a length io/proxy asks whether the replica has crashed, breaks the answer off, and reports a lost run, for which io/entry asked again.

Change: LostRun.Crashed carries the first verdict.

--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -128,7 +128,7 @@
 
 // recordLost records a crash if the replica of a lost run refuses connections.
 func (c *crashes) recordLost(lost proxy.LostRun) {
-	crashed := c.hasCrashed(lost.Target)
+	crashed := lost.Crashed || c.hasCrashed(lost.Target)
 	c.observe(crashed)
 	log := c.log.WithFields(logrus.Fields{
 		"request": lost.Request, "fingerprint": lost.Fingerprint.String(), "parts": fmt.Sprint(lost.Parts), "replica": lost.Target.ID,
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -84,6 +84,7 @@
 		p.s.c.RunLost(LostRun{
 			Request: p.info.ID, Fingerprint: p.fingerprint(), Parts: p.parts, Target: target,
 			Sent: e.started, Answered: e.answeredAt, FirstEvent: e.firstEventAt, At: p.s.c.Now(), Status: e.status, Events: e.events,
+			Crashed: errors.Is(err, errCrashed),
 		})
 	}
 	now := p.s.c.Now()
--- a/io/proxy/fingerprint.go
+++ b/io/proxy/fingerprint.go
@@ -25,6 +25,8 @@
 	// Status is the status of the response; zero if its header had not arrived. Events
 	// counts the events of a stream that had arrived.
 	Status, Events int
+	// Crashed is true if HasCrashed said so at the end of the response.
+	Crashed bool
 }
 
 func (p *proxyRequest) fingerprint() poison.Fingerprint {
