io/entry: a replica that starts again before it is asked has crashed

Cause: the only sign of a crash was a refused connection right after the loss. That the replica's entry showed a newer start, or that it went, was not used.

An end that is known before the run is lost, as on a VM that was frozen, counts too. Entries in their grace period tell nothing.

--- a/core/fleet/record.go
+++ b/core/fleet/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"gentianwell/core/call"
 )
@@ -25,6 +26,8 @@
 	State   State
 	// Slots is the number of requests that the replica runs at the same time.
 	Slots int
+	// Started is when the replica started, by its own clock; zero if it does not say.
+	Started time.Time
 }
 
 // Record is one version of a replica's entry.
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -97,6 +97,7 @@
 	mu sync.Mutex
 	// checks are the checks in progress of whether a replica still accepts connections.
 	checks map[call.ReplicaID]*crashCheck
+	ends   replicaEnds
 
 	// lapsed holds when records that are gone from the store are written again.
 	lapsed map[crashID]time.Time
@@ -126,21 +127,38 @@
 // runLost handles a run whose connection was lost. It returns at once.
 func (c *crashes) runLost(lost proxy.LostRun) { go c.recordLost(lost) }
 
-// recordLost records a crash if the replica of a lost run refuses connections.
+// recordLost records a crash if the replica of a lost run refuses connections or has ended.
 func (c *crashes) recordLost(lost proxy.LostRun) {
-	crashed := lost.Crashed || c.hasCrashed(lost.Target)
+	crashed := lost.Crashed || c.hasCrashed(lost.Target) || c.ends.hasEnded(c.now(), lost)
 	c.observe(crashed)
-	log := c.log.WithFields(logrus.Fields{
-		"request": lost.Request, "fingerprint": lost.Fingerprint.String(), "parts": fmt.Sprint(lost.Parts), "replica": lost.Target.ID,
-		"status": lost.Status, "events": lost.Events, "took": lost.At.Sub(lost.Sent).String(),
-	})
 	if !crashed {
-		log.WithFields(logrus.Fields{"event": "lostRun"}).Info("connection to a replica was lost, but the replica does not refuse connections")
+		c.lostRunLog(lost).WithFields(logrus.Fields{"event": "lostRun"}).Info("connection to a replica was lost, but the replica does not refuse connections")
 		return
 	}
+	c.recordCrash(lost)
+}
+
+// replicaEnded records crashes for the runs that were lost shortly before their replica is
+// known to have ended. It returns at once.
+func (c *crashes) replicaEnded(id call.ReplicaID) {
+	for _, lost := range c.ends.replicaEnded(c.now(), id) {
+		go c.recordCrash(lost)
+	}
+}
+
+func (c *crashes) lostRunLog(lost proxy.LostRun) logrus.FieldLogger {
+	return c.log.WithFields(logrus.Fields{
+		"request": lost.Request, "fingerprint": lost.Fingerprint.String(), "parts": fmt.Sprint(lost.Parts), "replica": lost.Target.ID,
+		"status": lost.Status, "events": lost.Events, "took": lost.At.Sub(lost.Sent).String(),
+	})
+}
+
+// recordCrash records that a replica crashed while it ran a request. Several VMs may see the
+// crash, one by its entry and thus later: the time of the crash is that of the loss.
+func (c *crashes) recordCrash(lost proxy.LostRun) {
 	now := c.now()
-	v := c.registries.requests.Crashed(now, lost.Fingerprint, lost.Target.ID, false)
-	log.WithFields(logrus.Fields{
+	v := c.registries.requests.Crashed(lost.At, lost.Fingerprint, lost.Target.ID, false)
+	c.lostRunLog(lost).WithFields(logrus.Fields{
 		"event": "crash", "next": v.Action, "reason": v.Reason, "crashes": v.Crashes, "finishes": v.Finishes,
 	}).Warn("replica crashed while running a request")
 	if v.Reason != poison.ReasonExonerated {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -147,7 +147,7 @@
 	e.tables = &tables{parse: e.options.Source.ParseConfig, log: e.log}
 	e.loads = &loads{router: e.router}
 	e.replicas = &replicas{
-		onList: e.loads.setReplicas,
+		onList: e.loads.setReplicas, onEnded: func(id call.ReplicaID) { e.crashes.replicaEnded(id) }, latest: map[call.ReplicaID]fleet.Entry{},
 		prefix: e.options.Source.ReplicaPrefix, parse: e.options.Source.ParseReplica, router: e.router, items: e.items, now: e.options.Now, log: e.log,
 		registry: fleet.New(fleet.Config{Era: func(revision int64) int64 { return kvs.Revision(revision).Era() }}), values: map[call.ReplicaID][]byte{},
 	}
--- a/io/entry/replicas.go
+++ b/io/entry/replicas.go
@@ -30,14 +30,19 @@
 	router *route.Router
 	// onList is called with each new list.
 	onList func(route.Replicas)
-	items  *spread.Store
-	now    func() time.Time
-	log    logrus.FieldLogger
+	// onEnded is called with each replica that has started again or gone, unless it was
+	// leaving. It must return at once.
+	onEnded func(call.ReplicaID)
+	items   *spread.Store
+	now     func() time.Time
+	log     logrus.FieldLogger
 
 	mu       sync.Mutex
 	registry *fleet.Registry
 	// values holds the entries' bytes, to send them to other VMs.
 	values map[call.ReplicaID][]byte
+	// latest holds the entries as last passed to noticeEnd.
+	latest map[call.ReplicaID]fleet.Entry
 	// unpublished holds the removals that are not gossiped before their grace period has
 	// ended: the other VMs know of no grace period.
 	unpublished fleet.Records
@@ -172,8 +177,12 @@
 		fields := logrus.Fields{"event": "replica", "replica": record.ID, "revision": record.Revision, "source": source, "state": "gone"}
 		if e := record.Entry; e != nil {
 			fields["state"], fields["service"], fields["address"], fields["zone"] = e.State, e.Service, e.Address, e.Zone
+			if !e.Started.IsZero() {
+				fields["started"] = e.Started.UTC()
+			}
 		}
 		r.log.WithFields(fields).Info("replica changed")
+		r.noticeEnd(now, record)
 	}
 	usable := r.registry.Usable(now)
 	list := make(route.Replicas, 0, len(usable))
@@ -189,6 +198,24 @@
 	}
 }
 
+// noticeEnd calls onEnded if a changed record shows that a replica has ended; r.mu is held.
+// An entry that is missing together with many others may be back soon.
+func (r *replicas) noticeEnd(now time.Time, record fleet.Record) {
+	before, known := r.latest[record.ID]
+	switch {
+	case record.Entry != nil:
+		r.latest[record.ID] = *record.Entry
+		if known && !before.Started.IsZero() && record.Entry.Started.After(before.Started) {
+			r.onEnded(record.ID)
+		}
+	case known:
+		delete(r.latest, record.ID)
+		if before.State == fleet.StateReady && !r.registry.InGracePeriod(now, record.ID) {
+			r.onEnded(record.ID)
+		}
+	}
+}
+
 // entries returns all known entries, to send them to another VM. A removed one has no
 // value.
 func (r *replicas) entries() []kvs.Entry {
