io/entry: gossip records of crashes that the store has not taken

Callers saw: a request that had crashed three replicas was sent to replicas six times more, while the store was down. TestCrashingRequestIsRefused/store_down failed so once in five runs ("sent to replicas 6 times after it had crashed 3"); the suspicion was that a replica was up again too soon.

Cause: in the program. A record with one crash is gossiped only if the store is known to be down at that moment. If the VM learned of it later, or the store took no writes, the record waited for the store, and no other VM heard of it. With one such crash on each of three VMs, each needs two more of its own: six, as seen. The test refuses the store's calls and sends at once, so that its VMs mostly, but not always, know of the outage.

Evidence: a case in which the store takes no writes, and so for ever looks up, fails with the same text, 6 after 3; TestUnwrittenCrashesAreGossipedInOutage has the store go down between the crash and the write and fails too (0 items instead of 1).

Change: records of a failed write are gossiped, and all that wait are when the store is found down.

Measured: both pass, and all cases of TestCrashingRequestIsRefused, TestCrashCostsFewStoreCalls and TestSharedPartCostsNoReads.

--- a/io/entry/crash_writer.go
+++ b/io/entry/crash_writer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -53,6 +54,8 @@
 	store      kvs.Service
 	now        func() time.Time
 	log        logrus.FieldLogger
+	// failed is called with records that the store has not taken. It may be nil.
+	failed func([]crashID)
 
 	mu sync.Mutex
 	// unwritten holds the ids whose records have to be written.
@@ -81,6 +84,13 @@
 	}
 }
 
+// waiting returns the ids whose records have to be written.
+func (w *crashWriter) waiting() []crashID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Keys(w.unwritten))
+}
+
 // exoneratedHere reports whether only this VM has known of crashes that do not count any more.
 func (w *crashWriter) exoneratedHere(id crashID) bool {
 	registry := w.registries.of(id.kind)
@@ -129,6 +139,9 @@
 	if err != nil {
 		w.log.WithFields(logrus.Fields{"event": "crashWrite", "records": len(left)}).WithError(err).Info("records of crashes were not written to the store, trying again")
 		w.add(left)
+		if w.failed != nil && !errors.Is(err, errCrashKnown) {
+			w.failed(left)
+		}
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -89,6 +89,9 @@
 	// random returns a random number in [0, 1).
 	random func() float64
 
+	// outage is true while writePending finds the store down. Only writePending uses it.
+	outage bool
+
 	// read is true once the records in the store have been read; readBy is until when the
 	// VM waits for that before it is ready.
 	read   atomic.Bool
@@ -200,11 +203,16 @@
 // gossip puts the records of a request or part into the gossip store if it is suspect or
 // the platform's store is down.
 func (c *crashes) gossip(now time.Time, id crashID) {
-	registry := c.registries.of(id.kind)
-	v := registry.Judge(now, id.fingerprint)
-	if v.Crashes < suspectAfterCrashes && c.storeUp() {
+	if c.storeUp() && c.registries.of(id.kind).Judge(now, id.fingerprint).Crashes < suspectAfterCrashes {
 		return
 	}
+	c.tell(now, id)
+}
+
+// tell puts the records of a request or part into the gossip store, if there is room.
+func (c *crashes) tell(now time.Time, id crashID) {
+	registry := c.registries.of(id.kind)
+	v := registry.Judge(now, id.fingerprint)
 	item := spread.ID{Kind: id.kind.gossipKind(), Key: id.String()}
 	most := maxCrashItems
 	if v.Crashes >= suspectAfterCrashes {
@@ -310,12 +318,27 @@
 		c.gossip(now, id)
 	}
 	c.writer.add(changed)
-	if c.storeUp() {
-		if lapsed := c.takeLapsed(now); len(lapsed) > 0 {
-			c.writer.reset()
-			c.writer.add(lapsed)
+	if !c.storeUp() {
+		if !c.outage {
+			c.outage = true
+			c.tellUnwritten(c.writer.waiting())
 		}
-		c.writer.start(now)
+		return
+	}
+	c.outage = false
+	if lapsed := c.takeLapsed(now); len(lapsed) > 0 {
+		c.writer.reset()
+		c.writer.add(lapsed)
+	}
+	c.writer.start(now)
+}
+
+// tellUnwritten gossips records that cannot be written to the store now: until then, no
+// other VM knows of them.
+func (c *crashes) tellUnwritten(ids []crashID) {
+	now := c.now()
+	for _, id := range ids {
+		c.tell(now, id)
 	}
 }
 
--- a/io/entry/crashes_test.go
+++ b/io/entry/crashes_test.go
@@ -237,3 +237,24 @@
 	b.applySnapshot(snapshot(b))
 	assert.Equal(t, len(b.writer.nextBatch()), 0)
 }
+
+// Three VMs that saw one crash each just before they learned that the store is down told
+// nobody: a single crash is gossiped only while the store is known to be down, and the
+// records waited for the store.
+func TestUnwrittenCrashesAreGossipedInOutage(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newCrashes(t, "a", func() time.Time { return now })
+	up := true
+	c.storeUp = func() bool { return up }
+	c.writer = &crashWriter{registries: c.registries, now: c.now, log: c.log, unwritten: map[crashID]bool{}, revisions: map[string]kvs.Revision{}}
+	c.writer.retryAt = now.Add(time.Minute)
+	id := crashID{crashRequest, 7}
+	c.registries.requests.Crashed(now, 7, "r1", false)
+	c.registries.requests.Publish(now, 7)
+	c.gossip(now, id)
+	c.writePending(now)
+	assert.Equal(t, len(c.items.All(now, kindCrash)), 0)
+	up = false
+	c.writePending(now)
+	assert.Equal(t, len(c.items.All(now, kindCrash)), 1)
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -171,6 +171,7 @@
 		checks: map[call.ReplicaID]*crashCheck{}, applied: map[string]string{}, lapsed: map[crashID]time.Time{},
 		vms: e.members.count, random: e.random, readBy: e.options.Now().Add(crashReadTimeout),
 	}
+	e.crashes.writer.failed = e.crashes.tellUnwritten
 	e.crashes.trials = &trials{
 		registry: suspects.parts, write: e.crashes.writer.writeTrials, storeUp: e.storeStatus.up, vms: e.members.count, now: e.options.Now, log: e.log,
 	}
