--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -147,7 +147,7 @@
 	e.tables = &tables{parse: e.options.Source.ParseConfig, log: e.log}
 	e.loads = &loads{router: e.router}
 	e.replicas = &replicas{
-		onList: e.loads.setReplicas,
+		onList: e.loads.setReplicas, onEnded: func(id call.ReplicaID) { e.crashes.replicaEnded(id) }, latest: map[call.ReplicaID]fleet.Entry{},
 		prefix: e.options.Source.ReplicaPrefix, parse: e.options.Source.ParseReplica, router: e.router, items: e.items, now: e.options.Now, log: e.log,
 		registry: fleet.New(c.fleetConfig()), values: map[call.ReplicaID][]byte{},
 	}
@@ -171,6 +171,7 @@
 		checks: map[call.ReplicaID]*crashCheck{}, applied: map[string]string{}, lapsed: map[crashID]time.Time{},
 		vms: e.members.count, random: e.random, readBy: e.options.Now().Add(crashReadTimeout),
 	}
+	e.crashes.writer.failed = e.crashes.tellUnwritten
 	e.crashes.trials = &trials{
 		registry: suspects.parts, write: e.crashes.writer.writeTrials, storeUp: e.storeStatus.up, vms: e.members.count, now: e.options.Now, log: e.log,
 	}
