Records of parts that add nothing are not written

A record of a part is now written only if the store lacks a crash that counts and that no other VM has recorded, or if it changes the judgement. VMs that have seen a part finish wait for different times, up to 10 ms for each VM, and those that learn meanwhile that the store has it write nothing. Conditions use the revisions that the watch has delivered.

--- a/core/poison/snapshot.go
+++ b/core/poison/snapshot.go
@@ -80,10 +80,11 @@
 }
 
 // LacksOwn reports whether a snapshot lacks crashes of this VM's published record that count
-// still.
+// still. With Config.Successive, crashes of which it has those of other VMs do not matter
+// unless they change the judgement.
 func (r *Registry) LacksOwn(now time.Time, fp Fingerprint, value []byte) bool {
-	var records map[call.VMID]Record
-	if json.Unmarshal(value, &records) != nil {
+	stored := &entry{}
+	if json.Unmarshal(value, &stored.records) != nil {
 		return false
 	}
 	r.mu.Lock()
@@ -92,17 +93,21 @@
 	if e == nil || !e.published {
 		return false
 	}
+	if r.c.Successive {
+		return r.addsCrashes(now, &entry{records: map[call.VMID]Record{r.c.Self: e.records[r.c.Self]}}, stored, e.finishedAt())
+	}
 	counted := now.Add(-r.c.Retention)
-	own, stored := e.records[r.c.Self].Crashes.since(counted), records[r.c.Self].Crashes.since(counted)
-	return len(own) > len(stored) || own.latest().After(stored.latest())
+	own, others := e.records[r.c.Self].Crashes.since(counted), stored.records[r.c.Self].Crashes.since(counted)
+	return len(own) > len(others) || own.latest().After(others.latest())
 }
 
 // Adds reports whether the records of a fingerprint have crashes, trials or finishes that
-// count and that a snapshot lacks. With Config.Successive, a finish counts only if it clears
-// crashes of the snapshot.
+// count and that a snapshot lacks. With Config.Successive, crashes before a known finish do
+// not count, nor those of which the snapshot has records of other VMs, unless they change the
+// judgement; a finish counts only if VMs that know the snapshot suspect the fingerprint.
 func (r *Registry) Adds(now time.Time, fp Fingerprint, value []byte) bool {
-	snapshot := &entry{}
-	if json.Unmarshal(value, &snapshot.records) != nil {
+	stored := &entry{}
+	if json.Unmarshal(value, &stored.records) != nil {
 		return true
 	}
 	r.mu.Lock()
@@ -111,17 +116,41 @@
 	if e == nil {
 		return false
 	}
-	merged := &entry{records: make(map[call.VMID]Record, len(e.records))}
 	for by, record := range e.records {
-		s := snapshot.records[by]
+		s := stored.records[by]
 		m := s.Merge(record)
-		merged.records[by] = m
-		if len(m.Crashes) != len(s.Crashes) || !m.Crashes.latest().Equal(s.Crashes.latest()) || m.Finishes != s.Finishes ||
-			len(m.Trials) != len(s.Trials) || !latestTrial(m.Trials).Equal(latestTrial(s.Trials)) {
+		if len(m.Trials) != len(s.Trials) || !latestTrial(m.Trials).Equal(latestTrial(s.Trials)) {
+			return true
+		}
+		if !r.c.Successive && (len(m.Crashes) != len(s.Crashes) || !m.Crashes.latest().Equal(s.Crashes.latest()) || m.Finishes != s.Finishes) {
 			return true
 		}
 	}
-	return merged.judge(now, r.c).Successive != snapshot.judge(now, r.c).Successive
+	return r.c.Successive && (r.addsCrashes(now, e, stored, e.finishedAt()) || r.clears(now, e, stored))
+}
+
+// addsCrashes reports whether an entry has crashes after a finish that stored lacks, or that
+// make it be judged by more crashes.
+func (r *Registry) addsCrashes(now time.Time, e, stored *entry, finishedAt time.Time) bool {
+	finishedAt = later(finishedAt, stored.finishedAt())
+	own := e.crashes(now, r.c).since(finishedAt)
+	if len(own) == 0 {
+		return false
+	}
+	known := stored.crashes(now, r.c)
+	if !known.cover(own, r.c.CrashWindow) {
+		return true
+	}
+	both := slices.Concat(known, own)
+	slices.SortFunc(both, compareCrashes)
+	return both.successive(finishedAt, r.c.CrashWindow) > known.successive(finishedAt, r.c.CrashWindow)
+}
+
+// clears reports whether a finish in an entry clears crashes that make stored suspect.
+func (r *Registry) clears(now time.Time, e, stored *entry) bool {
+	crashes := stored.crashes(now, r.c)
+	before := crashes.successive(stored.finishedAt(), r.c.CrashWindow)
+	return before >= r.c.SuspectAfter && crashes.successive(later(stored.finishedAt(), e.finishedAt()), r.c.CrashWindow) < before
 }
 
 // Published returns the fingerprints of which this VM has a published record with crashes
--- a/io/entry/crash_writer.go
+++ b/io/entry/crash_writer.go
@@ -81,6 +81,22 @@
 	}
 }
 
+// drop removes an id from those to write.
+func (w *crashWriter) drop(id crashID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.unwritten, id)
+}
+
+// seen records the revision of an entry of the store whose records have been merged.
+func (w *crashWriter) seen(entry kvs.Entry) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if known := w.revisions[entry.Key]; entry.ModRevision > known && (known != 0 || len(w.revisions) < maxCrashRecords) {
+		w.revisions[entry.Key] = entry.ModRevision
+	}
+}
+
 // exoneratedHere reports whether only this VM has known of crashes that do not count any more.
 func (w *crashWriter) exoneratedHere(id crashID) bool {
 	registry := w.registries.of(id.kind)
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -41,8 +42,10 @@
 	// platform's store, so that no record has to be renewed or removed.
 	crashRetention = 10 * time.Minute
 	// lapsedPausePerVM is, times the number of VMs, the longest wait of a VM before it writes
-	// records again that are gone from the store.
+	// records again that are gone from the store; finishPausePerVM is that before it writes
+	// that a part has finished which other VMs suspect.
 	lapsedPausePerVM = 100 * time.Millisecond
+	finishPausePerVM = 10 * time.Millisecond
 	// crashReadTimeout limits how long a VM that starts waits for the records in the store.
 	crashReadTimeout = 2 * time.Second
 	// maxCrashRecords and rememberedFinishes limit the memory for fingerprints.
@@ -98,8 +101,9 @@
 	// checks are the checks in progress of whether a replica still accepts connections.
 	checks map[call.ReplicaID]*crashCheck
 
-	// lapsed holds when records that are gone from the store are written again.
-	lapsed map[crashID]time.Time
+	// lapsed holds when records that are gone from the store are written again, finishes when
+	// those are written that tell only of a finished run.
+	lapsed, finishes map[crashID]time.Time
 
 	// applied holds the values of the store's entries that were applied. Only
 	// applySnapshot uses it.
@@ -223,7 +227,7 @@
 		applied[entry.Key] = string(entry.Value)
 		if c.applied[entry.Key] != applied[entry.Key] {
 			c.apply(now, strings.TrimPrefix(entry.Key, suspectPrefix), entry.Value)
-			c.addOwn(now, entry)
+			c.compareStored(now, entry)
 		}
 	}
 	c.updateLapsed(now, applied)
@@ -231,10 +235,23 @@
 	c.read.Store(true)
 }
 
-// addOwn makes this VM's record be written if an entry of the store lacks crashes of it.
-func (c *crashes) addOwn(now time.Time, entry kvs.Entry) {
+// compareStored decides by an entry of the store, which has been applied, whether its records
+// still have to be written: by this VM if the entry lacks crashes of it, and not any more if
+// it lacks nothing that counts.
+func (c *crashes) compareStored(now time.Time, entry kvs.Entry) {
 	id, err := parseCrashID(strings.TrimPrefix(entry.Key, suspectPrefix))
-	if err == nil && c.registries.of(id.kind).LacksOwn(now, id.fingerprint, entry.Value) {
+	if err != nil {
+		return
+	}
+	registry := c.registries.of(id.kind)
+	c.writer.seen(entry)
+	if !registry.Adds(now, id.fingerprint, entry.Value) {
+		c.writer.drop(id)
+		c.mu.Lock()
+		delete(c.finishes, id)
+		c.mu.Unlock()
+	}
+	if registry.LacksOwn(now, id.fingerprint, entry.Value) {
 		c.writer.add([]crashID{id})
 	}
 }
@@ -243,7 +260,7 @@
 // they count for longer than their lease could be too short. The VMs wait for different
 // times, so that mostly one of them writes.
 func (c *crashes) updateLapsed(now time.Time, applied map[string]string) {
-	due := now.Add(time.Duration(c.random() * float64(c.vms()) * float64(lapsedPausePerVM)))
+	due := c.turn(now, lapsedPausePerVM)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for key := range applied {
@@ -262,15 +279,41 @@
 	}
 }
 
-// takeLapsed returns the ids of the records that have to be written again now.
-func (c *crashes) takeLapsed(now time.Time) []crashID {
+// turn returns a random time within a pause for each VM.
+func (c *crashes) turn(now time.Time, pausePerVM time.Duration) time.Time {
+	return now.Add(time.Duration(c.random() * float64(c.vms()) * float64(pausePerVM)))
+}
+
+// delayFinishes takes out of the changed records those that only tell of a finished run, which
+// mostly other VMs know of too, and lets the VMs wait for different times.
+func (c *crashes) delayFinishes(now time.Time, changed []crashID) []crashID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.DeleteFunc(changed, func(id crashID) bool {
+		if id.kind != crashPart || c.registries.parts.Judge(now, id.fingerprint).Reason != poison.ReasonExonerated {
+			return false
+		}
+		_, waits := c.finishes[id]
+		if !waits && len(c.finishes) < maxCrashRecords {
+			c.finishes[id] = c.turn(now, finishPausePerVM)
+			waits = true
+		}
+		return waits
+	})
+}
+
+// takeLapsed and takeFinishes return the ids of the records that have to be written now.
+func (c *crashes) takeLapsed(now time.Time) []crashID   { return c.takeDue(now, c.lapsed) }
+func (c *crashes) takeFinishes(now time.Time) []crashID { return c.takeDue(now, c.finishes) }
+
+func (c *crashes) takeDue(now time.Time, waiting map[crashID]time.Time) []crashID {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []crashID
-	for id, due := range c.lapsed {
+	for id, due := range waiting {
 		if !now.Before(due) {
 			out = append(out, id)
-			delete(c.lapsed, id)
+			delete(waiting, id)
 		}
 	}
 	return out
@@ -291,8 +334,9 @@
 	for _, id := range changed {
 		c.gossip(now, id)
 	}
-	c.writer.add(changed)
+	c.writer.add(c.delayFinishes(now, changed))
 	if c.storeUp() {
+		c.writer.add(c.takeFinishes(now))
 		if lapsed := c.takeLapsed(now); len(lapsed) > 0 {
 			c.writer.reset()
 			c.writer.add(lapsed)
--- a/io/entry/crashes_test.go
+++ b/io/entry/crashes_test.go
@@ -25,13 +25,14 @@
 	log, _ := logtest.NewNullLogger()
 	c := &crashes{
 		items: spread.New(spread.Config{Self: vm, Rand: rand.New(rand.NewPCG(1, 2))}), storeUp: func() bool { return false }, now: now, log: log,
-		vms: func() int { return 9 }, random: func() float64 { return 0.5 }, lapsed: map[crashID]time.Time{},
+		vms: func() int { return 9 }, random: func() float64 { return 0.5 }, lapsed: map[crashID]time.Time{}, finishes: map[crashID]time.Time{},
 	}
 	var err error
 	c.registries.requests, err = poison.New(crashConfig(vm))
 	assert.NilError(t, err)
 	c.registries.parts, err = poison.New(partCrashConfig(Config{VM: vm}))
 	assert.NilError(t, err)
+	c.writer = &crashWriter{registries: c.registries, now: now, log: log, unwritten: map[crashID]bool{}, revisions: map[string]kvs.Revision{}}
 	return c
 }
 
