Parts that crashed together are not suspect

A crash of many replicas at the same time made each popular part suspect, as it counted replicas: its record went below the prefix that all VMs watch and into gossip, though crashes count for a part only if they followed each other. Each such write wakes all VMs, a call each.

A part is suspect by the crashes that followed each other. A second one is still found by the condition of the first key, and told to all VMs.

Tests: TestPartsOfMassCrashWakeNoVM failed before with 19 writes for 20 VMs; TestCrashesOnSeveralVMsAreCounted guards the count over VMs. The tests of crashing parts in platform/ pass (101 s).

--- a/core/poison/successive.go
+++ b/core/poison/successive.go
@@ -8,7 +8,7 @@
 // judgeSuccessive judges by the crashes that followed each other after the latest finish.
 func judgeSuccessive(crashes Crashes, finishedAt time.Time, c Config) Verdict {
 	v := Verdict{
-		Action: ActionRun, Reason: ReasonUnknown, Crashes: crashes.distinct(c.CrashWindow),
+		Action: ActionRun, Reason: ReasonUnknown, Crashes: crashes.successive(time.Time{}, c.CrashWindow),
 		Successive: crashes.successive(finishedAt, c.CrashWindow),
 	}
 	switch {
--- a/core/poison/verdict.go
+++ b/core/poison/verdict.go
@@ -30,9 +30,10 @@
 type Verdict struct {
 	Action Action
 	Reason Reason
-	// Crashes and Finishes are the totals over all VMs' records.
+	// Crashes and Finishes are the totals over all VMs' records. With Config.Successive,
+	// Crashes are those that followed each other, whatever has finished since.
 	Crashes  int
 	Finishes int
-	// Successive is the number of crashes that count with Config.Successive.
+	// Successive is the number of Crashes since the latest finish, with Config.Successive.
 	Successive int
 }
--- a/io/entry/crash_calls_test.go
+++ b/io/entry/crash_calls_test.go
@@ -159,6 +159,21 @@
 	assert.Equal(t, len(f.store.entries), parts)
 }
 
+// After a crash of many replicas at the same time, the parts of what was on them were written
+// below the prefix that all VMs watch, and each write woke all VMs.
+func TestPartsOfMassCrashWakeNoVM(t *testing.T) {
+	const vms = 20
+	f := newCrashFleet(t, vms)
+	for i, c := range f.vms {
+		for part := range poison.Fingerprint(8) {
+			f.crashed(c, part, call.ReplicaID(fmt.Sprint("r", i%5)))
+		}
+	}
+	f.pass(5 * time.Second)
+	assert.Equal(t, f.store.suspectCalls, 0)
+	assert.Assert(t, f.store.calls <= 8*vms, "%d calls", f.store.calls)
+}
+
 // Each VM that had seen a suspect part finish wrote that, and each its own crashes too, although
 // the finish had cleared them: each of these writes woke all VMs.
 func TestFinishedSuspectIsWrittenOnce(t *testing.T) {
