Records of suspects are written first, and more at a time

A VM wrote 160 records a second in no order. A crash that left more than 480, one for each request and part on the replica, took longer than three seconds to be in the store, and records of suspects, on which the bound rests, waited among them.

Suspects go first, and batches with suspects follow each other without a pause. Of the other records all VMs together begin 20 calls every 100 ms, each VM one at least. A batch that fails ends the turn as before.

Tests: TestSuspectsAreWrittenFirst failed before (1 of 32 written), TestCrashWithManyRecordsIsWritten too (480 of 1,000 after three seconds).

--- a/io/entry/crash_calls_test.go
+++ b/io/entry/crash_calls_test.go
@@ -211,3 +211,37 @@
 		assert.Equal(t, len(c.registries.parts.RefusedParts(f.now, []poison.Fingerprint{part})), 1)
 	}
 }
+
+// A crash that left a record for each request and part on a replica delayed those of suspects,
+// as records were written in no order.
+func TestSuspectsAreWrittenFirst(t *testing.T) {
+	const suspects = 2 * maxCrashWrites
+	f := newCrashFleet(t, 1)
+	c := f.vms[0]
+	for i := range 600 {
+		f.crashed(c, poison.Fingerprint(1000+i), "r1")
+	}
+	for _, replica := range []call.ReplicaID{"r2", "r3"} {
+		f.now = f.now.Add(100 * time.Millisecond)
+		for part := range poison.Fingerprint(suspects) {
+			f.crashed(c, part, replica)
+		}
+	}
+	c.vms = func() int { return 100 }
+	f.pass(crashWriteInterval)
+	assert.Equal(t, len(f.store.suspects().Entries), suspects)
+}
+
+// A crash that left more than 480 records on a VM took longer than three seconds to be in the
+// store; all VMs together still begin no more calls than the store can take.
+func TestCrashWithManyRecordsIsWritten(t *testing.T) {
+	for vms, want := range map[int]int{1: 1000, 9: 900} {
+		f := newCrashFleet(t, vms)
+		for i := range want / vms * vms {
+			f.crashed(f.vms[0], poison.Fingerprint(i), "r1")
+		}
+		f.pass(3 * time.Second)
+		assert.Equal(t, len(f.store.entries), want)
+		assert.Assert(t, f.store.calls <= 3*crashWriteRate*int(time.Second/crashWriteInterval), "%d calls", f.store.calls)
+	}
+}
--- a/io/entry/crash_writer.go
+++ b/io/entry/crash_writer.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +29,9 @@
 	// maxCrashWrites limits the records of one transaction, to which the platform allows 32
 	// entries: each record takes two, a condition and a write.
 	maxCrashWrites = 16
+	// crashWriteRate is the number of calls that all VMs together begin between two
+	// crashWriteIntervals; each VM begins at least one, and more for suspects.
+	crashWriteRate = 20
 	// crashLeaseUse is how long one lease is used for new records. It bounds how much
 	// earlier than crashRetention a record may go.
 	crashLeaseUse = time.Minute
@@ -112,33 +116,58 @@
 	clear(w.revisions)
 }
 
-// start begins a write, unless there is nothing to write or a write is in progress.
-func (w *crashWriter) start(now time.Time) {
+// start begins to write, unless there is nothing to write or a write is in progress.
+func (w *crashWriter) start(now time.Time, vms int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.unwritten) == 0 || w.writing || now.Before(w.retryAt) {
 		return
 	}
 	w.writing = true
-	go w.write(w.nextBatch())
+	go w.writeAll(max(1, crashWriteRate/max(1, vms)))
 }
 
-// nextBatch takes ids to write in one transaction; w.mu is held.
-func (w *crashWriter) nextBatch() []crashID {
-	batch := make([]crashID, 0, maxCrashWrites)
-	for id := range w.unwritten {
-		if len(batch) == maxCrashWrites {
+// writeAll writes batches, up to a number of them and those with suspects, until one fails.
+func (w *crashWriter) writeAll(most int) {
+	for i := range maxCrashRecords / maxCrashWrites {
+		batch, suspects := w.nextBatch(i >= most)
+		if len(batch) == 0 || !w.write(batch) || i+1 >= most && !suspects {
 			break
 		}
-		batch = append(batch, id)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writing = false
+}
+
+// nextBatch takes ids to write in one transaction, suspects first, or only suspects. It also
+// reports whether further suspects are left.
+func (w *crashWriter) nextBatch(onlySuspects bool) ([]crashID, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var suspects, others []crashID
+	for id := range w.unwritten {
+		if strings.HasPrefix(w.key(id), suspectPrefix) {
+			suspects = append(suspects, id)
+		} else {
+			others = append(others, id)
+		}
+	}
+	batch := suspects
+	if !onlySuspects {
+		batch = append(batch, others...)
+	}
+	batch = batch[:min(len(batch), maxCrashWrites)]
+	for _, id := range batch {
 		delete(w.unwritten, id)
 	}
 	slices.SortFunc(batch, func(a, b crashID) int { return cmp.Compare(a.String(), b.String()) })
-	return batch
+	return batch, len(suspects) > len(batch)
 }
 
-// write writes records. Those that could not be written are written again later.
-func (w *crashWriter) write(batch []crashID) {
+// write writes records and reports whether it could. Those that could not be written are
+// written again later.
+func (w *crashWriter) write(batch []crashID) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashWriteTimeout)
 	defer cancel()
 	left, err := w.writeBatch(ctx, batch)
@@ -146,12 +175,12 @@
 		w.log.WithFields(logrus.Fields{"event": "crashWrite", "records": len(left)}).WithError(err).Info("records of crashes were not written to the store, trying again")
 		w.add(left)
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.writing = false
 	if err != nil && !errors.Is(err, errCrashKnown) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		w.retryAt = w.now().Add(crashWriteBackoff)
 	}
+	return err == nil
 }
 
 // writeBatch writes records with a lease, which removes them after crashRetention. If that
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -341,7 +341,7 @@
 			c.writer.reset()
 			c.writer.add(lapsed)
 		}
-		c.writer.start(now)
+		c.writer.start(now, c.vms())
 	}
 }
 
--- a/io/entry/crashes_test.go
+++ b/io/entry/crashes_test.go
@@ -126,8 +126,8 @@
 		w.add([]crashID{id})
 	}
 	for range records {
-		w.writing = true
-		w.write(w.nextBatch())
+		batch, _ := w.nextBatch(false)
+		w.write(batch)
 	}
 	assert.Equal(t, len(stored), records)
 }
@@ -202,7 +202,7 @@
 		var writes sync.WaitGroup
 		for _, c := range all {
 			c.writer.add(c.ids(func(r *poison.Registry) []poison.Fingerprint { return r.TakeChanged(now) }))
-			if batch := c.writer.nextBatch(); len(batch) > 0 {
+			if batch, _ := c.writer.nextBatch(false); len(batch) > 0 {
 				writes.Go(func() { c.writer.write(batch) })
 			}
 		}
@@ -234,7 +234,9 @@
 		return kvs.Snapshot{Entries: kvs.Entries{{Key: suspectPrefix + id.String(), Value: c.registries.requests.Snapshot(id.fingerprint).Value}}}
 	}
 	b.applySnapshot(snapshot(a))
-	assert.Assert(t, slices.Equal(b.writer.nextBatch(), []crashID{id}))
+	batch, _ := b.writer.nextBatch(false)
+	assert.Assert(t, slices.Equal(batch, []crashID{id}))
 	b.applySnapshot(snapshot(b))
-	assert.Equal(t, len(b.writer.nextBatch()), 0)
+	batch, _ = b.writer.nextBatch(false)
+	assert.Equal(t, len(batch), 0)
 }
