Announcements of a VM whose clock is set back count

Announcements of a VM were ordered by its time of day. After its clock was set back, those of the same or of a new process seemed to be older, until the kept one expired twelve seconds later: other VMs did not learn that the VM had lost the store.

The version is one more than that of the kept item, which may have come back from another VM, and at least the time of day.

--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -54,16 +54,17 @@
 	lastContact time.Time
 }
 
-// announce puts this VM's item, with a new expiry, into the gossip store.
+// announce puts this VM's item, with a new expiry, into the gossip store. Its version grows
+// even if the clock has been set back since this VM, or its process before, announced itself.
 func (m *members) announce(now time.Time) {
 	value, err := json.Marshal(vmItem{Address: m.address, StoreLost: !m.storeUp()})
 	if err != nil {
 		m.log.WithFields(logrus.Fields{"event": "announce"}).WithError(err).Error("encoding the announcement of this VM failed")
 		return
 	}
-	m.items.Put(now, spread.Item{
-		ID: spread.ID{Kind: kindVM, Key: string(m.self)}, Version: uint64(now.UnixMilli()), Value: value, Expires: now.Add(memberTTL),
-	})
+	id := spread.ID{Kind: kindVM, Key: string(m.self)}
+	kept, _ := m.items.Get(now, id)
+	m.items.Put(now, spread.Item{ID: id, Version: max(kept.Version+1, uint64(now.UnixMilli())), Value: value, Expires: now.Add(memberTTL)})
 }
 
 // others returns the other VMs, ordered by id.
