--- a/io/entry/crashes_test.go
+++ b/io/entry/crashes_test.go
@@ -20,7 +20,7 @@
 )
 
 // newCrashes returns the records of a VM that cannot read the store, and can only gossip.
-func newCrashes(t *testing.T, vm call.VMID, now func() time.Time) *crashes {
+func newCrashes(t testing.TB, vm call.VMID, now func() time.Time) *crashes {
 	t.Helper()
 	log, _ := logtest.NewNullLogger()
 	c := &crashes{
