Suspects are kept before requests and parts with one crash

A VM that has as many records as it keeps deleted suspects, which have two crashes, before newer ones with one. Who sends ever new parts, 4,096 of them on crashing replicas, could make the VMs forget a suspect, which then crashed three replicas more.

Records go in the order: one crash, suspect, refused; within these as before.

Test: TestSuspectIsKeptBeforeNewOnes failed before for requests and parts.

--- a/core/poison/config.go
+++ b/core/poison/config.go
@@ -56,8 +56,9 @@
 	SpreadTime time.Duration
 	// Retention is how long a crash is kept and counted.
 	Retention time.Duration
-	// MaxFingerprints bounds memory. At the bound, records of requests that may run are
-	// deleted first, of them those that only this VM has, the oldest first.
+	// MaxFingerprints bounds memory. At the bound, records of requests that are neither
+	// suspect nor restricted are deleted first, then those of suspects; of them those that only
+	// this VM has, the oldest first.
 	MaxFingerprints int
 }
 
--- a/core/poison/registry.go
+++ b/core/poison/registry.go
@@ -263,22 +263,25 @@
 }
 
 // evict deletes entries older than Retention once MaxFingerprints is reached and,
-// if that is not enough, a quarter of the entries: those that may run before the
-// others, first those that only this VM knows, then by age, oldest first.
+// if that is not enough, a quarter of the entries: first those that are neither suspect nor
+// restricted, then suspects, of them those that only this VM knows, then by age, oldest first.
 func (r *Registry) evict(now time.Time) {
 	if len(r.entries) < r.c.MaxFingerprints {
 		return
 	}
 	kept := make([]Fingerprint, 0, len(r.entries))
-	restricted := make(map[Fingerprint]bool)
+	rank := make(map[Fingerprint]int)
 	for fp, e := range r.entries {
 		if now.Sub(e.updated) >= r.c.Retention {
 			r.remove(fp)
 			continue
 		}
 		kept = append(kept, fp)
-		if e.judge(now, r.c).Action != ActionRun {
-			restricted[fp] = true
+		switch v := e.judge(now, r.c); {
+		case v.Action != ActionRun:
+			rank[fp] = 2
+		case v.Reason == ReasonSuspect:
+			rank[fp] = 1
 		}
 	}
 	if len(kept) < r.c.MaxFingerprints {
@@ -286,7 +289,7 @@
 	}
 	slices.SortFunc(kept, func(a, b Fingerprint) int {
 		x, y := r.entries[a], r.entries[b]
-		return cmp.Or(compareBool(restricted[a], restricted[b]), compareBool(x.shared(), y.shared()), x.updated.Compare(y.updated), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(rank[a], rank[b]), compareBool(x.shared(), y.shared()), x.updated.Compare(y.updated), cmp.Compare(a, b))
 	})
 	for _, fp := range kept[:len(kept)/4+1] {
 		r.remove(fp)
--- a/core/poison/successive_test.go
+++ b/core/poison/successive_test.go
@@ -272,3 +272,34 @@
 	allocations := testing.AllocsPerRun(10, func() { refuses(r, 1000, 7) })
 	assert.Assert(t, allocations < others, "%.0f allocations", allocations)
 }
+
+// A suspect was forgotten, and crashed more replicas than it should, when later crashes had left
+// records of as many others as a VM keeps.
+func TestSuspectIsKeptBeforeNewOnes(t *testing.T) {
+	for name, successive := range map[string]bool{"request": false, "part": true} {
+		t.Run(name, func(t *testing.T) {
+			c := partConfig
+			c.Self, c.MaxFingerprints, c.Successive = "e1", 64, successive
+			r := newRegistry(t, c)
+			crash := func(fp Fingerprint, lost run) {
+				if successive {
+					r.CrashedRun(ms(lost.lost), fp, lost.crash())
+				} else {
+					r.Crashed(ms(lost.lost), fp, lost.replica, false)
+					r.Publish(ms(lost.lost), fp)
+				}
+				r.TakeChanged(ms(lost.lost))
+			}
+			const bad Fingerprint = 1 << 40
+			crash(bad, run{"a", 0, 100})
+			crash(bad, run{"b", 200, 300})
+			for i := range 4 * c.MaxFingerprints {
+				crash(Fingerprint(i), run{"d", 995 + 10*i, 1000 + 10*i})
+			}
+			assert.Equal(t, r.Judge(ms(20000), bad).Reason, ReasonSuspect)
+			crash(bad, run{"c", 20000, 20100})
+			assert.Equal(t, r.Judge(ms(20100), bad).Action, ActionRefuse)
+			assert.Assert(t, r.Len() <= c.MaxFingerprints)
+		})
+	}
+}
