Records of suspects wait for no others

Records of suspects shared a transaction with those of single crashes. Where several VMs write the same ones, its conditions fail again and again, and the suspect was told late: with 4,096 new parts on crashing replicas, a part with its third crash was not refused on all VMs 300 ms later. If as many records waited as a VM keeps, that of a suspect was dropped.

A transaction has suspects only, or none, and there is room for twice as many of them.

--- a/io/entry/crash_calls_test.go
+++ b/io/entry/crash_calls_test.go
@@ -233,6 +233,23 @@
 	assert.Equal(t, len(f.store.suspects().Entries), suspects)
 }
 
+// The record of a suspect was not written at all if as many others waited as a VM keeps.
+func TestSuspectIsWrittenWhenManyWait(t *testing.T) {
+	const part = poison.Fingerprint(1 << 40)
+	c := newCrashFleet(t, 1).vms[0]
+	for i := range maxCrashRecords {
+		c.writer.add([]crashID{{crashRequest, poison.Fingerprint(i)}})
+	}
+	now := c.now()
+	for i, replica := range []call.ReplicaID{"r1", "r2"} {
+		at := now.Add(time.Duration(i) * time.Second)
+		c.registries.parts.CrashedRun(at, part, poison.Crash{Replica: replica, Began: at.Add(-time.Millisecond), At: at})
+	}
+	c.writer.add([]crashID{{crashPart, part}})
+	batch, _ := c.writer.nextBatch(false)
+	assert.Assert(t, slices.Equal(batch, []crashID{{crashPart, part}}))
+}
+
 // A crash that left more than 480 records on a VM took longer than three seconds to be in the
 // store; all VMs together still begin no more calls than the store can take.
 func TestCrashWithManyRecordsIsWritten(t *testing.T) {
@@ -246,3 +263,34 @@
 		assert.Assert(t, f.store.calls <= 3*crashWriteRate*int(time.Second/crashWriteInterval), "%d calls", f.store.calls)
 	}
 }
+
+// Ever new parts in the prompts on crashing replicas push out neither refused parts nor suspects,
+// and take a bounded number of records on each VM.
+func TestNewPartsPushOutNoSuspect(t *testing.T) {
+	const refused, suspect = poison.Fingerprint(1), poison.Fingerprint(2)
+	f := newCrashFleet(t, 3)
+	for i, replica := range []call.ReplicaID{"r1", "r2", "r3"} {
+		f.crashed(f.vms[i], refused, replica)
+		if i < suspectAfterCrashes {
+			f.crashed(f.vms[i], suspect, replica)
+		}
+		f.pass(300 * time.Millisecond)
+	}
+	for i := range 2 * maxCrashRecords {
+		for _, c := range f.vms {
+			f.crashed(c, poison.Fingerprint(1000+i), "r9")
+		}
+	}
+	f.pass(time.Second)
+	for _, c := range f.vms {
+		assert.Equal(t, len(c.registries.parts.RefusedParts(f.now, []poison.Fingerprint{refused})), 1)
+		assert.Equal(t, c.registries.parts.Judge(f.now, suspect).Reason, poison.ReasonSuspect)
+		assert.Assert(t, c.registries.parts.Len() <= maxCrashRecords)
+		assert.Assert(t, len(c.writer.unwritten) <= maxCrashRecords)
+	}
+	f.crashed(f.vms[2], suspect, "r10")
+	f.pass(300 * time.Millisecond)
+	for _, c := range f.vms {
+		assert.Equal(t, len(c.registries.parts.RefusedParts(f.now, []poison.Fingerprint{suspect})), 1)
+	}
+}
--- a/io/entry/crash_writer.go
+++ b/io/entry/crash_writer.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -73,15 +72,17 @@
 }
 
 // add adds ids to write, without those that are not in the store and have been exonerated
-// already. Beyond maxCrashRecords, they are dropped.
+// already. Beyond maxCrashRecords they are dropped, suspects beyond twice as many.
 func (w *crashWriter) add(ids []crashID) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, id := range ids {
-		if w.exoneratedHere(id) || len(w.unwritten) >= maxCrashRecords {
+		if w.exoneratedHere(id) {
 			continue
 		}
-		w.unwritten[id] = true
+		if n := len(w.unwritten); n < maxCrashRecords || n < 2*maxCrashRecords && w.isSuspect(id) {
+			w.unwritten[id] = true
+		}
 	}
 }
 
@@ -140,22 +141,23 @@
 	w.writing = false
 }
 
-// nextBatch takes ids to write in one transaction, suspects first, or only suspects. It also
-// reports whether further suspects are left.
+// nextBatch takes ids to write in one transaction: suspects, or others if there are none and
+// they may be written. Others could make the transaction fail, as several VMs write them. It
+// also reports whether further suspects are left.
 func (w *crashWriter) nextBatch(onlySuspects bool) ([]crashID, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var suspects, others []crashID
 	for id := range w.unwritten {
-		if strings.HasPrefix(w.key(id), suspectPrefix) {
+		if w.isSuspect(id) {
 			suspects = append(suspects, id)
 		} else {
 			others = append(others, id)
 		}
 	}
 	batch := suspects
-	if !onlySuspects {
-		batch = append(batch, others...)
+	if len(suspects) == 0 && !onlySuspects {
+		batch = others
 	}
 	batch = batch[:min(len(batch), maxCrashWrites)]
 	for _, id := range batch {
@@ -253,12 +255,17 @@
 
 // key returns the key of the records of a request or part.
 func (w *crashWriter) key(id crashID) string {
-	if w.registries.of(id.kind).Judge(w.now(), id.fingerprint).Crashes >= suspectAfterCrashes {
+	if w.isSuspect(id) {
 		return suspectPrefix + id.String()
 	}
 	return crashPrefix + id.String()
 }
 
+// isSuspect reports whether all VMs have to know of a request or part.
+func (w *crashWriter) isSuspect(id crashID) bool {
+	return w.registries.of(id.kind).Judge(w.now(), id.fingerprint).Crashes >= suspectAfterCrashes
+}
+
 // condition returns the condition that a key is as this VM last read or wrote it, or does
 // not exist if it has done neither.
 func (w *crashWriter) condition(key string) kvs.Compare {
