--- a/io/entry/crash_writer.go
+++ b/io/entry/crash_writer.go
@@ -29,6 +29,9 @@
 	// maxCrashWrites limits the records of one transaction, to which the platform allows 32
 	// entries: each record takes two, a condition and a write.
 	maxCrashWrites = 16
+	// crashWriteRate is the number of calls that all VMs together begin between two
+	// crashWriteIntervals; each VM begins at least one, and more for suspects.
+	crashWriteRate = 20
 	// crashLeaseUse is how long one lease is used for new records. It bounds how much
 	// earlier than crashRetention a record may go.
 	crashLeaseUse = time.Minute
@@ -72,15 +75,33 @@
 }
 
 // add adds ids to write, without those that are not in the store and have been exonerated
-// already. Beyond maxCrashRecords, they are dropped.
+// already. Beyond maxCrashRecords they are dropped, suspects beyond twice as many.
 func (w *crashWriter) add(ids []crashID) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, id := range ids {
-		if w.exoneratedHere(id) || len(w.unwritten) >= maxCrashRecords {
+		if w.exoneratedHere(id) {
 			continue
 		}
-		w.unwritten[id] = true
+		if n := len(w.unwritten); n < maxCrashRecords || n < 2*maxCrashRecords && w.isSuspect(id) {
+			w.unwritten[id] = true
+		}
+	}
+}
+
+// drop removes an id from those to write.
+func (w *crashWriter) drop(id crashID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.unwritten, id)
+}
+
+// seen records the revision of an entry of the store whose records have been merged.
+func (w *crashWriter) seen(entry kvs.Entry) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if known := w.revisions[entry.Key]; entry.ModRevision > known && (known != 0 || len(w.revisions) < maxCrashRecords) {
+		w.revisions[entry.Key] = entry.ModRevision
 	}
 }
 
@@ -106,33 +127,59 @@
 	clear(w.revisions)
 }
 
-// start begins a write, unless there is nothing to write or a write is in progress.
-func (w *crashWriter) start(now time.Time) {
+// start begins to write, unless there is nothing to write or a write is in progress.
+func (w *crashWriter) start(now time.Time, vms int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.unwritten) == 0 || w.writing || now.Before(w.retryAt) {
 		return
 	}
 	w.writing = true
-	go w.write(w.nextBatch())
+	go w.writeAll(max(1, crashWriteRate/max(1, vms)))
 }
 
-// nextBatch takes ids to write in one transaction; w.mu is held.
-func (w *crashWriter) nextBatch() []crashID {
-	batch := make([]crashID, 0, maxCrashWrites)
-	for id := range w.unwritten {
-		if len(batch) == maxCrashWrites {
+// writeAll writes batches, up to a number of them and those with suspects, until one fails.
+func (w *crashWriter) writeAll(most int) {
+	for i := range maxCrashRecords / maxCrashWrites {
+		batch, suspects := w.nextBatch(i >= most)
+		if len(batch) == 0 || !w.write(batch) || i+1 >= most && !suspects {
 			break
 		}
-		batch = append(batch, id)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writing = false
+}
+
+// nextBatch takes ids to write in one transaction: suspects, or others if there are none and
+// they may be written. Others could make the transaction fail, as several VMs write them. It
+// also reports whether further suspects are left.
+func (w *crashWriter) nextBatch(onlySuspects bool) ([]crashID, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var suspects, others []crashID
+	for id := range w.unwritten {
+		if w.isSuspect(id) {
+			suspects = append(suspects, id)
+		} else {
+			others = append(others, id)
+		}
+	}
+	batch := suspects
+	if len(suspects) == 0 && !onlySuspects {
+		batch = others
+	}
+	batch = batch[:min(len(batch), maxCrashWrites)]
+	for _, id := range batch {
 		delete(w.unwritten, id)
 	}
 	slices.SortFunc(batch, func(a, b crashID) int { return cmp.Compare(a.String(), b.String()) })
-	return batch
+	return batch, len(suspects) > len(batch)
 }
 
-// write writes records. Those that could not be written are written again later.
-func (w *crashWriter) write(batch []crashID) {
+// write writes records and reports whether it could. Those that could not be written are
+// written again later.
+func (w *crashWriter) write(batch []crashID) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashWriteTimeout)
 	defer cancel()
 	left, err := w.writeBatch(ctx, batch)
@@ -143,12 +190,12 @@
 			w.failed(left)
 		}
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.writing = false
 	if err != nil && !errors.Is(err, errCrashKnown) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		w.retryAt = w.now().Add(crashWriteBackoff)
 	}
+	return err == nil
 }
 
 // writeBatch writes records with a lease, which removes them after crashRetention. If that
@@ -221,12 +268,17 @@
 
 // key returns the key of the records of a request or part.
 func (w *crashWriter) key(id crashID) string {
-	if w.registries.of(id.kind).Judge(w.now(), id.fingerprint).Crashes >= suspectAfterCrashes {
+	if w.isSuspect(id) {
 		return suspectPrefix + id.String()
 	}
 	return crashPrefix + id.String()
 }
 
+// isSuspect reports whether all VMs have to know of a request or part.
+func (w *crashWriter) isSuspect(id crashID) bool {
+	return w.registries.of(id.kind).Judge(w.now(), id.fingerprint).Crashes >= suspectAfterCrashes
+}
+
 // condition returns the condition that a key is as this VM last read or wrote it, or does
 // not exist if it has done neither.
 func (w *crashWriter) condition(key string) kvs.Compare {
