io/placer: end a term whose key a restored store has lost

Seen in the new test: after the store came back from a copy without the lease's key, two VMs sent orders, the former holder for good. Engines that check fencing tokens refuse its orders; the others carry out both.

Cause: the holder renewed its lease by the id only. A store that comes back from an older copy gives the id to the next VM that asks for a lease, so that the renewals succeeded.

Change: a renewal also tests in a transaction that the key has the value that this term gave it, nonce included, and ends the term if not. The fencing token is a create revision and rises over a restore where the store tells its era.

The test fails if the fake tells no era: the same token then has two holders. That is open for the gateway of etcd, which tells none.

--- a/io/placer/elect.go
+++ b/io/placer/elect.go
@@ -13,8 +13,10 @@
 // elector acquires and renews the lease. The term is nil while this VM doesn't hold
 // the lease.
 type elector struct {
-	config    Config
-	lease     kvs.LeaseID
+	config Config
+	lease  kvs.LeaseID
+	// value is the value of the lease's key, which no other term has.
+	value     []byte
 	term      *place.Term
 	renewedAt time.Time
 	polledAt  time.Time
@@ -62,6 +64,16 @@
 	if err != nil {
 		return errors.Annotate(err, "elector.renew")
 	}
+	// A service that was restored from an older copy may have lost the key and given the
+	// lease's id to another VM.
+	held, err := e.config.Service.Transact(ctx, kvs.Txn{Compares: []kvs.Compare{kvs.HasValue(e.config.Key, e.value)}})
+	if err != nil {
+		return errors.Annotate(err, "elector.renew")
+	}
+	if !held.Succeeded {
+		e.endTerm()
+		return errors.Annotate(kvs.ErrLeaseLapsed, "elector.renew: the lease's key is gone or another VM's")
+	}
 	// The term is extended from when the renewal was requested, since the response
 	// may have been delayed.
 	e.term.Renewed(now)
@@ -82,12 +94,13 @@
 	if err != nil {
 		return errors.Annotate(err, "elector.campaign")
 	}
-	fencingToken, err := e.createKey(ctx, lease.ID)
+	value := []byte(string(e.config.VM) + " " + e.config.Nonce())
+	fencingToken, err := e.createKey(ctx, lease.ID, value)
 	if err != nil || fencingToken == 0 {
 		return errors.Annotate(err, "elector.campaign")
 	}
 	taken := e.config.Now()
-	e.lease, e.renewedAt = lease.ID, asked
+	e.lease, e.value, e.renewedAt = lease.ID, value, asked
 	e.term = place.NewTerm(e.config.termConfig(), fencingToken, asked, taken)
 	return nil
 }
@@ -95,8 +108,7 @@
 // createKey creates the lease's key and returns its create revision, or 0 if another
 // VM created it first. If the reply is lost, the nonce in the key's value shows
 // whether this VM created it.
-func (e *elector) createKey(ctx context.Context, lease kvs.LeaseID) (int64, error) {
-	value := []byte(string(e.config.VM) + " " + e.config.Nonce())
+func (e *elector) createKey(ctx context.Context, lease kvs.LeaseID, value []byte) (int64, error) {
 	txn := kvs.Txn{
 		Compares: []kvs.Compare{kvs.Absent(e.config.Key)},
 		Then:     []kvs.Op{kvs.Put(e.config.Key, value, lease)},
--- a/io/placer/placer_test.go
+++ b/io/placer/placer_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/juju/errors"
@@ -265,3 +266,44 @@
 		assert.Assert(t, after.Leases-before.Leases <= 7, "%d lease calls", after.Leases-before.Leases)
 	})
 }
+
+// The platform comes back from a copy without the lease's key, and gives the lease's id to
+// the VM that creates the key anew. The former holder's term ends although the renewals of
+// that id succeed, and no fencing token has two holders.
+func TestRestoreEndsTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fake := fakekv.New(fakekv.Config{TellsEra: true})
+		fake.Save()
+		s := newSite(false)
+		for i := range s.replicas {
+			s.replicas[i].Slots = 2
+		}
+		s.start(ctx, "a", withoutHooks(fake.Service()))
+		time.Sleep(2 * time.Minute)
+		fake.Restore()
+		s.start(ctx, "b", withoutHooks(fake.Service()))
+		time.Sleep(2 * time.Minute)
+		before := len(s.orders("a"))
+		assert.Assert(t, before > 0)
+		s.mu.Lock()
+		s.needs = append(s.needs, place.Need{Artifact: place.Artifact{Model: "ink"}, Copies: 1, Megabytes: 1})
+		s.mu.Unlock()
+		time.Sleep(2 * time.Minute)
+		assert.Equal(t, len(s.orders("a")), before, "two VMs send orders")
+		assert.Equal(t, s.copies("ink"), 1)
+		holders := map[int64]call.VMID{}
+		var last int64
+		for _, l := range s.all() {
+			assert.Assert(t, l.order.FencingToken >= last)
+			last = l.order.FencingToken
+			if holder, ok := holders[last]; ok {
+				assert.Equal(t, l.vm, holder, "token %d", last)
+			}
+			holders[last] = l.vm
+		}
+		assert.Equal(t, len(holders), 2)
+		cancel()
+		synctest.Wait()
+	})
+}
