io/claims: write claims again after a restore of the store

Callers could have a payment run twice: after the key-value service had come back from a copy that lacked the record of a call, a repeat with the same key ran on any other VM, although the VM that ran the first one was in touch and knew its record.

Cause: no VM kept the records that it had written, and a claim was made without regard to the era in which the record of another might be missing. A call that ended after the restore found its record gone and took that for the end of the retention. Leases went on to be used by ids that may belong to others by then.

For five seconds after it saw a new era it makes no claim; one that was committed in the response that showed the era is withdrawn. A VM that starts does the same if the store was ever restored.

etcd's gateway tells no era, so that nothing changes with it yet; kvs.Service now says what an adapter has to tell.

--- a/core/claim/holder.go
+++ b/core/claim/holder.go
@@ -70,6 +70,18 @@
 	return nil
 }
 
+// Withdraw gives up a claim that may not be this attempt's to use, and refuses the
+// request. A write is pending afterwards.
+//
+// Errors: ErrNotHeld if the call was sent or the claim is not held.
+func (a *Attempt) Withdraw(reason string) error {
+	if a.phase != phaseHeld {
+		return errors.Annotatef(ErrNotHeld, "Attempt.Withdraw: phase %s, want %s", a.phase, phaseHeld)
+	}
+	a.refuse(reason, phaseReleasing)
+	return nil
+}
+
 // Release gives up an unused claim. A write is pending afterwards; whether or not
 // it is committed, this attempt never sends the call.
 //
--- a/io/claims/claims.go
+++ b/io/claims/claims.go
@@ -14,6 +14,7 @@
 type Claims struct {
 	config Config
 	writer *writer
+	kept   *kept
 
 	mu      sync.Mutex
 	breaker *claim.Breaker
@@ -25,8 +26,9 @@
 // New returns Claims. Writes are made only while Run runs.
 func New(c Config) *Claims {
 	c = c.Defaults()
+	k := newKept(c)
 	return &Claims{
-		config: c, writer: newWriter(c),
+		config: c, writer: newWriter(c, k), kept: k,
 		breaker: claim.NewBreaker(claim.BreakerConfig{Pause: c.Pause}),
 	}
 }
@@ -38,6 +40,7 @@
 	if err := c.config.Validate(); err != nil {
 		return errors.Trace(err)
 	}
+	c.probe(ctx)
 	var wait sync.WaitGroup
 	wait.Go(func() { c.writer.run(ctx) })
 	wait.Go(func() { c.retryBackground(ctx) })
@@ -62,7 +65,7 @@
 		Request: req, VM: c.config.VM, Nonce: c.config.Nonce, Now: c.config.Now(),
 		MaxBody: c.config.MaxBody,
 	})
-	if !c.admit() {
+	if c.kept.restoring() || !c.admit() {
 		attempt.Apply(claim.Reply{Result: claim.ResultNoEffect})
 		return attempt, nil
 	}
@@ -73,6 +76,11 @@
 	}
 	kind := attempt.Verdict().Kind
 	c.report(kind != claim.KindRefused && kind != claim.KindPassOn)
+	if kind == claim.KindRun && c.kept.restoring() {
+		if err := attempt.Withdraw("the platform came back from an older copy; the key may be another VM's"); err != nil {
+			return nil, errors.Annotate(err, "Claims.Begin")
+		}
+	}
 	if attempt.Pending() {
 		c.retryLater(attempt)
 	}
--- a/io/claims/claims_test.go
+++ b/io/claims/claims_test.go
@@ -53,9 +53,13 @@
 // inBubble runs a test in a synctest bubble with a fake key-value service and the
 // Claims of two VMs.
 func inBubble(t *testing.T, fn func(t *testing.T, fake *fakekv.Fake, a, b *Claims)) {
+	inBubbleWith(t, fakekv.Config{}, fn)
+}
+
+func inBubbleWith(t *testing.T, c fakekv.Config, fn func(t *testing.T, fake *fakekv.Fake, a, b *Claims)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		fake := fakekv.New(fakekv.Config{})
+		fake := fakekv.New(c)
 		fn(t, fake, startVM(ctx, "a", fake.Service()), startVM(ctx, "b", fake.Service()))
 		cancel()
 		synctest.Wait()
--- a/io/claims/config.go
+++ b/io/claims/config.go
@@ -30,6 +30,8 @@
 	defaultPause               = 500 * time.Millisecond
 	defaultTimeout             = 3 * time.Second
 	defaultRetryInterval       = time.Second
+	defaultRestoreWindow       = time.Minute
+	defaultRestoreGrace        = 5 * time.Second
 )
 
 // Config configures Claims.
@@ -66,6 +68,11 @@
 	Timeout time.Duration
 	// RetryInterval is the interval at which background writes are retried.
 	RetryInterval time.Duration
+	// RestoreWindow is the greatest age of a copy from which the service may be restored.
+	// For RestoreGrace after it saw a restore, a VM makes no claims, so that the others can
+	// write those again that the copy lacks.
+	RestoreWindow time.Duration
+	RestoreGrace  time.Duration
 	// Log gets a line for each background write that is given up. The default is
 	// logrus's standard logger.
 	Log logrus.FieldLogger
@@ -94,6 +101,8 @@
 	c.MaxRate = cmp.Or(c.MaxRate, defaultMaxRate)
 	c.Pause = cmp.Or(c.Pause, defaultPause)
 	c.Timeout = cmp.Or(c.Timeout, defaultTimeout)
+	c.RestoreWindow = cmp.Or(c.RestoreWindow, defaultRestoreWindow)
+	c.RestoreGrace = cmp.Or(c.RestoreGrace, defaultRestoreGrace)
 	c.RetryInterval = cmp.Or(c.RetryInterval, defaultRetryInterval)
 	return c
 }
@@ -110,8 +119,8 @@
 		return errors.NotValidf("Config.Validate: empty VM")
 	case c.Nonce == nil || c.Every == nil:
 		return errors.NotValidf("Config.Validate: Nonce or Every is nil, both are required")
-	case c.Service.Transact == nil || c.Service.Grant == nil:
-		return errors.NotValidf("Config.Validate: Service.Transact or Service.Grant is nil, both are required")
+	case c.Service.Transact == nil || c.Service.Grant == nil || c.Service.Get == nil:
+		return errors.NotValidf("Config.Validate: Service.Transact, Service.Grant or Service.Get is nil, all are required")
 	}
 	return nil
 }
--- a/io/claims/lease.go
+++ b/io/claims/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -22,7 +23,9 @@
 
 // leases provides the leases for new records, one for each retention in use.
 type leases struct {
-	config  Config
+	config Config
+
+	mu      sync.Mutex
 	current map[time.Duration]currentLease
 }
 
@@ -33,18 +36,27 @@
 // get returns the current lease for a retention and grants a new one if needed.
 func (l *leases) get(ctx context.Context, retention time.Duration) (kvs.LeaseID, error) {
 	now := l.config.Now()
-	if lease, ok := l.current[retention]; ok && now.Before(lease.until) {
+	l.mu.Lock()
+	lease, ok := l.current[retention]
+	l.mu.Unlock()
+	if ok && now.Before(lease.until) {
 		return lease.id, nil
 	}
 	use := retention / leaseUseDivisor
-	lease, err := l.config.Service.Grant(ctx, retention+use)
+	granted, err := l.config.Service.Grant(ctx, retention+use)
 	if err != nil {
 		return 0, errors.Annotate(err, "leases.get")
 	}
-	l.current[retention] = currentLease{id: lease.ID, until: now.Add(use)}
-	return lease.ID, nil
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.current[retention] = currentLease{id: granted.ID, until: now.Add(use)}
+	return granted.ID, nil
 }
 
 // discard drops all current leases. It is called when the service reports that one
-// of them no longer exists.
-func (l *leases) discard() { clear(l.current) }
+// of them no longer exists, and when it was restored from an older copy.
+func (l *leases) discard() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.current)
+}
--- a/io/claims/queued.go
+++ b/io/claims/queued.go
@@ -1,8 +1,6 @@
 package claims
 
 import (
-	"time"
-
 	"gentianwell/core/claim"
 	"gentianwell/io/kvs"
 )
@@ -17,11 +15,11 @@
 
 // queuedWrite is a write that waits for a transaction or for the result of one.
 type queuedWrite struct {
-	key       string
-	retention time.Duration
-	write     claim.Write
-	value     []byte
-	reply     chan claim.Reply
+	key     string
+	request claim.Request
+	write   claim.Write
+	value   []byte
+	reply   chan claim.Reply
 	// sharedFailures counts the transactions in which the write failed only because
 	// of the conditions of other writes.
 	sharedFailures int
--- a/io/claims/retry.go
+++ b/io/claims/retry.go
@@ -41,6 +41,7 @@
 		case <-ctx.Done():
 			return
 		case <-due:
+			c.restoreKept(ctx)
 			c.retryAll(ctx)
 		}
 	}
--- a/io/claims/writer.go
+++ b/io/claims/writer.go
@@ -20,6 +20,7 @@
 type writer struct {
 	config Config
 	leases *leases
+	kept   *kept
 	// limiter limits the rate to this VM's share of Config.MaxRate.
 	limiter *rate.Limiter
 
@@ -29,9 +30,9 @@
 	ready chan struct{}
 }
 
-func newWriter(c Config) *writer {
+func newWriter(c Config, k *kept) *writer {
 	return &writer{
-		config: c, leases: newLeases(c), ready: make(chan struct{}, 1),
+		config: c, leases: newLeases(c), kept: k, ready: make(chan struct{}, 1),
 		limiter: rate.NewLimiter(c.share(), burst),
 	}
 }
@@ -44,7 +45,7 @@
 		return claim.Reply{Result: claim.ResultNoEffect}
 	}
 	q := &queuedWrite{
-		key: w.config.Prefix + req.Path(), retention: req.Retention,
+		key: w.config.Prefix + req.Path(), request: req,
 		write: cw, value: value, reply: make(chan claim.Reply, 1),
 	}
 	if !w.enqueue(q) {
@@ -166,6 +167,9 @@
 		return
 	}
 	result, err := w.config.Service.Transact(ctx, txn)
+	if err == nil {
+		w.observe(result.Revision)
+	}
 	switch {
 	case errors.Is(err, kvs.ErrLeaseLapsed):
 		w.leases.discard()
@@ -175,6 +179,9 @@
 	case err != nil:
 		replyAll(batch, claim.Reply{Result: claim.ResultUnknown})
 	case result.Succeeded:
+		for _, q := range batch {
+			w.kept.keep(q.request, q.write.Put, result.Revision.Era())
+		}
 		replyAll(batch, claim.Reply{Result: claim.ResultCommitted, Revision: int64(result.Revision)})
 	default:
 		w.replyOrRequeue(batch, result)
@@ -195,12 +202,29 @@
 			q.sharedFailures++
 			again = append(again, q)
 		default:
+			w.keepIfLost(q, result.Revision)
 			q.reply <- refusedReply(result.Lookups[i])
 		}
 	}
 	w.requeue(again)
 }
 
+// keepIfLost keeps the end of a claim that was refused because the claim was made before
+// the service was restored.
+func (w *writer) keepIfLost(q *queuedWrite, now kvs.Revision) {
+	if era := kvs.Revision(q.write.IfRevision).Era(); q.write.IfRevision != 0 && era < now.Era() {
+		w.kept.keep(q.request, q.write.Put, era)
+	}
+}
+
+// observe takes note of the service's era. If it has risen, the leases of the era before
+// are gone, and their ids are given out again.
+func (w *writer) observe(r kvs.Revision) {
+	if w.kept.observe(r) {
+		w.leases.discard()
+	}
+}
+
 // requeue puts writes back at the front of the queue.
 func (w *writer) requeue(batch []*queuedWrite) {
 	if len(batch) == 0 {
@@ -217,7 +241,7 @@
 func (w *writer) transaction(ctx context.Context, batch []*queuedWrite) (kvs.Txn, error) {
 	var txn kvs.Txn
 	for _, q := range batch {
-		lease, err := w.leases.get(ctx, q.retention)
+		lease, err := w.leases.get(ctx, q.request.Retention)
 		if err != nil {
 			return kvs.Txn{}, errors.Annotate(err, "writer.transaction")
 		}
--- a/io/kvs/service.go
+++ b/io/kvs/service.go
@@ -22,6 +22,11 @@
 
 // Service is the platform's key-value service. No field may be nil; tests replace
 // single fields.
+//
+// A service that comes back from an older copy gives revisions and lease IDs out again. An
+// adapter that can tell makes all revisions of a later era, see Revision: then a Compare
+// with a revision of an earlier era does not hold, and a watch from one ends with
+// ErrCompacted. What users do to lose nothing in a restore depends on that.
 type Service struct {
 	// Get returns one entry; Found is false if the key does not exist.
 	Get func(ctx context.Context, key string) (Lookup, error)
