io/runner: an at-most-once request stays at its silent replica without its caller

Callers of gentianwell serve that left a payment while its service was silent for longer than the progress timeout, and repeated it with its key, did not get the answer: the first run had been cut, and its outcome was recorded as unknown.

Cause: the takeover ended a silent attempt as soon as the caller's context was canceled. An at-most-once request runs to its end without its caller, as nobody else can bring its answer.

Change: the end of the caller's context counts for other requests only; a forced stop and the deadline end every silent attempt as before.

--- a/io/runner/takeover.go
+++ b/io/runner/takeover.go
@@ -40,7 +40,7 @@
 	defer t.mu.Unlock()
 	now := t.n.r.c.Now()
 	deadline := t.n.job.Call.Deadline
-	if t.taken || t.n.ctx.Err() != nil || !deadline.IsZero() && !now.Before(deadline) {
+	if t.taken || t.n.abandoned() || !deadline.IsZero() && !now.Before(deadline) {
 		return true
 	}
 	d, obstacle := t.find(now)
@@ -165,6 +165,12 @@
 	return ""
 }
 
+// abandoned reports whether nobody waits for the answer any more. That of an at-most-once
+// job is recorded for a repeat if its caller has gone.
+func (n *run) abandoned() bool {
+	return n.stopping() || n.ctx.Err() != nil && !n.job.AtMostOnce
+}
+
 // hasPart reports whether a part of the answer has been received that another attempt
 // could continue.
 func (n *run) hasPart() bool { return n.stream != nil && n.stream.Stats().Tokens > 0 }
