io/back: no event reaches the sink once the attempt has been given up

Callers of gentianwell serve could get a stream that ended with an error event although another engine had taken it over: an event that arrived just as its silent engine was given up was still forwarded, and after some events (a tool call, the first text of an engine that cannot resume, any part of a plain service's stream) nobody may continue the answer.

Cause: GiveUp judges the answer as it is, but the attempt read and forwarded events until its context was canceled. io/proxy has a check of its own for this (takeover.deliver), io/runner has none. Found by reading; no report shows it.

Evidence: in TestNoEventAfterGivingUp an event arrives while GiveUp runs.

Change: before each event the attempt asks whether it was given up, and ends as silent then.

--- a/io/back/receive.go
+++ b/io/back/receive.go
@@ -40,7 +40,9 @@
 		a.result.FirstLatency = time.Since(a.started)
 		a.watchdog.setTimeout(a.request.ProgressTimeout)
 	}
-	a.watchdog.pause()
+	if !a.watchdog.pause() {
+		return errSilent
+	}
 	err := a.sink(e)
 	a.watchdog.resume()
 	if err != nil {
--- a/io/back/silent_test.go
+++ b/io/back/silent_test.go
@@ -108,6 +108,39 @@
 	assert.Equal(t, res.Ending, EndingSilent, "%v", err)
 }
 
+// No event is passed to the sink once GiveUp has returned true: what it had to allow may no
+// longer be allowed after a further event.
+func TestNoEventAfterGivingUp(t *testing.T) {
+	next := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		control := http.NewResponseController(w)
+		_, _ = io.WriteString(w, "data: x\n\n")
+		_ = control.Flush()
+		<-next
+		_, _ = io.WriteString(w, "data: y\n\n")
+		_ = control.Flush()
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	client, err := New(Config{FirstByteTimeout: testTimeout, ProgressTimeout: testTimeout})
+	assert.NilError(t, err)
+	defer client.Close()
+	r := chat("hello")
+	r.GiveUp = func() bool {
+		close(next)
+		time.Sleep(testTimeout) // until the event has been read
+		return true
+	}
+	var events []string
+	res, err := client.Do(t.Context(), Target{ID: "r", Address: server.Listener.Addr().(*net.TCPAddr).AddrPort()}, r, func(e Event) error {
+		events = append(events, string(e.Data))
+		return nil
+	})
+	assert.Equal(t, res.Ending, EndingSilent, "%v", err)
+	assert.DeepEqual(t, events, []string{"x"})
+}
+
 // A stream whose last event has arrived is complete although its body does not end, and
 // GiveUp is not asked about that.
 func TestCompleteStreamIsNotSilent(t *testing.T) {
--- a/io/back/types.go
+++ b/io/back/types.go
@@ -34,8 +34,9 @@
 	// GiveUp is called when the connection has made no progress within the timeout, and
 	// reports whether the attempt is to end as silent. Otherwise the attempt goes on, and
 	// GiveUp is called again every tenth of a second until there is progress. It is called
-	// on a goroutine of its own, but never while the sink runs, and must return at once. If
-	// it is nil, the attempt ends.
+	// on a goroutine of its own, but never while the sink runs, and must return at once;
+	// once it has returned true, the sink is not called any more. If it is nil, the attempt
+	// ends.
 	GiveUp func() bool
 }
 
--- a/io/back/watchdog.go
+++ b/io/back/watchdog.go
@@ -68,11 +68,12 @@
 }
 
 // pause suspends the timeout while the sink runs: a caller that reads slowly must not
-// count as a silent backend server.
-func (w *watchdog) pause() {
+// count as a silent backend server. It returns false if the attempt has been given up.
+func (w *watchdog) pause() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.paused = true
+	return !w.fired
 }
 
 func (w *watchdog) resume() {
