io/proxy: limit the bodies of requests in progress in sum

Up to 1 MB was also allocated for a Content-Length before a byte had arrived.

Change: the memory for bodies is counted as they arrive, and a quarter of the process's memory at most is used for them. A request whose body does not fit gets 503 memoryFull with the usual Retry-After of up to a second, a third of its time left at most, and its connection closes: it has not run, and another VM may have room. Waiting instead would leave its bytes in the kernel's buffers, which count as well. A single body may exceed the limit. Each VM counts for itself; nothing is bounded for the fleet. Without a memory limit in the settings nothing changes.

Connections are still not limited in sum.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -50,6 +50,10 @@
 	// close them: of a request sent while the server closes the connection, it is not
 	// known whether it has run.
 	idleTimeout = 2 * time.Second
+	// bodyMemoryFraction is the part of the process's memory for the bodies of requests.
+	// Garbage of the same size may be left of finished ones, and the kernel holds what has
+	// not been read yet.
+	bodyMemoryFraction = 0.25
 	// maxIdleConns limits the idle connections to one backend server.
 	maxIdleConns = 8
 )
@@ -196,7 +200,8 @@
 		Stopping: func() bool { return !e.drain.Ready() }, Ended: e.requests,
 		Random: e.random, Now: e.options.Now, Log: e.log, Observe: e.metrics.observe,
 		Forbids: e.crashes.forbids, HasCrashed: e.crashes.hasCrashed, RunLost: e.crashes.runLost, RunCompleted: e.crashes.runCompleted,
-		RetryShare: func() float64 { return e.config.Load().RetryRatio * budgetFraction },
+		MaxBodyMemory: int64(bodyMemoryFraction * float64(e.options.Config.MemoryBytes)),
+		RetryShare:    func() float64 { return e.config.Load().RetryRatio * budgetFraction },
 	}
 }
 
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -82,6 +82,9 @@
 	// the request.
 	MaxRetryAfter     time.Duration
 	MaxBusyRetryAfter time.Duration
+	// MaxBodyMemory limits the sum of the bodies of all requests in progress, in bytes; a
+	// request whose body does not fit gets 503. Zero means no limit.
+	MaxBodyMemory int64
 	// MaxSends limits how often one request is sent, including attempts that a
 	// replica refused.
 	MaxSends int
@@ -148,6 +151,8 @@
 	case c.Table == nil, c.Router == nil, c.Retry == nil, c.Open == nil, c.Admit == nil, c.Finish == nil,
 		c.Stopping == nil, c.Random == nil, c.Now == nil, c.Log == nil:
 		return errors.NotValidf("Config.Validate: nil field (Table, Router, Retry, Open, Admit, Finish, Stopping, Random, Now and Log are required)")
+	case c.MaxBodyMemory < 0:
+		return errors.NotValidf("Config.Validate: MaxBodyMemory %d (must not be negative)", c.MaxBodyMemory)
 	case c.MaxRetryAfter < 0 || c.MaxSends < 1 || c.BusyWaitFraction < 0 || c.StreamWaitFraction < 0:
 		return errors.NotValidf("Config.Validate: MaxRetryAfter %s, MaxSends %d, BusyWaitFraction %g, StreamWaitFraction %g (MaxSends at least 1, the others not negative)",
 			c.MaxRetryAfter, c.MaxSends, c.BusyWaitFraction, c.StreamWaitFraction)
--- a/io/proxy/reason.go
+++ b/io/proxy/reason.go
@@ -12,10 +12,12 @@
 	ReasonReplicaFailed Reason = "replicaFailed"
 	ReasonCallerGone    Reason = "callerGone"
 
-	ReasonNoTable    Reason = "noConfiguration"
-	ReasonStopping   Reason = "stopping"
-	ReasonMalformed  Reason = "malformed"
-	ReasonTooLarge   Reason = "bodyTooLarge"
+	ReasonNoTable   Reason = "noConfiguration"
+	ReasonStopping  Reason = "stopping"
+	ReasonMalformed Reason = "malformed"
+	ReasonTooLarge  Reason = "bodyTooLarge"
+	// ReasonMemoryFull: the body does not fit beside those of other requests.
+	ReasonMemoryFull Reason = "memoryFull"
 	ReasonNoRoute    Reason = "noRoute"
 	ReasonUnknownKey Reason = "unknownKey"
 	// ReasonTableMayBeOld: the route or key is unknown, but the table may be outdated.
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -30,6 +30,8 @@
 	route    *table.Route
 	team     *table.Team
 	body     []byte
+	// reserved is the memory that bodyMemory counts for the body.
+	reserved int64
 	call     call.Call
 	// parts are the fingerprints of the parts of the prompt that may be shared.
 	parts []poison.Fingerprint
@@ -67,6 +69,7 @@
 
 // serve runs the request until its final response.
 func (p *proxyRequest) serve() {
+	defer func() { p.s.bodies.release(p.reserved) }()
 	if status, reason := p.prepare(); status != 0 {
 		p.refuse(status, reason)
 		return
@@ -166,12 +169,15 @@
 		p.log("readDeadline").WithError(err).Warn("cannot set the read deadline for the body")
 	}
 	var err error
-	if p.body, err = readAll(body, p.r.ContentLength); err != nil {
+	if p.body, err = p.readAll(body, p.r.ContentLength); err != nil {
 		var tooLarge *http.MaxBytesError
 		p.closeConnection()
 		if errors.As(err, &tooLarge) {
 			return http.StatusRequestEntityTooLarge, ReasonTooLarge
 		}
+		if errors.Is(err, errMemoryFull) {
+			return http.StatusServiceUnavailable, ReasonMemoryFull
+		}
 		if !p.s.c.Now().Before(p.deadline) {
 			return http.StatusRequestTimeout, ReasonTimeout
 		}
@@ -184,23 +190,6 @@
 	return 0, ""
 }
 
-// maxPreallocatedBytes limits the memory allocated for a Content-Length before the
-// body arrives.
-const maxPreallocatedBytes = 1 << 20
-
-func readAll(from io.Reader, length int64) ([]byte, error) {
-	if length <= 0 || length > maxPreallocatedBytes {
-		return io.ReadAll(from)
-	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(from, body); err != nil {
-		return nil, err
-	}
-	// The reader sees the end of the body only on a further read.
-	_, err := io.ReadAll(from)
-	return body, err
-}
-
 // buildCall fills in the call that the router and the retry policy decide on.
 func (p *proxyRequest) buildCall() {
 	rank := p.table.Rank(p.team, p.route)
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -12,6 +12,7 @@
 type Server struct {
 	c         Config
 	unclaimed unclaimedRefusals
+	bodies    bodyMemory
 }
 
 // New returns a server.
@@ -22,7 +23,7 @@
 	if err := c.Validate(); err != nil {
 		return nil, errors.Annotate(err, "proxy.New")
 	}
-	return &Server{c: c}, nil
+	return &Server{c: c, bodies: bodyMemory{limit: c.MaxBodyMemory}}, nil
 }
 
 // HTTP returns an HTTP server for a listener made by WrapListener, which applies the
