io/proxy: read on after a refusal in the middle of a body

Callers lost a refusal while they were sending a body of some hundred KB on a connection that they had asked to be closed ("write: connection reset by peer"): a retry on a new connection got no 503, 413 or 404. Seen first in the full run of platform/ (TestBodiesAreLimitedInSum, one of the first runs beside other load).

Cause: a connection closed with unread bytes is reset. net/http reads on and waits before it closes, but not if the request itself says "Connection: close" (body.Close with closing).

--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -32,7 +32,9 @@
 	body     []byte
 	// reserved is the memory that bodyMemory counts for the body.
 	reserved int64
-	call     call.Call
+	// bodyUnread is true while more of the body may come.
+	bodyUnread bool
+	call       call.Call
 	// parts are the fingerprints of the parts of the prompt that may be shared.
 	parts []poison.Fingerprint
 
@@ -85,6 +87,7 @@
 func (p *proxyRequest) prepare() (int, Reason) {
 	if requestHasBothLengths(p.r) {
 		p.closeConnection()
+		p.bodyUnread = false
 		return http.StatusBadRequest, ReasonMalformed
 	}
 	var err error
@@ -178,12 +181,15 @@
 		if errors.Is(err, errMemoryFull) {
 			return http.StatusServiceUnavailable, ReasonMemoryFull
 		}
+		// The rest of the body is late or will not come.
+		p.bodyUnread = false
 		if !p.s.c.Now().Before(p.deadline) {
 			return http.StatusRequestTimeout, ReasonTimeout
 		}
 		// The caller disconnected, or the body is malformed.
 		return http.StatusBadRequest, ReasonMalformed
 	}
+	p.bodyUnread = false
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		p.log("readDeadline").WithError(err).Warn("cannot clear the read deadline of the body")
 	}
--- a/io/proxy/response.go
+++ b/io/proxy/response.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"io"
 	"maps"
 	"net/http"
 	"strconv"
@@ -71,19 +72,34 @@
 
 // refuse ends the request with a response of the router itself.
 func (p *proxyRequest) refuse(status int, reason Reason) {
-	h := p.w.Header()
+	h, text := p.w.Header(), string(reason)+"\n"
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(text)))
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		h.Set("Retry-After", strconv.FormatFloat(p.retryAfter(reason).Seconds(), 'f', 3, 64))
 	}
 	p.status = status
 	p.w.WriteHeader(status)
-	if _, err := p.w.Write([]byte(string(reason) + "\n")); err != nil {
+	if _, err := p.w.Write([]byte(text)); err != nil {
 		p.log("write").WithError(err).Debug("cannot write the refusal to the caller")
 	}
+	if p.bodyUnread {
+		p.discardBody()
+	}
 	p.finished(reason)
 }
 
+// discardBody sends the refusal and reads on for a moment: a connection that is closed with
+// unread bytes is reset, and the caller may lose the refusal. net/http reads nothing more
+// if the caller has asked for the connection to be closed.
+func (p *proxyRequest) discardBody() {
+	control := http.NewResponseController(p.w)
+	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(refusalLinger)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, p.r.Body)
+}
+
 const (
 	// maxWaitFraction is the largest fraction of its remaining time that a caller is
 	// told to wait before a retry.
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -43,7 +43,7 @@
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	headerEnded(r)
-	p := &proxyRequest{s: s, w: w, r: r, arrived: s.c.Now()}
+	p := &proxyRequest{s: s, w: w, r: r, arrived: s.c.Now(), bodyUnread: r.Body != nil && r.Body != http.NoBody}
 	if !s.c.Admit() {
 		p.closeConnection()
 		p.refuse(http.StatusServiceUnavailable, ReasonStopping)
