--- a/io/entry/bounds_test.go
+++ b/io/entry/bounds_test.go
@@ -17,6 +17,32 @@
 	"gentianwell/io/proxy"
 )
 
+// testEntry returns a VM that does not run. Its replicas are the entries below r/.
+func testEntry(t *testing.T, c Config, now func() time.Time) *Entry {
+	t.Helper()
+	log, _ := logtest.NewNullLogger()
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	headers := proxy.HeaderCodec{
+		ReadRequest:   func(http.Header) (proxy.RequestInfo, error) { return proxy.RequestInfo{}, nil },
+		WriteRequest:  func(http.Header, proxy.AttemptInfo) {},
+		ReadResponse:  func(int, http.Header, time.Time) proxy.ResponseInfo { return proxy.ResponseInfo{} },
+		CleanResponse: func(http.Header) {},
+	}
+	c.VM, c.CallerAddress, c.ReadinessAddress, c.StoreAddress = "vm-1", address, address, address
+	e, err := New(Options{
+		Config: c,
+		Source: Source{ReplicaPrefix: "r/", ParseReplica: func(e kvs.Entry) fleet.Record {
+			id := call.ReplicaID(strings.TrimPrefix(e.Key, "r/"))
+			return fleet.Record{ID: id, Revision: int64(e.ModRevision), Entry: &fleet.Entry{
+				ID: id, Service: "s", Address: address, Zone: "a", State: fleet.StateReady, Slots: 1,
+			}}
+		}},
+		Log: log, Now: now, Seed: 7, Headers: headers,
+	})
+	assert.NilError(t, err)
+	return e
+}
+
 // Each of these times has to leave room within the platform's bound for it, which other
 // deployments may set shorter.
 func TestTimesKeepWithinBounds(t *testing.T) {
@@ -42,25 +68,7 @@
 // serves for less than that.
 func TestMassRemovalEndsWithinDrainTime(t *testing.T) {
 	now := time.Unix(1000, 0)
-	log, _ := logtest.NewNullLogger()
-	address := netip.MustParseAddrPort("10.0.0.1:80")
-	headers := proxy.HeaderCodec{
-		ReadRequest:   func(http.Header) (proxy.RequestInfo, error) { return proxy.RequestInfo{}, nil },
-		WriteRequest:  func(http.Header, proxy.AttemptInfo) {},
-		ReadResponse:  func(int, http.Header, time.Time) proxy.ResponseInfo { return proxy.ResponseInfo{} },
-		CleanResponse: func(http.Header) {},
-	}
-	e, err := New(Options{
-		Config: Config{VM: "vm-1", CallerAddress: address, ReadinessAddress: address, StoreAddress: address, DrainTime: 800 * time.Millisecond},
-		Source: Source{ReplicaPrefix: "r/", ParseReplica: func(e kvs.Entry) fleet.Record {
-			id := call.ReplicaID(strings.TrimPrefix(e.Key, "r/"))
-			return fleet.Record{ID: id, Revision: int64(e.ModRevision), Entry: &fleet.Entry{
-				ID: id, Service: "s", Address: address, Zone: "a", State: fleet.StateReady, Slots: 1,
-			}}
-		}},
-		Log: log, Now: func() time.Time { return now }, Seed: 7, Headers: headers,
-	})
-	assert.NilError(t, err)
+	e := testEntry(t, Config{DrainTime: 800 * time.Millisecond}, func() time.Time { return now })
 	var entries kvs.Entries
 	for i := range 4 {
 		entries = append(entries, kvs.Entry{Key: fmt.Sprint("r/", i), Value: []byte("x"), ModRevision: 5})
