io/proxy: send requests that may run once on new connections

Cause: on a reused connection such a refusal cannot be told from a late one, and used new connections only after the first.

The memory of services that refuse so is gone.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -106,13 +106,11 @@
 	left := p.deadline.Sub(p.s.c.Now())
 	r := back.Request{
 		Method: p.r.Method, Path: p.target(), Host: p.r.Host, Header: header, Body: p.body,
-		FirstByteTimeout: left, ProgressTimeout: left, GiveUp: p.takeover.take,
+		FirstByteTimeout: left, ProgressTimeout: left, GiveUp: p.takeover.take, NewConnection: !p.route.Repeatable(),
 	}
 	if p.route.Repeatable() {
 		r.FirstByteTimeout = min(left, p.firstByteTimeout())
 		r.ProgressTimeout = r.FirstByteTimeout
-	} else {
-		r.NewConnection = p.s.unclaimed.areLikely(p.call.Model, p.s.c.Now())
 	}
 	return r
 }
@@ -180,11 +178,10 @@
 }
 
 // checkUnclaimed checks a refusal without an id. On a connection that has carried an
-// earlier request it may be a late response to that one: whether this request runs is then
-// unknown, and the connection must not be used again. A request that may be repeated goes
-// on as after any other refusal.
+// earlier request it may be a late response to that one, and the response to this one may
+// follow: the connection must not be used again. Only requests that may be repeated use
+// such connections; they go on as after any other refusal.
 func (p *proxyRequest) checkUnclaimed(x *back.Exchange, e *attemptResult) error {
-	p.s.unclaimed.record(p.call.Model, p.s.c.Now())
 	if !x.Reused {
 		return nil
 	}
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -10,9 +10,8 @@
 
 // Server is the HTTP handler that serves callers.
 type Server struct {
-	c         Config
-	unclaimed unclaimedRefusals
-	bodies    bodyMemory
+	c      Config
+	bodies bodyMemory
 }
 
 // New returns a server.
