--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -30,7 +30,11 @@
 	route    *table.Route
 	team     *table.Team
 	body     []byte
-	call     call.Call
+	// reserved is the memory that bodyMemory counts for the body.
+	reserved int64
+	// bodyUnread is true while more of the body may come.
+	bodyUnread bool
+	call       call.Call
 	// parts are the fingerprints of the parts of the prompt that may be shared.
 	parts []poison.Fingerprint
 
@@ -67,6 +71,7 @@
 
 // serve runs the request until its final response.
 func (p *proxyRequest) serve() {
+	defer func() { p.s.bodies.release(p.reserved) }()
 	if status, reason := p.prepare(); status != 0 {
 		p.refuse(status, reason)
 		return
@@ -82,6 +87,7 @@
 func (p *proxyRequest) prepare() (int, Reason) {
 	if requestHasBothLengths(p.r) {
 		p.closeConnection()
+		p.bodyUnread = false
 		return http.StatusBadRequest, ReasonMalformed
 	}
 	var err error
@@ -166,41 +172,30 @@
 		p.log("readDeadline").WithError(err).Warn("cannot set the read deadline for the body")
 	}
 	var err error
-	if p.body, err = readAll(body, p.r.ContentLength); err != nil {
+	if p.body, err = p.readAll(body, p.r.ContentLength); err != nil {
 		var tooLarge *http.MaxBytesError
 		p.closeConnection()
 		if errors.As(err, &tooLarge) {
 			return http.StatusRequestEntityTooLarge, ReasonTooLarge
 		}
+		if errors.Is(err, errMemoryFull) {
+			return http.StatusServiceUnavailable, ReasonMemoryFull
+		}
+		// The rest of the body is late or will not come.
+		p.bodyUnread = false
 		if !p.s.c.Now().Before(p.deadline) {
 			return http.StatusRequestTimeout, ReasonTimeout
 		}
 		// The caller disconnected, or the body is malformed.
 		return http.StatusBadRequest, ReasonMalformed
 	}
+	p.bodyUnread = false
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		p.log("readDeadline").WithError(err).Warn("cannot clear the read deadline of the body")
 	}
 	return 0, ""
 }
 
-// maxPreallocatedBytes limits the memory allocated for a Content-Length before the
-// body arrives.
-const maxPreallocatedBytes = 1 << 20
-
-func readAll(from io.Reader, length int64) ([]byte, error) {
-	if length <= 0 || length > maxPreallocatedBytes {
-		return io.ReadAll(from)
-	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(from, body); err != nil {
-		return nil, err
-	}
-	// The reader sees the end of the body only on a further read.
-	_, err := io.ReadAll(from)
-	return body, err
-}
-
 // buildCall fills in the call that the router and the retry policy decide on.
 func (p *proxyRequest) buildCall() {
 	rank := p.table.Rank(p.team, p.route)
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -10,8 +10,8 @@
 
 // Server is the HTTP handler that serves callers.
 type Server struct {
-	c         Config
-	unclaimed unclaimedRefusals
+	c      Config
+	bodies bodyMemory
 }
 
 // New returns a server.
@@ -22,7 +22,7 @@
 	if err := c.Validate(); err != nil {
 		return nil, errors.Annotate(err, "proxy.New")
 	}
-	return &Server{c: c}, nil
+	return &Server{c: c, bodies: bodyMemory{limit: c.MaxBodyMemory}}, nil
 }
 
 // HTTP returns an HTTP server for a listener made by WrapListener, which applies the
@@ -42,7 +42,7 @@
 // ServeHTTP serves one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	headerEnded(r)
-	p := &proxyRequest{s: s, w: w, r: r, arrived: s.c.Now()}
+	p := &proxyRequest{s: s, w: w, r: r, arrived: s.c.Now(), bodyUnread: r.Body != nil && r.Body != http.NoBody}
 	if !s.c.Admit() {
 		p.closeConnection()
 		p.refuse(http.StatusServiceUnavailable, ReasonStopping)
