core/route: a call that moves does not count its own place

Callers of gentianwell serve saw a stream break off, or wait until its deadline, if its connection went silent in mid-stream and its engine was the only one and full by this stream.

Change: PickOther does not count the call's own place at the replica that it is about to leave. gentianwell entry always excludes that replica, so that nothing changes for it.

--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -41,7 +41,8 @@
 
 // PickOther chooses another replica for a call in flight on the replica from, which the
 // call is about to leave. It does as Pick does, except that a call that stays in the long
-// lane needs no further part of the VM's share of it.
+// lane needs no further part of the VM's share of it, and that its place at the replica from
+// does not count.
 //
 // Errors: ErrNoReplica, ErrBusy.
 func (r *Router) PickOther(now time.Time, c call.Call, exclude []call.ReplicaID, from call.ReplicaID) (Decision, error) {
@@ -93,12 +94,12 @@
 	if lane.long {
 		maxLoad *= longMaxLoad
 	}
-	f := r.filter(now, p, exclude, &d, maxLoad)
+	f := r.filter(now, p, exclude, &d, maxLoad, from)
 	if f.usable() > 0 {
 		f = r.restrictToLane(now, f, lane)
 	}
 	if f.usable() == 0 && lane.short {
-		f = r.filter(now, p, exclude, &d, shortOverflowMaxLoad)
+		f = r.filter(now, p, exclude, &d, shortOverflowMaxLoad, from)
 	}
 	if f.usable() == 0 {
 		return d, errors.Annotatef(f.err(), "Router.Pick: %s", c.Model)
@@ -151,7 +152,7 @@
 		return false
 	}
 	var d Decision
-	f := r.filter(now, p, nil, &d, 1)
+	f := r.filter(now, p, nil, &d, 1, "")
 	return f.usable() > 0
 }
 
@@ -164,6 +165,9 @@
 	warm bool
 	// maxLoad is the load per slot up to which the call may use a replica.
 	maxLoad float64
+	// from is the replica that the call is about to leave, if any. Its place there does not
+	// count.
+	from call.ReplicaID
 	// full counts the replicas that are unusable only because they are full, reserved or
 	// in another lane.
 	full int
@@ -182,9 +186,9 @@
 
 // filter returns the replicas of the subset that are not excluded, ejected, reserved or
 // full. If only ejected replicas are left, it returns those.
-func (r *Router) filter(now time.Time, p *pool, exclude []call.ReplicaID, d *Decision, maxLoad float64) filtered {
+func (r *Router) filter(now time.Time, p *pool, exclude []call.ReplicaID, d *Decision, maxLoad float64, from call.ReplicaID) filtered {
 	r.scratch = r.scratch[:0]
-	f := filtered{maxLoad: maxLoad, hadLocal: len(p.local) > 0, warm: r.anyWarm(now, p)}
+	f := filtered{maxLoad: maxLoad, from: from, hadLocal: len(p.local) > 0, warm: r.anyWarm(now, p)}
 	f.local = r.usable(now, p.local, exclude, &f, d, false)
 	f.remote = r.usable(now, p.remote, exclude, &f, d, false)
 	if f.usable() == 0 && f.full == 0 {
@@ -253,7 +257,11 @@
 }
 
 func (r *Router) full(now time.Time, s *state, f *filtered) bool {
-	return s.load(now, r.cfg.ReportMaxAge)+1 > max(1, r.slots(now, s, f.warm)*f.maxLoad)
+	load := s.load(now, r.cfg.ReportMaxAge)
+	if s.ID == f.from {
+		load--
+	}
+	return load+1 > max(1, r.slots(now, s, f.warm)*f.maxLoad)
 }
 
 // best returns the best of a few random replicas of the own zone and of the others, and
--- a/core/route/share_test.go
+++ b/core/route/share_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -153,3 +154,32 @@
 	r.Started(now, from, 1)
 	refused(d.Replica.ID)
 }
+
+// A call that leaves a replica may come back to it on a new connection: its own place
+// there does not count, those of others do.
+func TestMoveCountsNotItsOwnPlace(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		others, slots int
+		want          error
+	}{
+		"only its own":  {others: 0, slots: 1},
+		"room left":     {others: 1, slots: 2},
+		"others' place": {others: 2, slots: 2, want: ErrBusy},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, err := New(Config{Self: "e1", Zone: "z", Rand: rand.New(rand.NewPCG(1, 1))})
+			assert.NilError(t, err)
+			r.SetReplicas(now, Replicas{{ID: "r0", Zone: "z", Models: []call.Model{"m"}, Slots: c.slots}})
+			for range c.others + 1 {
+				r.Started(now, "r0", 1)
+			}
+			moved := call.Call{Model: "m"}
+			d, err := r.PickOther(now, moved, nil, "r0")
+			assert.ErrorIs(t, err, c.want)
+			assert.Equal(t, d.Replica.ID == "r0", c.want == nil)
+			_, err = r.Pick(now, moved, nil)
+			assert.ErrorIs(t, err, ErrBusy)
+		})
+	}
+}
--- a/io/runner/stream_test.go
+++ b/io/runner/stream_test.go
@@ -260,6 +260,24 @@
 	}
 }
 
+// A stream whose connection goes silent continues on a new one at the same engine if there
+// is no other, also if the stream has its only slot.
+func TestStreamContinuesAtItsOnlyEngine(t *testing.T) {
+	e := newEngines(t, 1, fakeProfile)
+	e.c.Router.SetReplicas(time.Now(), route.Replicas{{ID: "m0", Zone: "z", Address: e.relays[0].Address(), Models: []call.Model{"m"}, Slots: 1}})
+	const prompt = "hello [[length=100]]"
+	r := &streamReader{ids: map[string]bool{}, onPart: func(n int) {
+		if n == 5 {
+			e.relays[0].Freeze()
+		}
+	}}
+	ctx, cancel := context.WithTimeout(t.Context(), 40*progress)
+	defer cancel()
+	answer := e.Run(ctx, streamJob(stream.KindChat, prompt, true), r.sink())
+	assert.Equal(t, answer.Failed, false, answer.Message)
+	assert.Equal(t, r.text, fakes.AnswerText(prompt, 0, -1))
+}
+
 // All idle connections to the engines have gone silent, and the engines take longer to
 // their first token than the timeout of a reused connection. The request must succeed on
 // a new connection, which has a longer timeout.
