Log event crashingPart: explainedBy names why a refused part is let through

Nothing in the logs told why requests with a part that has crashed three replicas were sent on: the first two hypotheses of the incident differ only in which request explains the crashes. Registry.Explanation names it; the judgement is unchanged. core/poison passes.

--- a/core/poison/successive.go
+++ b/core/poison/successive.go
@@ -37,13 +37,35 @@
 	defer r.mu.Unlock()
 	var out []Fingerprint
 	for _, fp := range fps {
-		if r.refuses(now, fp) && !slices.Contains(out, fp) && !r.explained(now, fp) && !r.explainedWithout(now, fp, fps) {
+		if r.refuses(now, fp) && !slices.Contains(out, fp) && r.explanation(now, fp, fps) == "" {
 			out = append(out, fp)
 		}
 	}
 	return out
 }
 
+// Explanation returns, for the log, why RefusedParts does not return a refused fingerprint of a
+// request: the kind and the fingerprint of one that explains its crashes, or empty text.
+func (r *Registry) Explanation(now time.Time, fp Fingerprint, fps []Fingerprint) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.refuses(now, fp) {
+		return ""
+	}
+	return r.explanation(now, fp, fps)
+}
+
+// explanation is Explanation for a fingerprint that is refused.
+func (r *Registry) explanation(now time.Time, fp Fingerprint, fps []Fingerprint) string {
+	if request, ok := r.explained(now, fp); ok {
+		return "request " + request.String()
+	}
+	if part, ok := r.explainedWithout(now, fp, fps); ok {
+		return "part " + part.String()
+	}
+	return ""
+}
+
 // refuses reports whether judge refuses a fingerprint.
 func (r *Registry) refuses(now time.Time, fp Fingerprint) bool {
 	e := r.entries[fp]
@@ -53,28 +75,34 @@
 	return e.judge(now, r.c).Action == ActionRefuse
 }
 
-// Explains reports whether a refused fingerprint was in flight at a crash.
-func (r *Registry) Explains(now time.Time, crash Crash) bool {
+// Explains returns a refused fingerprint that was in flight at a crash, if there is one.
+func (r *Registry) Explains(now time.Time, crash Crash) (Fingerprint, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	one := Crashes{crash}
 	for fp := range r.refused {
 		if r.entries[fp].anyCovers(one, r.c.CrashWindow) && r.refuses(now, fp) {
-			return true
+			return fp, true
 		}
 	}
-	return false
+	return 0, false
 }
 
 // explained reports whether so many crashes of a refused fingerprint have a known other cause
-// that the rest would not refuse it.
-func (r *Registry) explained(now time.Time, fp Fingerprint) bool {
+// that the rest would not refuse it, and returns one such cause.
+func (r *Registry) explained(now time.Time, fp Fingerprint) (cause Fingerprint, ok bool) {
 	if r.c.Explained == nil {
-		return false
+		return 0, false
 	}
 	e := r.entries[fp]
-	rest := slices.DeleteFunc(e.crashes(now, r.c), func(crash Crash) bool { return r.c.Explained(now, crash) })
-	return r.c.count(rest, e.finishedAt()) < r.c.RefuseAfter
+	rest := slices.DeleteFunc(e.crashes(now, r.c), func(crash Crash) bool {
+		other, explained := r.c.Explained(now, crash)
+		if explained {
+			cause = other
+		}
+		return explained
+	})
+	return cause, r.c.count(rest, e.finishedAt()) < r.c.RefuseAfter
 }
 
 // counted returns the time after which an entry's crashes count.
@@ -82,10 +110,10 @@
 	return later(e.finishedAt(), now.Add(-r.c.Retention))
 }
 
-// explainedWithout reports whether a refused fingerprint that is not in a list was in flight
-// at the latest crash of fp and at so many of the others that the rest would not refuse fp:
-// some may have had another cause.
-func (r *Registry) explainedWithout(now time.Time, fp Fingerprint, list []Fingerprint) bool {
+// explainedWithout returns a refused fingerprint, if there is one, that is not in a list and was
+// in flight at the latest crash of fp and at so many of the others that the rest would not refuse
+// fp: some may have had another cause.
+func (r *Registry) explainedWithout(now time.Time, fp Fingerprint, list []Fingerprint) (Fingerprint, bool) {
 	e := r.entries[fp]
 	crashes := e.crashes(now, r.c).since(e.finishedAt())
 	latest := crashes[len(crashes)-1:]
@@ -100,10 +128,10 @@
 		}
 		rest := crashes.without(known, r.c.CrashWindow)
 		if r.c.count(rest, e.finishedAt()) < r.c.RefuseAfter {
-			return true
+			return other, true
 		}
 	}
-	return false
+	return 0, false
 }
 
 // trackRefused adds a fingerprint to those that are refused or removes it.
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -199,6 +199,7 @@
 		if v.Action == poison.ActionRefuse {
 			c.log.WithFields(logrus.Fields{
 				"event": "crashingPart", "part": part.String(), "request": lost.Request, "crashes": v.Crashes, "successive": v.Successive,
+				"explainedBy": c.registries.parts.Explanation(now, part, lost.Parts),
 			}).Warn("requests with a part of this prompt have crashed replicas, and are refused from now on")
 		}
 	}
