core/poison: many runs on one replica count as one crash in a VM's record

Callers would see requests with a crashing part sent on where the part is popular: each crash of a replica took several of its runs along.

Cause: a record keeps the latest eight lost runs of a fingerprint. Eight runs on one replica pushed the crashes of other replicas out, and three crashes counted as one. The class: a bound on what is remembered, counted in another unit than what is judged.

Change: of runs of a replica that were in progress at the same time and lost together, a VM records the one that began last. Merge of records is as before.

--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -48,6 +48,18 @@
 	return all[max(0, len(all)-maxCrashes):]
 }
 
+// add returns the crashes with another one. Of runs of a replica that were lost at the same time,
+// within a window, only the one that began last is kept: it may have been the cause.
+func (c Crashes) add(crash Crash, window time.Duration) Crashes {
+	together := func(other Crash) bool {
+		return other.Replica == crash.Replica && other.At.Sub(crash.At).Abs() <= window && other.Began.Before(crash.At) && crash.Began.Before(other.At)
+	}
+	if slices.ContainsFunc(c, func(other Crash) bool { return together(other) && !other.Began.Before(crash.Began) }) {
+		return c
+	}
+	return slices.DeleteFunc(slices.Clone(c), together).merge(Crashes{crash})
+}
+
 // latest returns the time of the last crash, zero if there is none.
 func (c Crashes) latest() time.Time {
 	if len(c) == 0 {
--- a/core/poison/successive.go
+++ b/core/poison/successive.go
@@ -182,7 +182,7 @@
 	e := r.entry(now, fp)
 	own := e.records[r.c.Self]
 	own.FinishedAt = later(own.FinishedAt, r.recent.latest(fp))
-	own.Crashes = own.Crashes.merge(Crashes{crash})
+	own.Crashes = own.Crashes.add(crash, r.c.CrashWindow)
 	e.records[r.c.Self] = own
 	e.updated = now
 	if _, waits := r.waiting[fp]; !waits {
