core/poison: a refused request is no excuse for its own parts, and bystanders for none

Cause: since the crashes of a refused request counted for no part. A request that its caller sent again was refused by itself after three crashes, which were then taken from its own parts; the next request began anew. Sound requests that were in flight at three of the crashes and were refused for it did the same. The class: evidence is taken away by what may itself be its effect.

A suspect explains the crashes of a part, for requests that lack the suspect, if too few are left without it and it was in flight at the latest crash or has crashed a replica without the part. The request let through then tells which one is the cause. What mends holds: its test passes unchanged but for the name of the seam, and TestRefusedRequestExplainsAnEarlierCrash adds the other order.

--- a/core/poison/config.go
+++ b/core/poison/config.go
@@ -45,10 +45,10 @@
 	// Ahead returns how far a VM's clock is ahead of this VM's, as far as known: the times in
 	// its records are by its clock. If it is nil, all clocks are taken to agree.
 	Ahead func(call.VMID) time.Duration
-	// Explained returns the known cause of a crash that is none of the registry's fingerprints,
-	// see Registry.Explains; such crashes do not make RefusedParts refuse any. If it is nil, no
-	// crash has one.
-	Explained func(now time.Time, crash Crash) (Fingerprint, bool)
+	// Requests returns the refused requests that were in flight at one of some crashes, if the
+	// fingerprints are those of parts of requests; see Registry.Suspects. If it is nil, there
+	// are none.
+	Requests func(now time.Time, crashes Crashes) []Suspect
 	// FinishWait is how long the record of a crash is kept back with Successive if a run is
 	// known to have finished: mostly another one finishes meanwhile, and the crash does
 	// not count any more.
--- a/core/poison/explained_test.go
+++ b/core/poison/explained_test.go
@@ -17,7 +17,7 @@
 func newCrashes(t assert.TestingT) *crashes {
 	requests := newRegistry(t, refusing)
 	c := partConfig
-	c.Self, c.Explained = "e1", requests.Explains
+	c.Self, c.Requests = "e1", requests.Suspects
 	return &crashes{requests: requests, parts: newRegistry(t, c)}
 }
 
@@ -47,6 +47,25 @@
 	assert.Assert(t, !refuses(c.parts, 1100, sound))
 }
 
+// Sound parts were refused if the crash of a request that crashes replicas by itself came before
+// those of a crashing part that they were in flight with.
+func TestRefusedRequestExplainsAnEarlierCrash(t *testing.T) {
+	const sound, bad, guilty Fingerprint = 1, 2, 11
+	c := newCrashes(t)
+	lost := run{"a", 0, 100}
+	c.lost(lost, guilty)
+	c.lost(lost, 12, sound)
+	c.lost(run{"b", 200, 300}, 13, sound, bad)
+	c.lost(run{"c", 400, 500}, 14, sound, bad)
+	assert.Assert(t, refuses(c.parts, 600, sound))
+	c.lost(run{"d", 600, 700}, guilty)
+	c.lost(run{"e", 800, 900}, guilty)
+	assert.Assert(t, !refuses(c.parts, 1000, sound))
+	c.lost(run{"f", 1100, 1200}, 15, sound, bad)
+	assert.Assert(t, refuses(c.parts, 1300, sound, bad))
+	assert.Assert(t, !refuses(c.parts, 1300, sound))
+}
+
 // Sound requests that were in flight at three crashes of a part explained these, and the part
 // was let through again and again (issue 28).
 func TestBystandersAreNoExcuseForAPart(t *testing.T) {
--- a/core/poison/successive.go
+++ b/core/poison/successive.go
@@ -23,86 +23,99 @@
 	return v
 }
 
-// RefusedParts returns those of a request's fingerprints that Judge refuses, unless another
-// refused fingerprint, which the request does not have, explains their crashes. It costs
-// little, and allocates nothing, unless most of the crashes that are needed to refuse have
-// been seen.
+// RefusedParts returns those of a request's fingerprints that Judge refuses, unless a Suspect
+// that the request does not have explains their crashes. It costs little, and allocates nothing,
+// unless most of the crashes that are needed to refuse have been seen.
 //
-// What crashes with a request is all that the request has: of its parts, and those of other
-// requests on the same replicas, one is the cause. A request without that part is let
-// through, and finishes. Where several explain the same crashes, a request with only some
-// of them runs and tells which.
+// What is in flight at a crash is all that may be its cause: requests and their parts. A request
+// without the suspect is let through and tells which one is the cause: it finishes, or it
+// crashes a replica without the suspect, which then explains too few of the crashes.
 func (r *Registry) RefusedParts(now time.Time, fps []Fingerprint) []Fingerprint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Fingerprint
 	for _, fp := range fps {
-		if r.refuses(now, fp) && !slices.Contains(out, fp) && r.explanation(now, fp, fps) == "" {
+		if !r.refuses(now, fp) || slices.Contains(out, fp) {
+			continue
+		}
+		if _, explained := r.explanation(now, fp, fps); !explained {
 			out = append(out, fp)
 		}
 	}
 	return out
 }
 
-// Explanation returns, for the log, why RefusedParts does not return a refused fingerprint of a
-// request: the kind and the fingerprint of one that explains its crashes, or empty text.
-func (r *Registry) Explanation(now time.Time, fp Fingerprint, fps []Fingerprint) string {
+// Explanation returns what explains the crashes of a refused fingerprint, so that RefusedParts
+// does not return it for a request with some fingerprints. It reports false if nothing does, or
+// if the fingerprint is not refused.
+func (r *Registry) Explanation(now time.Time, fp Fingerprint, fps []Fingerprint) (Suspect, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.refuses(now, fp) {
-		return ""
+		return Suspect{}, false
 	}
 	return r.explanation(now, fp, fps)
 }
 
 // explanation is Explanation for a fingerprint that is refused.
-func (r *Registry) explanation(now time.Time, fp Fingerprint, fps []Fingerprint) string {
-	if request, ok := r.explained(now, fp); ok {
-		return "request " + request.String()
+func (r *Registry) explanation(now time.Time, fp Fingerprint, fps []Fingerprint) (Suspect, bool) {
+	e := r.entries[fp]
+	all := e.crashes(now, r.c)
+	for _, s := range r.suspects(now, all) {
+		if !slices.Contains(fps, s.Fingerprint) && r.explains(s, all, e.finishedAt()) {
+			return s, true
+		}
 	}
-	if part, ok := r.explainedWithout(now, fp, fps); ok {
-		return "part " + part.String()
+	if r.c.Requests == nil {
+		return Suspect{}, false
 	}
-	return ""
+	for _, s := range r.c.Requests(now, all) {
+		if r.explains(s, all, e.finishedAt()) {
+			s.Request = true
+			return s, true
+		}
+	}
+	return Suspect{}, false
 }
 
-// refuses reports whether judge refuses a fingerprint.
-func (r *Registry) refuses(now time.Time, fp Fingerprint) bool {
-	e := r.entries[fp]
-	if e == nil || e.countSince(r.counted(now, e)) < r.c.RefuseAfter {
+// explains reports whether a suspect explains the crashes of a fingerprint that count after its
+// latest finish. It does if without the crashes of the suspect too few are left to refuse the
+// fingerprint, and if the suspect was in flight at the latest of them or has crashed a replica
+// without the fingerprint.
+func (r *Registry) explains(s Suspect, all Crashes, finishedAt time.Time) bool {
+	rest := all.without(s.Crashes, r.c.CrashWindow)
+	if r.c.count(rest, finishedAt) >= r.c.RefuseAfter {
 		return false
 	}
-	return e.judge(now, r.c).Action == ActionRefuse
+	return s.Crashes.cover(all[len(all)-1:], r.c.CrashWindow) || !all.cover(s.Crashes, r.c.CrashWindow)
 }
 
-// Explains returns a refused fingerprint that was in flight at a crash, if there is one.
-func (r *Registry) Explains(now time.Time, crash Crash) (Fingerprint, bool) {
+// Suspects returns the refused fingerprints that were in flight at one of some crashes.
+func (r *Registry) Suspects(now time.Time, crashes Crashes) []Suspect {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	one := Crashes{crash}
+	return r.suspects(now, crashes)
+}
+
+func (r *Registry) suspects(now time.Time, crashes Crashes) []Suspect {
+	var out []Suspect
 	for fp := range r.refused {
-		if r.entries[fp].anyCovers(one, r.c.CrashWindow) && r.refuses(now, fp) {
-			return fp, true
+		e := r.entries[fp]
+		if !e.coversAny(crashes, r.c.CrashWindow) || !r.refuses(now, fp) {
+			continue
 		}
+		out = append(out, Suspect{Fingerprint: fp, Crashes: e.crashes(now, r.c).since(e.finishedAt())})
 	}
-	return 0, false
+	return out
 }
 
-// explained reports whether so many crashes of a refused fingerprint have a known other cause
-// that the rest would not refuse it, and returns one such cause.
-func (r *Registry) explained(now time.Time, fp Fingerprint) (cause Fingerprint, ok bool) {
-	if r.c.Explained == nil {
-		return 0, false
-	}
+// refuses reports whether judge refuses a fingerprint.
+func (r *Registry) refuses(now time.Time, fp Fingerprint) bool {
 	e := r.entries[fp]
-	rest := slices.DeleteFunc(e.crashes(now, r.c), func(crash Crash) bool {
-		other, explained := r.c.Explained(now, crash)
-		if explained {
-			cause = other
-		}
-		return explained
-	})
-	return cause, r.c.count(rest, e.finishedAt()) < r.c.RefuseAfter
+	if e == nil || e.countSince(r.counted(now, e)) < r.c.RefuseAfter {
+		return false
+	}
+	return e.judge(now, r.c).Action == ActionRefuse
 }
 
 // counted returns the time after which an entry's crashes count.
@@ -110,30 +123,6 @@
 	return later(e.finishedAt(), now.Add(-r.c.Retention))
 }
 
-// explainedWithout returns a refused fingerprint, if there is one, that is not in a list and was
-// in flight at the latest crash of fp and at so many of the others that the rest would not refuse
-// fp: some may have had another cause.
-func (r *Registry) explainedWithout(now time.Time, fp Fingerprint, list []Fingerprint) (Fingerprint, bool) {
-	e := r.entries[fp]
-	crashes := e.crashes(now, r.c).since(e.finishedAt())
-	latest := crashes[len(crashes)-1:]
-	for other := range r.refused {
-		if slices.Contains(list, other) || !r.entries[other].anyCovers(latest, r.c.CrashWindow) || !r.refuses(now, other) {
-			continue
-		}
-		o := r.entries[other]
-		known := o.crashes(now, r.c).since(o.finishedAt())
-		if !known.cover(latest, r.c.CrashWindow) {
-			continue
-		}
-		rest := crashes.without(known, r.c.CrashWindow)
-		if r.c.count(rest, e.finishedAt()) < r.c.RefuseAfter {
-			return other, true
-		}
-	}
-	return 0, false
-}
-
 // trackRefused adds a fingerprint to those that are refused or removes it.
 func (r *Registry) trackRefused(now time.Time, fp Fingerprint) {
 	if r.c.Successive && r.refuses(now, fp) {
@@ -152,11 +141,17 @@
 	return n
 }
 
-// anyCovers reports whether the record of a VM covers the crashes.
-func (e *entry) anyCovers(crashes Crashes, window time.Duration) bool {
+// coversAny reports whether the record of a VM covers one of some crashes.
+func (e *entry) coversAny(crashes Crashes, window time.Duration) bool {
 	for by, record := range e.records {
-		if record.Crashes.cover(crashes.shifted(e.aheadOf(by)), window) {
-			return true
+		ahead := e.aheadOf(by)
+		for i := range record.Crashes {
+			own := &record.Crashes[i]
+			for j := range crashes {
+				if own.Replica == crashes[j].Replica && own.At.Add(-ahead).Sub(crashes[j].At).Abs() <= window {
+					return true
+				}
+			}
 		}
 	}
 	return false
--- a/core/poison/successive_test.go
+++ b/core/poison/successive_test.go
@@ -346,7 +346,7 @@
 	const sound, bad, request Fingerprint = 1, 2, 3
 	requests := newRegistry(t, refusing)
 	c := partConfig
-	c.Self, c.Explained = "e1", requests.Explains
+	c.Self, c.Requests = "e1", requests.Suspects
 	parts := newRegistry(t, c)
 	crash := func(lost run, fps ...Fingerprint) {
 		for _, fp := range fps {
--- a/io/entry/crashes.go
+++ b/io/entry/crashes.go
@@ -66,11 +66,11 @@
 	}
 }
 
-// partCrashConfig is crashConfig for parts of prompts. Crashes of requests that are refused
-// do not count for parts.
+// partCrashConfig is crashConfig for parts of prompts, whose crashes refused requests may
+// explain.
 func partCrashConfig(c Config, requests *poison.Registry, ahead func(call.VMID) time.Duration) poison.Config {
 	p := crashConfig(c.VM, ahead)
-	p.AllUntilFinished, p.TrialAfter, p.Explained = false, c.TrialAfter, requests.Explains
+	p.AllUntilFinished, p.TrialAfter, p.Requests = false, c.TrialAfter, requests.Suspects
 	return p
 }
 
@@ -197,9 +197,13 @@
 	for _, part := range lost.Parts[:min(len(lost.Parts), maxBlamedParts)] {
 		v := c.registries.parts.CrashedRun(now, part, crash)
 		if v.Action == poison.ActionRefuse {
+			explainedBy := ""
+			if s, ok := c.registries.parts.Explanation(now, part, lost.Parts); ok {
+				explainedBy = s.String()
+			}
 			c.log.WithFields(logrus.Fields{
 				"event": "crashingPart", "part": part.String(), "request": lost.Request, "crashes": v.Crashes, "successive": v.Successive,
-				"explainedBy": c.registries.parts.Explanation(now, part, lost.Parts),
+				"explainedBy": explainedBy,
 			}).Warn("requests with a part of this prompt have crashed replicas, and are refused from now on")
 		}
 	}
