core/poison: a part that crashes a replica without the refused one is refused at once

Cause: a suspect explained the crashes of a part that it was not in flight with at the latest one if it had a single crash without the part. Two refused parts that crashed together and one replica each alone excused each other.

Change: it has to have more crashes without the part than with it, as a request has that crashes replicas by itself beside the part once.

--- a/core/poison/explained_test.go
+++ b/core/poison/explained_test.go
@@ -66,6 +66,19 @@
 	assert.Assert(t, !refuses(c.parts, 1300, sound))
 }
 
+// A part that crashed a replica without the refused one was let through, if that one had crashed
+// another replica without it.
+func TestPartThatCrashesWithoutTheOtherIsRefused(t *testing.T) {
+	const first, second Fingerprint = 1, 2
+	c := newCrashes(t)
+	c.lost(run{"a", 0, 100}, 11, first, second)
+	c.lost(run{"b", 200, 300}, 12, first, second)
+	c.lost(run{"c", 400, 500}, 13, first)
+	assert.Assert(t, refuses(c.parts, 600, first))
+	c.lost(run{"d", 600, 700}, 14, second)
+	assert.Assert(t, refuses(c.parts, 800, second))
+}
+
 // Sound requests that were in flight at three crashes of a part explained these, and the part
 // was let through again and again (issue 28).
 func TestBystandersAreNoExcuseForAPart(t *testing.T) {
--- a/core/poison/successive.go
+++ b/core/poison/successive.go
@@ -80,14 +80,15 @@
 
 // explains reports whether a suspect explains the crashes of a fingerprint that count after its
 // latest finish. It does if without the crashes of the suspect too few are left to refuse the
-// fingerprint, and if the suspect was in flight at the latest of them or has crashed a replica
-// without the fingerprint.
+// fingerprint, and if the suspect was in flight at the latest of them or at more crashes without
+// the fingerprint than with it.
 func (r *Registry) explains(s Suspect, all Crashes, finishedAt time.Time) bool {
 	rest := all.without(s.Crashes, r.c.CrashWindow)
 	if r.c.count(rest, finishedAt) >= r.c.RefuseAfter {
 		return false
 	}
-	return s.Crashes.cover(all[len(all)-1:], r.c.CrashWindow) || !all.cover(s.Crashes, r.c.CrashWindow)
+	without := s.Crashes.without(all, r.c.CrashWindow).distinct(r.c.CrashWindow)
+	return s.Crashes.cover(all[len(all)-1:], r.c.CrashWindow) || 2*without > s.Crashes.distinct(r.c.CrashWindow)
 }
 
 // Suspects returns the refused fingerprints that were in flight at one of some crashes.
