Log events route and replica: the version of the software, and which attempt a stream resumes

The hypotheses differ in the versions between which streams go on, and whether that is within an answer or over tries; the logs had neither version nor attempt. A replica's version is read, nothing follows from it yet. core/, io/proxy and io/entry pass.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -29,6 +29,10 @@
 // ReplicaID names one backend server's replica.
 type ReplicaID string
 
+// Version names the version of a backend server's software, for example "v1.2". Versions have
+// no order.
+type Version string
+
 // VMID names one VM.
 type VMID string
 
--- a/core/fleet/record.go
+++ b/core/fleet/record.go
@@ -24,6 +24,8 @@
 	Address netip.AddrPort
 	Zone    call.Zone
 	State   State
+	// Version is the version of its software; empty if it does not say.
+	Version call.Version
 	// Slots is the number of requests that the replica runs at the same time.
 	Slots int
 	// Started is when the replica started, by its own clock; zero if it does not say.
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -16,6 +16,8 @@
 	Models  []call.Model
 	// Slots is the number of requests that it runs concurrently; zero if unknown.
 	Slots int
+	// Version is the version of its software; empty if unknown.
+	Version call.Version
 }
 
 // Replicas is the list of all replicas of the fleet.
@@ -23,7 +25,7 @@
 
 func (l Replicas) equal(other Replicas) bool {
 	return slices.EqualFunc(l, other, func(a, b Replica) bool {
-		same := a.ID == b.ID && a.Zone == b.Zone && a.Address == b.Address && a.Slots == b.Slots
+		same := a.ID == b.ID && a.Zone == b.Zone && a.Address == b.Address && a.Slots == b.Slots && a.Version == b.Version
 		return same && slices.Equal(a.Models, b.Models)
 	})
 }
--- a/io/entry/replicas.go
+++ b/io/entry/replicas.go
@@ -177,6 +177,7 @@
 		fields := logrus.Fields{"event": "replica", "replica": record.ID, "revision": record.Revision, "source": source, "state": "gone"}
 		if e := record.Entry; e != nil {
 			fields["state"], fields["service"], fields["address"], fields["zone"] = e.State, e.Service, e.Address, e.Zone
+			fields["version"] = e.Version
 			if !e.Started.IsZero() {
 				fields["started"] = e.Started.UTC()
 			}
@@ -188,7 +189,7 @@
 	list := make(route.Replicas, 0, len(usable))
 	for _, e := range usable {
 		list = append(list, route.Replica{
-			ID: e.ID, Zone: e.Zone, Address: e.Address, Models: []call.Model{e.Service}, Slots: e.Slots,
+			ID: e.ID, Zone: e.Zone, Address: e.Address, Models: []call.Model{e.Service}, Slots: e.Slots, Version: e.Version,
 		})
 	}
 	r.router.SetReplicas(now, list)
--- a/io/proxy/header.go
+++ b/io/proxy/header.go
@@ -28,8 +28,10 @@
 	MaxTokens    int
 	// Parts are the parts of the prompt in order. The last belongs to this request only.
 	Parts []PromptPart
-	// ResumeAfter is the id of the last event of the stream that the caller has.
+	// ResumeAfter is the id of the last event of the stream that the caller has, Resumes the id
+	// of the request that brought its first event; both are empty at the beginning of a stream.
 	ResumeAfter string
+	Resumes     string
 }
 
 // AttemptInfo is what the router adds to the header for one attempt.
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -87,10 +87,10 @@
 	}
 	p.log("route").WithFields(logrus.Fields{
 		"prefix": prefix, "shared": p.call.SharedTokens,
-		"route": p.route.Name, "service": p.call.Model, "replica": d.Replica.ID, "zone": d.Replica.Zone,
+		"route": p.route.Name, "service": p.call.Model, "replica": d.Replica.ID, "version": d.Replica.Version, "zone": d.Replica.Zone,
 		"reason": d.Reason, "load": d.Load, "reportAge": milliseconds(d.ReportAge), "cached": d.CachedPrefixes, "usable": d.Usable, "passed": skipped,
 		"send": p.sends + 1, "left": milliseconds(p.deadline.Sub(p.s.c.Now())), "prompt": p.call.PromptTokens,
-		"resumeAfter": p.lastEvent,
+		"resumeAfter": p.lastEvent, "resumes": p.info.Resumes,
 	}).Info("replica chosen")
 }
 
