A stream goes on within its answer only at the version that began it

Cause: replicas of a service were taken as alike, and the router chose any for the rest of a broken stream.

Change: a call can be bound to a version (call.Call.Version). The router then chooses among all replicas of that version, outside of the VM's subset and the call's lane if need be, and reports at once if there is none. The proxy binds the call with the first part of a stream that it forwards; a takeover that has taken another version before that ends the attempt. What callers take up again is not bound yet.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -69,6 +69,8 @@
 	// SharedTokens is the length of the longest of Prefixes in tokens; zero if
 	// unknown.
 	SharedTokens int
+	// Version is the only version of a backend server that may run the call; empty if any may.
+	Version Version
 	// PromptTokens is an estimate of the prompt's length, MaxTokens the caller's
 	// limit on the length of the response; zero if unknown.
 	PromptTokens int
--- a/core/route/decision.go
+++ b/core/route/decision.go
@@ -18,6 +18,8 @@
 	ErrNoReplica = errors.ConstError("no replica for the model")
 	// ErrBusy means that no usable replica of the model can take the call now.
 	ErrBusy = errors.ConstError("all replicas of the model are full")
+	// ErrNoVersion means that the model has no replica of the call's version.
+	ErrNoVersion = errors.ConstError("no replica of the version for the model")
 	// ErrLimited means that the replicas of the model that are left take no more requests of
 	// this VM now, by limits that they have named.
 	ErrLimited = errors.ConstError("all replicas of the model have named limits that are used up")
--- a/core/route/home.go
+++ b/core/route/home.go
@@ -25,6 +25,9 @@
 		return candidate{}, false
 	}
 	first, second := r.homes(now, c, p, exclude, lane)
+	if first == nil && c.Version != "" {
+		first, second = r.homes(now, c, p, exclude, lane.all(p))
+	}
 	if first == nil {
 		return candidate{}, false
 	}
@@ -46,7 +49,7 @@
 	prefix := c.Prefixes[len(c.Prefixes)-1]
 	least, next := uint64(math.MaxUint64), uint64(math.MaxUint64)
 	for _, s := range p.all {
-		if slices.Contains(exclude, s.ID) || s.ejected(now) || r.zoneEjected(now, s.Zone) || s.reserved(now) || !lane.has(s) || r.limited(now, s) {
+		if slices.Contains(exclude, s.ID) || !s.runs(c) || s.ejected(now) || r.zoneEjected(now, s.Zone) || s.reserved(now) || !lane.has(s) || r.limited(now, s) {
 			continue
 		}
 		switch hash := homeHash(prefix, s.ID); {
--- a/core/route/lane.go
+++ b/core/route/lane.go
@@ -222,6 +222,15 @@
 
 func (l lane) has(s *state) bool { return s.laneRank >= l.from && s.laneRank < l.to }
 
+// hasAny reports whether one of some replicas is in the lane.
+func (l lane) hasAny(list []*state) bool { return slices.ContainsFunc(list, l.has) }
+
+// all returns the lane with all replicas of a pool.
+func (l lane) all(p *pool) lane {
+	l.from, l.to = 0, len(p.all)
+	return l
+}
+
 // laneOf returns the lane of a call's class, which is all replicas if there are no lanes.
 func (r *Router) laneOf(now time.Time, c call.Call, p *pool) lane {
 	all := lane{to: len(p.all)}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -34,7 +34,7 @@
 // Pick chooses a replica for the call. It does not choose those in exclude, on which
 // the call has been tried.
 //
-// Errors: ErrNoReplica, ErrBusy, ErrLimited.
+// Errors: ErrNoReplica, ErrNoVersion, ErrBusy, ErrLimited.
 func (r *Router) Pick(now time.Time, c call.Call, exclude []call.ReplicaID) (Decision, error) {
 	return r.pick(now, c, exclude, "")
 }
@@ -44,7 +44,7 @@
 // lane needs no further part of the VM's share of it, and that its place at the replica from
 // does not count.
 //
-// Errors: ErrNoReplica, ErrBusy, ErrLimited.
+// Errors: ErrNoReplica, ErrNoVersion, ErrBusy, ErrLimited.
 func (r *Router) PickOther(now time.Time, c call.Call, exclude []call.ReplicaID, from call.ReplicaID) (Decision, error) {
 	return r.pick(now, c, exclude, from)
 }
@@ -65,6 +65,9 @@
 		return Decision{}, errors.Annotatef(ErrNoReplica, "Router.PickReplica: %s on %s", c.Model, id)
 	}
 	s, lane := p.all[i], r.laneOf(now, c, p)
+	if !s.runs(c) {
+		return Decision{}, errors.Annotatef(ErrNoReplica, "Router.PickReplica: %s of version %s on %s", c.Model, c.Version, id)
+	}
 	f := filtered{maxLoad: p.classes.slotShare(now, c)}
 	if lane.long {
 		f.maxLoad *= longMaxLoad
@@ -86,6 +89,10 @@
 		return Decision{}, errors.Annotatef(ErrNoReplica, "Router.Pick: %s", c.Model)
 	}
 	var d Decision
+	local, remote := r.partsFor(p, c)
+	if len(local)+len(remote) == 0 && c.Version != "" {
+		return d, errors.Annotatef(ErrNoVersion, "Router.Pick: %s of version %s", c.Model, c.Version)
+	}
 	lane := r.laneOf(now, c, p)
 	if inFlight, share, over := r.overShare(now, p, lane); over && !p.counts(now, lane, from) {
 		return d, errors.Annotatef(ErrBusy, "Router.Pick: %s: %g long-prompt calls in flight on this VM, its share is %.1f", c.Model, inFlight, share)
@@ -94,12 +101,12 @@
 	if lane.long {
 		maxLoad *= longMaxLoad
 	}
-	f := r.filter(now, p, exclude, &d, maxLoad, from)
-	if f.usable() > 0 {
+	f := r.filter(now, local, remote, exclude, &d, maxLoad, from)
+	if f.usable() > 0 && (c.Version == "" || lane.hasAny(local) || lane.hasAny(remote)) {
 		f = r.restrictToLane(now, f, lane)
 	}
 	if f.usable() == 0 && lane.short {
-		f = r.filter(now, p, exclude, &d, shortOverflowMaxLoad, from)
+		f = r.filter(now, local, remote, exclude, &d, shortOverflowMaxLoad, from)
 	}
 	if f.usable() == 0 {
 		return d, errors.Annotatef(f.err(), "Router.Pick: %s", c.Model)
@@ -152,7 +159,7 @@
 		return false
 	}
 	var d Decision
-	f := r.filter(now, p, nil, &d, 1, "")
+	f := r.filter(now, p.local, p.remote, nil, &d, 1, "")
 	return f.usable() > 0
 }
 
@@ -187,16 +194,32 @@
 	return ErrNoReplica
 }
 
-// filter returns the replicas of the subset that are not excluded, ejected, reserved or
+// partsFor returns the replicas among which a call may choose, those of the own zone and the
+// others: the subset or, for a call of one version, all replicas of that version, as the subset
+// may have none.
+func (r *Router) partsFor(p *pool, c call.Call) (local, remote []*state) {
+	if c.Version == "" {
+		return p.local, p.remote
+	}
+	var list []*state
+	for _, s := range p.all {
+		if s.runs(c) {
+			list = append(list, s)
+		}
+	}
+	return r.split(list)
+}
+
+// filter returns those of the replicas that are not excluded, ejected, reserved or
 // full, and whose limits allow a call. If only ejected replicas are left, it returns those.
-func (r *Router) filter(now time.Time, p *pool, exclude []call.ReplicaID, d *Decision, maxLoad float64, from call.ReplicaID) filtered {
+func (r *Router) filter(now time.Time, local, remote []*state, exclude []call.ReplicaID, d *Decision, maxLoad float64, from call.ReplicaID) filtered {
 	r.scratch = r.scratch[:0]
-	f := filtered{maxLoad: maxLoad, from: from, hadLocal: len(p.local) > 0, warm: r.anyWarm(now, p)}
-	f.local = r.usable(now, p.local, exclude, &f, d, false)
-	f.remote = r.usable(now, p.remote, exclude, &f, d, false)
+	f := filtered{maxLoad: maxLoad, from: from, hadLocal: len(local) > 0, warm: r.anyWarm(now, local, remote)}
+	f.local = r.usable(now, local, exclude, &f, d, false)
+	f.remote = r.usable(now, remote, exclude, &f, d, false)
 	if f.usable() == 0 && f.full == 0 && f.limited == 0 {
-		f.local = r.usable(now, p.local, exclude, &f, d, true)
-		f.remote = r.usable(now, p.remote, exclude, &f, d, true)
+		f.local = r.usable(now, local, exclude, &f, d, true)
+		f.remote = r.usable(now, remote, exclude, &f, d, true)
 	}
 	if n := f.usable(); n > 0 {
 		f.mean /= float64(n)
@@ -229,8 +252,8 @@
 	return r.scratch[from:len(r.scratch):len(r.scratch)]
 }
 
-func (r *Router) anyWarm(now time.Time, p *pool) bool {
-	for _, part := range [2][]*state{p.local, p.remote} {
+func (r *Router) anyWarm(now time.Time, local, remote []*state) bool {
+	for _, part := range [2][]*state{local, remote} {
 		for _, s := range part {
 			if !s.ejected(now) && r.slowStartShare(now, s) == 1 {
 				return true
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"gentianwell/core/call"
 )
 
 // historyLen is the number of changes of the in-flight count that are kept for each
@@ -128,6 +130,9 @@
 	return float64(s.failures) * (1 - float64(age)/float64(decay))
 }
 
+// runs reports whether the replica's software is of the version that the call needs.
+func (s *state) runs(c call.Call) bool { return c.Version == "" || s.Version == c.Version }
+
 func (s *state) runsAlone() bool { return s.aloneInFlight > 0 }
 
 func (s *state) keptFree(now time.Time) bool { return now.Before(s.keptFreeUntil) }
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -19,6 +19,8 @@
 // attemptResult is the outcome of one attempt.
 type attemptResult struct {
 	replica call.ReplicaID
+	// version is that of the replica's software.
+	version call.Version
 	target  back.Target
 	started time.Time
 	// done is true if a successful response was read to its end. If it is not a
@@ -70,13 +72,16 @@
 // attempt sends the request to a replica once and forwards the response.
 func (p *proxyRequest) attempt(ctx context.Context, d route.Decision) attemptResult {
 	target := back.Target{ID: d.Replica.ID, Address: d.Replica.Address}
-	e := attemptResult{replica: d.Replica.ID, target: target, started: p.s.c.Now()}
+	e := attemptResult{replica: d.Replica.ID, version: d.Replica.Version, target: target, started: p.s.c.Now()}
 	p.takeover = p.newTakeover(d.Replica.ID)
 	x, result, err := p.s.c.Open(ctx, target, p.attemptRequest(d.Replica.ID))
 	if err == nil {
 		result, err = p.receive(x, &e)
 	}
 	e.err, e.ending = err, result.Ending
+	if p.responseStarted && p.call.Version == "" {
+		p.call.Version = e.version
+	}
 	p.classify(ctx, &e, result)
 	switch {
 	case e.done:
--- a/io/proxy/reason.go
+++ b/io/proxy/reason.go
@@ -26,6 +26,9 @@
 	ReasonNoReplica Reason = "noReplica"
 	// ReasonAllReplicasFull: all replicas were full until the wait for a slot ended.
 	ReasonAllReplicasFull Reason = "allReplicasFull"
+	// ReasonVersionGone: a stream can only go on at the version of the backend server that began
+	// it, and the service has no replica of that version.
+	ReasonVersionGone Reason = "versionGone"
 	// ReasonLimited: the replicas that are left have named limits that are used up.
 	ReasonLimited Reason = "backendLimits"
 	// ReasonReplicasRefused: the replicas refused the request without running it.
--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -87,6 +87,8 @@
 			return d, 0, "", nil
 		case ctx.Err() != nil:
 			return d, p.timeoutStatus(), p.timeoutReason(ctx), err
+		case errors.Is(err, route.ErrNoVersion):
+			return d, http.StatusServiceUnavailable, ReasonVersionGone, err
 		case errors.Is(err, route.ErrNoReplica) && !p.gaveUp():
 			return d, http.StatusServiceUnavailable, ReasonNoReplica, err
 		case errors.Is(err, route.ErrLimited) && !p.gaveUp():
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -89,6 +89,9 @@
 	if p.endsWithoutID && !p.takeover.deliver() {
 		return errGivenUp
 	}
+	if !p.responseStarted && !p.takeover.begin(e.version) {
+		return errGivenUp
+	}
 	p.startResponse(x)
 	x.PauseTimeout()
 	defer x.ResumeTimeout()
--- a/io/proxy/takeover.go
+++ b/io/proxy/takeover.go
@@ -30,6 +30,8 @@
 	// attempt goes on.
 	counted  bool
 	decision route.Decision
+	// version is the only one at which the response may go on; empty if any may.
+	version call.Version
 }
 
 // newTakeover returns the takeover for an attempt at a replica that is about to begin.
@@ -42,6 +44,7 @@
 			Outcome: call.OutcomeUnknown, Cause: retry.CauseSilent, BytesWritten: true,
 		},
 		silent: append(slices.Clone(p.silent), replica), tried: append(slices.Clone(p.tried), replica),
+		version: p.call.Version,
 	}
 }
 
@@ -78,11 +81,22 @@
 	return !t.taken
 }
 
+// begin binds the response to a version, because its first part is about to be forwarded. It
+// returns false if that is too late: a replica of another version has been taken.
+func (t *takeover) begin(version call.Version) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.version = version
+	return !t.taken || version == "" || t.decision.Replica.Version == version
+}
+
 // find chooses a replica and takes a retry. If it fails, it returns the reason.
 func (t *takeover) find(now time.Time) (d route.Decision, obstacle string) {
-	d, err := t.p.s.c.Router.PickOther(now, t.p.call, t.tried, t.replica())
+	c := t.p.call
+	c.Version = t.version
+	d, err := t.p.s.c.Router.PickOther(now, c, t.tried, t.replica())
 	if err != nil {
-		d, err = t.p.s.c.Router.PickOther(now, t.p.call, t.silent, t.replica())
+		d, err = t.p.s.c.Router.PickOther(now, c, t.silent, t.replica())
 	}
 	switch {
 	case err != nil:
