A stream that its caller takes up again goes on only at the version that began it

Cause: nothing told a VM that takes a stream up at which version it had begun; Resumes was not read. The class: what one VM knows when it does something has to be known where that thing is taken up again.

Change: core/origin. Without the version's replicas the caller gets 503 at once.

--- a/core/table/route.go
+++ b/core/table/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"strings"
 	"time"
 
@@ -84,6 +85,11 @@
 	return r.Kind == KindIdempotent || r.Kind == KindStream && r.Resumes
 }
 
+// Runs reports whether a service may run requests of the route.
+func (r *Route) Runs(service call.Model) bool {
+	return slices.ContainsFunc(r.Splits, func(s Split) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // MaxAttempts returns the maximum number of replicas that run one request, at
 // least 1.
 func (r *Route) MaxAttempts() int { return max(1, r.Attempts) }
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"gentianwell/core/call"
 )
 
 // Table is one indexed version of the configuration.
@@ -14,6 +16,8 @@
 	document Document
 	hosts    map[string][]*Route
 	keys     map[string]*Team
+	// resumed holds the services of routes whose streams may be resumed.
+	resumed map[call.Model]bool
 	// priorityLevels is one more than the highest priority number of a route.
 	priorityLevels int
 }
@@ -25,7 +29,7 @@
 func New(d Document) (*Table, error) {
 	t := &Table{
 		document: d, hosts: map[string][]*Route{},
-		keys: map[string]*Team{},
+		keys: map[string]*Team{}, resumed: map[call.Model]bool{},
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
@@ -33,6 +37,11 @@
 			return nil, errors.Annotatef(err, "table.New: version %d", d.Version)
 		}
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+		for _, split := range r.Splits {
+			if r.Kind == KindStream && r.Resumes {
+				t.resumed[split.Service] = true
+			}
+		}
 		t.priorityLevels = max(t.priorityLevels, r.Priority+1)
 	}
 	for _, routes := range t.hosts {
@@ -54,6 +63,15 @@
 	return t.document.Version
 }
 
+// Resumed returns the services of routes whose streams may be resumed; none for a nil table. The
+// caller must not modify the result.
+func (t *Table) Resumed() map[call.Model]bool {
+	if t == nil {
+		return nil
+	}
+	return t.resumed
+}
+
 // Newer reports whether t has a higher version than other. Any table is newer than nil.
 func (t *Table) Newer(other *Table) bool { return other == nil || t.Version() > other.Version() }
 
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -70,6 +70,9 @@
 	// TrialAfter is how long after its latest crash a part of prompts that crashes replicas
 	// is tried once more; further trials wait ever longer.
 	TrialAfter time.Duration
+	// StreamKeep is how long after it began a stream may be taken up at least; callers that wait
+	// longer extend it. Zero means 10 s.
+	StreamKeep time.Duration
 }
 
 // Defaults fills in the fields left zero.
@@ -103,6 +106,8 @@
 			c.CallerAddress, c.ReadinessAddress, c.StoreAddress)
 	case c.ApplyTime < 0 || c.DrainTime < 0 || c.StableTime < 0:
 		return errors.NotValidf("ApplyTime %s, DrainTime %s, StableTime %s (none may be negative)", c.ApplyTime, c.DrainTime, c.StableTime)
+	case c.StreamKeep < 0:
+		return errors.NotValidf("StreamKeep %s (must not be negative)", c.StreamKeep)
 	case c.TrialAfter < 0:
 		return errors.NotValidf("TrialAfter %s (must not be negative)", c.TrialAfter)
 	case c.StopLimit < 0 || c.Notice < 0 || c.RetryRatio < 0 || c.RetrySlack < 0 || c.RetryWindow < 0:
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -26,6 +26,7 @@
 	"gentianwell/core/call"
 	"gentianwell/core/drain"
 	"gentianwell/core/fleet"
+	"gentianwell/core/origin"
 	"gentianwell/core/poison"
 	"gentianwell/core/quota"
 	"gentianwell/core/retry"
@@ -93,6 +94,7 @@
 	members     *members
 	storeStatus *storeStatus
 	crashes     *crashes
+	origins     *origins
 	probe       *probe
 	proxy       *proxy.Server
 	metrics     *metrics
@@ -160,7 +162,8 @@
 	e.loads = &loads{router: e.router}
 	e.limits.items, e.limits.changed = e.items, e.router.LimitsChanged
 	e.replicas = &replicas{
-		onList: e.loads.setReplicas, onEnded: func(id call.ReplicaID) { e.crashes.replicaEnded(id) }, latest: map[call.ReplicaID]fleet.Entry{},
+		onList: e.loads.setReplicas, onVersions: func(now time.Time, v map[call.Model]map[call.Version]int) { e.origins.setVersions(now, v) },
+		onEnded: func(id call.ReplicaID) { e.crashes.replicaEnded(id) }, latest: map[call.ReplicaID]fleet.Entry{},
 		prefix: e.options.Source.ReplicaPrefix, parse: e.options.Source.ParseReplica, router: e.router, items: e.items, now: e.options.Now, log: e.log,
 		registry: fleet.New(c.fleetConfig()), values: map[call.ReplicaID][]byte{},
 	}
@@ -189,6 +192,7 @@
 	e.crashes.trials = &trials{
 		registry: suspects.parts, write: e.crashes.writer.writeTrials, storeUp: e.storeStatus.up, vms: e.members.count, now: e.options.Now, log: e.log,
 	}
+	e.origins = e.newOrigins()
 	e.pool = peer.NewPool(peer.PoolConfig{Dial: e.options.Dial})
 	e.gossip = peer.NewGossip(peer.GossipConfig{
 		Self: c.VM, Zone: c.Zone, Pool: e.pool, Store: e.items, Peers: e.members.peers, Now: e.options.Now,
@@ -204,6 +208,20 @@
 	return errors.Trace(err)
 }
 
+func (e *Entry) newOrigins() *origins {
+	o := &origins{
+		registry: origin.New(origin.Config{Keep: e.options.Config.StreamKeep}), store: e.options.Source.Store, storeUp: e.storeStatus.up, items: e.items,
+		services: func() map[call.Model]bool { return e.tables.Current().Resumed() }, vms: e.members.count, random: e.random,
+		now: e.options.Now, log: e.log, bases: map[call.Model]time.Time{},
+		writer: &originWriter{
+			store: e.options.Source.Store, now: e.options.Now, log: e.log, unwritten: map[string]*originRecord{},
+			observe: func(written bool, records int) { e.metrics.observeStreamRecords(written, records) },
+		},
+	}
+	o.writer.failed = o.tellUnwritten
+	return o
+}
+
 func (e *Entry) proxyConfig() proxy.Config {
 	return proxy.Config{
 		Headers: e.options.Headers, Zone: e.options.Config.Zone, Table: e.tables.Current, TableIsCurrent: e.tableIsCurrent,
@@ -212,6 +230,7 @@
 		Stopping: func() bool { return !e.drain.Ready() }, Ended: e.requests,
 		Random: e.random, Now: e.options.Now, Log: e.log, Observe: e.metrics.observe,
 		Forbids: e.crashes.forbids, HasCrashed: e.crashes.hasCrashed, RunLost: e.crashes.runLost, RunCompleted: e.crashes.runCompleted,
+		StreamBegins: e.origins.begins, StreamOrigin: e.origins.find,
 		Answered: func(id call.ReplicaID, sent time.Time, info proxy.ResponseInfo) {
 			e.limits.answered(e.options.Now(), id, sent, info)
 		},
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -33,6 +33,9 @@
 	cut      *prometheus.CounterVec
 	lostRuns *prometheus.CounterVec
 	crashes  *prometheus.CounterVec
+	// takenUp counts the streams that callers took up again, streamRecords the records of streams.
+	takenUp       *prometheus.CounterVec
+	streamRecords *prometheus.CounterVec
 	// storeRestores counts the times that the store came back from an older copy.
 	storeRestores prometheus.Counter
 
@@ -52,12 +55,14 @@
 	}
 	m := &metrics{
 		registry: registry, labels: map[string]bool{},
-		requests: counter("proxied_total", "Requests by how they ended; status 0 is a broken connection.", "route", "status", "reason"),
-		sends:    counter("sends_total", "Requests sent to backend servers, repeats included.", "route"),
-		onTime:   counter("on_time_total", "Requests answered within or after the target of their route.", "route", "met"),
-		cut:      counter("cut_total", "Answers that had begun and were not completed, by how the last attempt at a backend server ended.", "route", "reason", "ending"),
-		lostRuns: counter("lost_runs_total", "Runs whose connection was lost, by whether the backend server then accepted no connection.", "crashed"),
-		crashes:  counter("crashes_total", "Crashes of backend servers under a request, by how the request was judged with it.", "reason"),
+		requests:      counter("proxied_total", "Requests by how they ended; status 0 is a broken connection.", "route", "status", "reason"),
+		sends:         counter("sends_total", "Requests sent to backend servers, repeats included.", "route"),
+		onTime:        counter("on_time_total", "Requests answered within or after the target of their route.", "route", "met"),
+		cut:           counter("cut_total", "Answers that had begun and were not completed, by how the last attempt at a backend server ended.", "route", "reason", "ending"),
+		lostRuns:      counter("lost_runs_total", "Runs whose connection was lost, by whether the backend server then accepted no connection.", "crashed"),
+		crashes:       counter("crashes_total", "Crashes of backend servers under a request, by how the request was judged with it.", "reason"),
+		takenUp:       counter("taken_up_total", "Streams that callers took up again, by how the request ended.", "reason"),
+		streamRecords: counter("stream_records_total", "Records of the version at which a stream began, by whether the store took them.", "written"),
 		storeRestores: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gentianwell_store_restores_total", Help: "Times that the platform's store came back from an older copy.",
 		}),
@@ -65,7 +70,7 @@
 		total: histogram("total_seconds", "Time to the end of the answer."),
 	}
 	registry.MustRegister(
-		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.requests, m.sends, m.onTime, m.cut, m.lostRuns, m.crashes, m.storeRestores, m.first, m.total,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.requests, m.sends, m.onTime, m.cut, m.lostRuns, m.crashes, m.takenUp, m.streamRecords, m.storeRestores, m.first, m.total,
 	)
 	gauge := func(name, help string, value func() float64) {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gentianwell_" + name, Help: help}, value))
@@ -109,6 +114,9 @@
 	if stats.Status == 0 {
 		m.cut.WithLabelValues(route, string(stats.Reason), string(stats.Ending)).Inc()
 	}
+	if stats.TakenUp {
+		m.takenUp.WithLabelValues(string(stats.Reason)).Inc()
+	}
 	if stats.FirstLatency > 0 {
 		m.first.WithLabelValues(route).Observe(stats.FirstLatency.Seconds())
 		m.total.WithLabelValues(route).Observe(stats.Total.Seconds())
@@ -116,6 +124,11 @@
 	}
 }
 
+// observeStreamRecords records that the store has taken records of streams, or has not.
+func (m *metrics) observeStreamRecords(written bool, records int) {
+	m.streamRecords.WithLabelValues(strconv.FormatBool(written)).Add(float64(records))
+}
+
 // observeLostRun records a run whose connection was lost.
 func (m *metrics) observeLostRun(crashed bool) {
 	m.lostRuns.WithLabelValues(strconv.FormatBool(crashed)).Inc()
--- /dev/null
+++ b/io/entry/origins.go
@@ -0,0 +1,297 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"gentianwell/core/call"
+	"gentianwell/core/origin"
+	"gentianwell/core/spread"
+	"gentianwell/io/kvs"
+	"gentianwell/io/proxy"
+)
+
+// kindStream is the kind of the gossip items for streams whose record is not in the store.
+const kindStream spread.Kind = "stream"
+
+const (
+	// streamPrefix and basePrefix are the prefixes of the keys of records of streams, and of the
+	// base versions of services.
+	streamPrefix = "gentianwell/streams/"
+	basePrefix   = "gentianwell/versions/"
+	// originReadTimeout limits a read of the store for a caller that takes a stream up.
+	originReadTimeout = 500 * time.Millisecond
+	// basePause is the least time between two reads or writes of the base of a service by this
+	// VM, basePausePerVM is, times the number of VMs, the longest wait before the base is
+	// replaced, so that mostly one VM does.
+	basePause      = 300 * time.Millisecond
+	basePausePerVM = 20 * time.Millisecond
+	// maxStreamItems limits the gossip items for streams.
+	maxStreamItems = 512
+)
+
+// errOriginUnknown means that it cannot be told now at which version a stream began.
+const errOriginUnknown = errors.ConstError("the version at which the stream began is not known")
+
+// origins tells at which version streams began, for callers that take them up at any VM. The
+// records are in the platform's store; see core/origin for which streams have one.
+type origins struct {
+	registry *origin.Registry
+	writer   *originWriter
+	store    kvs.Service
+	storeUp  func() bool
+	items    *spread.Store
+	// services returns the services of routes whose streams callers may take up.
+	services func() map[call.Model]bool
+	vms      func() int
+	// random returns a random number in [0, 1).
+	random func() float64
+	now    func() time.Time
+	log    logrus.FieldLogger
+
+	mu sync.Mutex
+	// bases holds when the base of a service may be read or written next.
+	bases map[call.Model]time.Time
+	// listed holds the versions as last set.
+	listed map[call.Model]map[call.Version]int
+	// outage is true while the store is down; only tick uses it.
+	outage bool
+}
+
+// streamID returns the key of a stream, which began with a request of a team: what callers choose
+// may be long, and a team must not take up another one's streams.
+func streamID(team call.Team, request string) string {
+	sum := sha256.Sum256([]byte(string(team) + "\x00" + request))
+	return hex.EncodeToString(sum[:16])
+}
+
+// begins records at which version a stream is about to begin. The result is closed once the
+// record is in the store; it is nil if there is nothing to wait for.
+func (o *origins) begins(s proxy.StreamStart) <-chan struct{} {
+	if s.Version == "" {
+		return nil
+	}
+	now, id := o.now(), streamID(s.Team, s.Request)
+	stream := origin.Stream{Service: s.Service, Version: s.Version}
+	before, known := o.registry.Lookup(now, id)
+	if known && before == stream {
+		return o.writer.pending(id)
+	}
+	o.registry.Began(now, id, stream, s.Timeout)
+	// An attempt at another version may have left a record.
+	if !known && !o.registry.NeedsRecord(s.Service, s.Version) {
+		return nil
+	}
+	done := o.writer.add(id, stream)
+	if !o.storeUp() {
+		o.tell(now, id, stream)
+		return nil
+	}
+	return done
+}
+
+// tell gossips a record that is not in the store, if there is room.
+func (o *origins) tell(now time.Time, id string, s origin.Stream) {
+	if len(o.items.All(now, kindStream)) >= maxStreamItems {
+		return
+	}
+	value, err := json.Marshal(s)
+	if err != nil {
+		o.log.WithFields(logrus.Fields{"event": "streamRecord", "stream": id}).WithError(err).Warn("record of a stream cannot be encoded")
+		return
+	}
+	o.items.Put(now, spread.Item{
+		ID: spread.ID{Kind: kindStream, Key: id}, Version: uint64(now.UnixNano()), Value: value, Expires: now.Add(streamLease),
+	})
+}
+
+// find returns where a stream began that a caller takes up.
+//
+// Errors: errOriginUnknown.
+func (o *origins) find(ctx context.Context, team call.Team, service call.Model, request string) (origin.Stream, error) {
+	now, id := o.now(), streamID(team, request)
+	if s, ok := o.registry.Lookup(now, id); ok {
+		return s, nil
+	}
+	if item, ok := o.items.Get(now, spread.ID{Kind: kindStream, Key: id}); ok {
+		return parseStream(item.Value)
+	}
+	if version, ok := o.registry.Sole(now, service, request == ""); ok {
+		return origin.Stream{Service: service, Version: version}, nil
+	}
+	if request == "" {
+		return origin.Stream{}, errors.Annotate(errOriginUnknown, "origins.find: the caller does not say which request began the stream")
+	}
+	if !o.storeUp() {
+		return origin.Stream{}, errors.Annotate(errOriginUnknown, "origins.find: the store is down")
+	}
+	ctx, cancel := context.WithTimeout(ctx, originReadTimeout)
+	defer cancel()
+	found, err := o.store.Get(ctx, streamPrefix+id)
+	if err != nil {
+		return origin.Stream{}, errors.Wrap(err, errors.Annotate(errOriginUnknown, "origins.find"))
+	}
+	if found.Found {
+		s, err := parseStream(found.Entry.Value)
+		if err == nil {
+			o.registry.Began(now, id, s, 0)
+		}
+		return s, err
+	}
+	base, known, hasReplicas := o.registry.Base(service)
+	if !known || !hasReplicas {
+		o.readBase(ctx, service)
+		base, known, _ = o.registry.Base(service)
+	}
+	if !known {
+		if base, known = o.registry.Sole(now, service, true); !known {
+			return origin.Stream{}, errors.Annotate(errOriginUnknown, "origins.find: the service has no base version yet")
+		}
+	}
+	return origin.Stream{Service: service, Version: base}, nil
+}
+
+func parseStream(value []byte) (origin.Stream, error) {
+	var s origin.Stream
+	if err := json.Unmarshal(value, &s); err != nil {
+		return s, errors.Wrap(err, errors.Annotate(errOriginUnknown, "parseStream"))
+	}
+	if s.Service == "" || s.Version == "" {
+		return s, errors.Annotatef(errOriginUnknown, "parseStream: service %q, version %q (both must be set)", s.Service, s.Version)
+	}
+	return s, nil
+}
+
+// tick writes records and does what has to be done with the bases.
+func (o *origins) tick(now time.Time) {
+	if !o.storeUp() {
+		o.outage = true
+		return
+	}
+	if o.outage {
+		o.outage = false
+		o.writeAgain()
+	}
+	o.writer.start()
+	for service := range o.services() {
+		switch task := o.registry.Task(now, service); task.Kind {
+		case origin.TaskRead:
+			if o.takeTurn(now, service, 0) {
+				go o.readBase(context.Background(), service)
+			}
+		case origin.TaskWrite:
+			wait := time.Duration(0)
+			if task.Revision != 0 {
+				wait = time.Duration(o.random() * float64(o.vms()) * float64(basePausePerVM))
+			}
+			if o.takeTurn(now, service, wait) {
+				time.AfterFunc(wait, func() { o.replaceBase(service) })
+			}
+		case origin.TaskNone:
+		}
+	}
+}
+
+// takeTurn reports whether the base of a service may be read or written now, and takes the turn.
+func (o *origins) takeTurn(now time.Time, service call.Model, wait time.Duration) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if now.Before(o.bases[service]) {
+		return false
+	}
+	o.bases[service] = now.Add(wait + basePause)
+	return true
+}
+
+// readBase reads the base of a service from the store.
+func (o *origins) readBase(ctx context.Context, service call.Model) {
+	ctx, cancel := context.WithTimeout(ctx, originReadTimeout)
+	defer cancel()
+	found, err := o.store.Get(ctx, basePrefix+string(service))
+	if err != nil {
+		o.logBase(service).WithError(err).Info("the base version of a service was not read, trying again")
+		return
+	}
+	o.setBase(service, found)
+}
+
+func (o *origins) setBase(service call.Model, found kvs.Lookup) {
+	base, revision := call.Version(""), int64(0)
+	if found.Found {
+		base, revision = call.Version(found.Entry.Value), int64(found.Entry.ModRevision)
+	}
+	o.registry.SetBase(service, base, revision)
+	o.logBase(service).WithFields(logrus.Fields{"base": base, "revision": revision}).Info("streams without a record began at the base version")
+}
+
+// replaceBase replaces the base of a service if no other VM has done so.
+func (o *origins) replaceBase(service call.Model) {
+	o.readBase(context.Background(), service)
+	task := o.registry.Task(o.now(), service)
+	if task.Kind != origin.TaskWrite {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), originReadTimeout)
+	defer cancel()
+	key := basePrefix + string(service)
+	condition := kvs.Absent(key)
+	if task.Revision != 0 {
+		condition = kvs.Unchanged(key, kvs.Revision(task.Revision))
+	}
+	result, err := o.store.Transact(ctx, kvs.Txn{Compares: []kvs.Compare{condition}, Then: []kvs.Op{kvs.Put(key, []byte(task.Version), 0)}})
+	switch {
+	case err != nil:
+		o.logBase(service).WithError(err).Info("the base version of a service was not written, trying again")
+	case result.Succeeded:
+		o.registry.SetBase(service, task.Version, int64(result.Revision))
+		o.logBase(service).WithFields(logrus.Fields{"base": task.Version, "revision": int64(result.Revision)}).Info("base version of a service was written")
+	default:
+		o.readBase(context.Background(), service)
+	}
+}
+
+func (o *origins) logBase(service call.Model) logrus.FieldLogger {
+	return o.log.WithFields(logrus.Fields{"event": "baseVersion", "service": service})
+}
+
+// writeAgain makes the records of this VM be written again, after the store has lost some, and the
+// bases be read again. It returns the number of records.
+func (o *origins) writeAgain() int {
+	o.registry.Reread()
+	o.writer.reset()
+	recorded := o.registry.Recorded(o.now())
+	for id, s := range recorded {
+		o.writer.add(id, s)
+	}
+	return len(recorded)
+}
+
+// setVersions sets the number of replicas of each version of all services.
+func (o *origins) setVersions(now time.Time, versions map[call.Model]map[call.Version]int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for service := range o.listed {
+		if versions[service] == nil {
+			o.registry.SetVersions(now, service, nil)
+		}
+	}
+	for service, listed := range versions {
+		o.registry.SetVersions(now, service, listed)
+	}
+	o.listed = versions
+}
+
+// tellUnwritten gossips records that the store has not taken.
+func (o *origins) tellUnwritten(streams map[string]origin.Stream) {
+	now := o.now()
+	for id, s := range streams {
+		o.tell(now, id, s)
+	}
+}
--- a/io/entry/replicas.go
+++ b/io/entry/replicas.go
@@ -28,8 +28,10 @@
 	prefix string
 	parse  func(kvs.Entry) fleet.Record
 	router *route.Router
-	// onList is called with each new list.
-	onList func(route.Replicas)
+	// onList is called with each new list, onVersions with the number of replicas of each
+	// version, leaving ones included.
+	onList     func(route.Replicas)
+	onVersions func(time.Time, map[call.Model]map[call.Version]int)
 	// onEnded is called with each replica that has started again or gone, unless it was
 	// leaving. It must return at once.
 	onEnded func(call.ReplicaID)
@@ -185,6 +187,9 @@
 		r.log.WithFields(fields).Info("replica changed")
 		r.noticeEnd(now, record)
 	}
+	if len(changed) > 0 {
+		r.onVersions(now, r.versions())
+	}
 	usable := r.registry.Usable(now)
 	list := make(route.Replicas, 0, len(usable))
 	for _, e := range usable {
@@ -199,6 +204,18 @@
 	}
 }
 
+// versions returns the number of entries of each version of each service; r.mu is held.
+func (r *replicas) versions() map[call.Model]map[call.Version]int {
+	out := map[call.Model]map[call.Version]int{}
+	for _, e := range r.latest {
+		if out[e.Service] == nil {
+			out[e.Service] = map[call.Version]int{}
+		}
+		out[e.Service][e.Version]++
+	}
+	return out
+}
+
 // noticeEnd calls onEnded if a changed record shows that a replica has ended; r.mu is held.
 // An entry that is missing together with many others may be back soon.
 func (r *replicas) noticeEnd(now time.Time, record fleet.Record) {
--- a/io/entry/restore.go
+++ b/io/entry/restore.go
@@ -21,7 +21,7 @@
 		}
 	}
 	e.replicas.storeRecovered()
-	records := e.crashes.writeAgain()
+	records, streams := e.crashes.writeAgain(), e.origins.writeAgain()
 	for _, m := range e.probe.mirrors {
 		if m.Prefix() != prefix {
 			m.Reread()
@@ -30,6 +30,6 @@
 	e.metrics.storeRestores.Inc()
 	e.log.WithFields(logrus.Fields{
 		"event": "storeRestored", "prefix": prefix, "oldEra": before.Era(), "newEra": after.Era(),
-		"before": before.Number(), "after": after.Number(), "crashRecords": records,
+		"before": before.Number(), "after": after.Number(), "crashRecords": records, "streamRecords": streams,
 	}).Warn("the store was restored from an older copy: everything is read again, own records are written again")
 }
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianwell/core/call"
+	"gentianwell/core/origin"
 	"gentianwell/core/poison"
 	"gentianwell/core/retry"
 	"gentianwell/core/route"
@@ -81,6 +82,13 @@
 	// the replica; sent is when the request was sent to it. It must return at once. It may be
 	// nil.
 	Answered func(replica call.ReplicaID, sent time.Time, info ResponseInfo)
+	// StreamBegins is called before an attempt at which a stream may begin that may be resumed.
+	// The result is closed once the version is known to all VMs, and nil if there is nothing to
+	// wait for. By default there is not.
+	StreamBegins func(StreamStart) <-chan struct{}
+	// StreamOrigin returns the service and the version at which a team's request began a stream
+	// that a caller takes up; the version is empty if any may go on with it. By default any may.
+	StreamOrigin func(ctx context.Context, team call.Team, service call.Model, request string) (origin.Stream, error)
 	// MaxRetryAfter is the longest time that a refused caller is told to wait,
 	// MaxBusyRetryAfter the same for a caller refused because replicas are full or refused
 	// the request.
@@ -137,6 +145,14 @@
 	if c.Answered == nil {
 		c.Answered = func(call.ReplicaID, time.Time, ResponseInfo) {}
 	}
+	if c.StreamBegins == nil {
+		c.StreamBegins = func(StreamStart) <-chan struct{} { return nil }
+	}
+	if c.StreamOrigin == nil {
+		c.StreamOrigin = func(_ context.Context, _ call.Team, service call.Model, _ string) (origin.Stream, error) {
+			return origin.Stream{Service: service}, nil
+		}
+	}
 	if c.RetryShare == nil {
 		c.RetryShare = func() float64 { return defaultRetryShare }
 	}
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -26,6 +26,8 @@
 	// FirstLatency is the time to the response or the first event, zero if there
 	// was none; Total is the time to the end.
 	FirstLatency, Total time.Duration
+	// TakenUp is true if the caller took up a stream that had begun with an earlier request.
+	TakenUp bool
 	// Target is the route's target for FirstLatency.
 	Target time.Duration
 }
@@ -37,7 +39,7 @@
 // finished logs the end of the request and passes its stats to Config.Observe.
 func (p *proxyRequest) finished(reason Reason) {
 	now := p.s.c.Now()
-	stats := RequestStats{Service: p.call.Model, Reason: reason, Status: p.status, Sends: p.sends, Ending: p.lastAttempt.ending, Total: now.Sub(p.arrived)}
+	stats := RequestStats{Service: p.call.Model, Reason: reason, Status: p.status, Sends: p.sends, Ending: p.lastAttempt.ending, TakenUp: p.takesUp(), Total: now.Sub(p.arrived)}
 	fields := logrus.Fields{
 		"reason": reason, "status": p.status, "sends": p.sends, "mayHaveRun": p.possibleRuns, "total": milliseconds(stats.Total),
 		"configuration": p.table.Version(), "path": p.path(), "team": p.call.Team,
@@ -53,6 +55,9 @@
 	if p.events > 0 {
 		fields["events"], fields["lastEvent"] = p.events, p.lastEvent
 	}
+	if p.takesUp() {
+		fields["resumes"], fields["version"] = p.info.Resumes, p.call.Version
+	}
 	if p.replica != "" {
 		fields["replica"] = p.replica
 	}
--- /dev/null
+++ b/io/proxy/origin.go
@@ -0,0 +1,81 @@
+package proxy
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"time"
+
+	"gentianwell/core/call"
+	"gentianwell/core/route"
+	"gentianwell/core/table"
+)
+
+// maxRecordWait limits how long the first event of a stream is held back until its version is
+// recorded.
+const maxRecordWait = 250 * time.Millisecond
+
+// StreamStart describes a stream that is about to begin.
+type StreamStart struct {
+	Team    call.Team
+	Request string
+	Service call.Model
+	// Version is that of the backend server's software; empty if it does not say.
+	Version call.Version
+	// Timeout is how long the caller waits in all; it may take the stream up until then.
+	Timeout time.Duration
+}
+
+// resumable reports whether the request is answered by a stream that may be resumed.
+func (p *proxyRequest) resumable() bool {
+	return p.route != nil && p.route.Kind == table.KindStream && p.route.Resumes
+}
+
+// takesUp reports whether the caller takes up a stream of which it has the beginning.
+func (p *proxyRequest) takesUp() bool { return p.resumable() && p.info.ResumeAfter != "" }
+
+// bindVersion binds a request that takes a stream up to the version that began it. If that is not
+// known, it returns a status and a reason.
+func (p *proxyRequest) bindVersion(ctx context.Context) (int, Reason) {
+	if !p.takesUp() {
+		return 0, ""
+	}
+	began, err := p.s.c.StreamOrigin(ctx, p.call.Team, p.call.Model, p.info.Resumes)
+	if err != nil {
+		p.log("takeUp").WithError(err).WithField("resumes", p.info.Resumes).Info("the version that began a stream is not known")
+		return http.StatusServiceUnavailable, ReasonVersionUnknown
+	}
+	p.call.Version = began.Version
+	if p.route.Runs(began.Service) {
+		p.call.Model = began.Service
+	}
+	return 0, ""
+}
+
+// recordVersion begins to record the version of the replica of an attempt, if a stream may begin
+// there.
+func (p *proxyRequest) recordVersion(d route.Decision) {
+	p.recorded = nil
+	if p.resumable() && p.call.Version == "" && !p.takesUp() {
+		p.recorded = p.s.c.StreamBegins(StreamStart{
+			Team: p.call.Team, Request: p.info.ID, Service: p.call.Model, Version: d.Replica.Version, Timeout: cmp.Or(p.info.Timeout, defaultTimeout),
+		})
+	}
+}
+
+// awaitRecord waits until the version is recorded, but not for long: a late stream is better than
+// one that the store holds up.
+func (p *proxyRequest) awaitRecord() {
+	if p.recorded == nil {
+		return
+	}
+	t := time.NewTimer(maxRecordWait)
+	defer t.Stop()
+	select {
+	case <-p.recorded:
+	case <-p.r.Context().Done():
+	case <-t.C:
+		p.log("streamRecord").WithField("waited", maxRecordWait.String()).Warn("a stream begins although its version is not recorded yet")
+	}
+	p.recorded = nil
+}
--- a/io/proxy/reason.go
+++ b/io/proxy/reason.go
@@ -29,6 +29,8 @@
 	// ReasonVersionGone: a stream can only go on at the version of the backend server that began
 	// it, and the service has no replica of that version.
 	ReasonVersionGone Reason = "versionGone"
+	// ReasonVersionUnknown: the version that began a stream is not known now.
+	ReasonVersionUnknown Reason = "versionUnknown"
 	// ReasonLimited: the replicas that are left have named limits that are used up.
 	ReasonLimited Reason = "backendLimits"
 	// ReasonReplicasRefused: the replicas refused the request without running it.
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -55,6 +55,9 @@
 	responseStarted bool
 	lastEvent       string
 	endsWithoutID   bool
+	// recorded is closed once the version of the current attempt is recorded; nil if nothing is
+	// to be waited for.
+	recorded <-chan struct{}
 	// firstAt is when the response or the first event was forwarded; events counts the
 	// forwarded events.
 	firstAt time.Time
--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -20,6 +20,10 @@
 	defer p.releaseTakeover()
 	p.s.c.Router.Arrived(p.arrived, p.call)
 	p.s.c.Retry.RecordFirstAttempt(p.arrived, call.Class(p.call.Model), p.s.c.RetryShare())
+	if status, reason := p.bindVersion(ctx); status != 0 {
+		p.refuse(status, reason)
+		return
+	}
 	permitted := false
 	for {
 		var forbidden Reason
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -89,12 +89,15 @@
 	if p.endsWithoutID && !p.takeover.deliver() {
 		return errGivenUp
 	}
-	if !p.responseStarted && !p.takeover.begin(e.version) {
-		return errGivenUp
-	}
-	p.startResponse(x)
 	x.PauseTimeout()
 	defer x.ResumeTimeout()
+	if !p.responseStarted {
+		p.awaitRecord()
+		if !p.takeover.begin(e.version) {
+			return errGivenUp
+		}
+	}
+	p.startResponse(x)
 	p.events += prefix.Events
 	if e.events == 0 && prefix.Events > 0 {
 		e.firstEventAt = p.s.c.Now()
