Streams begin at the base version while a VM cannot record another one

Cause: the record went by the rounds of gossip, which take some 400 ms; a take-up at another VM before that found none and took the stream to be of the base.

Change: such a VM prefers replicas of the base for new streams, if it knows the base and one has room.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -211,6 +211,7 @@
 func (e *Entry) newOrigins() *origins {
 	o := &origins{
 		registry: origin.New(origin.Config{Keep: e.options.Config.StreamKeep}), store: e.options.Source.Store, storeUp: e.storeStatus.up, items: e.items,
+		push:     func(now time.Time, items spread.Items) <-chan struct{} { return e.gossip.Push(now, items) },
 		services: func() map[call.Model]bool { return e.tables.Current().Resumed() }, vms: e.members.count, random: e.random,
 		now: e.options.Now, log: e.log, bases: map[call.Model]time.Time{},
 		writer: &originWriter{
@@ -230,7 +231,7 @@
 		Stopping: func() bool { return !e.drain.Ready() }, Ended: e.requests,
 		Random: e.random, Now: e.options.Now, Log: e.log, Observe: e.metrics.observe,
 		Forbids: e.crashes.forbids, HasCrashed: e.crashes.hasCrashed, RunLost: e.crashes.runLost, RunCompleted: e.crashes.runCompleted,
-		StreamBegins: e.origins.begins, StreamOrigin: e.origins.find,
+		StreamBegins: e.origins.begins, StreamOrigin: e.origins.find, StreamPrefers: e.origins.prefers,
 		Answered: func(id call.ReplicaID, sent time.Time, info proxy.ResponseInfo) {
 			e.limits.answered(e.options.Now(), id, sent, info)
 		},
--- a/io/entry/origins.go
+++ b/io/entry/origins.go
@@ -33,6 +33,8 @@
 	// replaced, so that mostly one VM does.
 	basePause      = 300 * time.Millisecond
 	basePausePerVM = 20 * time.Millisecond
+	// pushPausePerVM is, times the number of VMs, the pause between two pushes of records.
+	pushPausePerVM = 10 * time.Millisecond
 	// maxStreamItems limits the gossip items for streams.
 	maxStreamItems = 512
 )
@@ -48,6 +50,8 @@
 	store    kvs.Service
 	storeUp  func() bool
 	items    *spread.Store
+	// push sends items to all VMs.
+	push func(time.Time, spread.Items) <-chan struct{}
 	// services returns the services of routes whose streams callers may take up.
 	services func() map[call.Model]bool
 	vms      func() int
@@ -59,6 +63,11 @@
 	mu sync.Mutex
 	// bases holds when the base of a service may be read or written next.
 	bases map[call.Model]time.Time
+	// untold holds the records to push, which may begin again at pushAt.
+	// told is closed once the other VMs have them.
+	untold spread.Items
+	told   chan struct{}
+	pushAt time.Time
 	// listed holds the versions as last set.
 	listed map[call.Model]map[call.Version]int
 	// outage is true while the store is down; only tick uses it.
@@ -91,25 +100,60 @@
 	}
 	done := o.writer.add(id, stream)
 	if !o.storeUp() {
-		o.tell(now, id, stream)
-		return nil
+		return o.tell(now, id, stream)
 	}
 	return done
 }
 
-// tell gossips a record that is not in the store, if there is room.
-func (o *origins) tell(now time.Time, id string, s origin.Stream) {
+// prefers returns the version at which streams of a service should begin while this VM cannot
+// record another one; empty if any may be chosen.
+func (o *origins) prefers(service call.Model) call.Version {
+	if o.storeUp() {
+		return ""
+	}
+	base, known, hasReplicas := o.registry.Base(service)
+	if !known || !hasReplicas || o.registry.NeedsRecord(service, base) {
+		return ""
+	}
+	return base
+}
+
+// tell gossips a record that is not in the store, if there is room. The result is closed once the
+// other VMs have it.
+func (o *origins) tell(now time.Time, id string, s origin.Stream) <-chan struct{} {
 	if len(o.items.All(now, kindStream)) >= maxStreamItems {
-		return
+		return nil
 	}
 	value, err := json.Marshal(s)
 	if err != nil {
 		o.log.WithFields(logrus.Fields{"event": "streamRecord", "stream": id}).WithError(err).Warn("record of a stream cannot be encoded")
+		return nil
+	}
+	item := spread.Item{ID: spread.ID{Kind: kindStream, Key: id}, Version: uint64(now.UnixNano()), Value: value, Expires: now.Add(streamLease)}
+	o.items.Put(now, item)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.untold = append(o.untold, item)
+	if o.told == nil {
+		o.told = make(chan struct{})
+	}
+	return o.told
+}
+
+// pushUntold sends records that are not in the store to all VMs, which may be asked for them at
+// once. The pause between two pushes grows with the number of VMs.
+func (o *origins) pushUntold(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.untold) == 0 || now.Before(o.pushAt) {
 		return
 	}
-	o.items.Put(now, spread.Item{
-		ID: spread.ID{Kind: kindStream, Key: id}, Version: uint64(now.UnixNano()), Value: value, Expires: now.Add(streamLease),
-	})
+	told, answered := o.told, o.push(now, o.untold)
+	go func() {
+		<-answered
+		close(told)
+	}()
+	o.untold, o.told, o.pushAt = nil, nil, now.Add(time.Duration(o.vms())*pushPausePerVM)
 }
 
 // find returns where a stream began that a caller takes up.
@@ -171,6 +215,7 @@
 
 // tick writes records and does what has to be done with the bases.
 func (o *origins) tick(now time.Time) {
+	o.pushUntold(now)
 	if !o.storeUp() {
 		o.outage = true
 		return
@@ -216,7 +261,7 @@
 	defer cancel()
 	found, err := o.store.Get(ctx, basePrefix+string(service))
 	if err != nil {
-		o.logBase(service).WithError(err).Info("the base version of a service was not read, trying again")
+		o.log.WithFields(logrus.Fields{"event": "baseVersion", "service": service}).WithError(err).Info("the base version of a service was not read, trying again")
 		return
 	}
 	o.setBase(service, found)
@@ -228,7 +273,7 @@
 		base, revision = call.Version(found.Entry.Value), int64(found.Entry.ModRevision)
 	}
 	o.registry.SetBase(service, base, revision)
-	o.logBase(service).WithFields(logrus.Fields{"base": base, "revision": revision}).Info("streams without a record began at the base version")
+	o.log.WithFields(logrus.Fields{"event": "baseVersion", "service": service, "base": base, "revision": revision}).Info("streams without a record began at the base version")
 }
 
 // replaceBase replaces the base of a service if no other VM has done so.
@@ -248,19 +293,15 @@
 	result, err := o.store.Transact(ctx, kvs.Txn{Compares: []kvs.Compare{condition}, Then: []kvs.Op{kvs.Put(key, []byte(task.Version), 0)}})
 	switch {
 	case err != nil:
-		o.logBase(service).WithError(err).Info("the base version of a service was not written, trying again")
+		o.log.WithFields(logrus.Fields{"event": "baseVersion", "service": service}).WithError(err).Info("the base version of a service was not written, trying again")
 	case result.Succeeded:
 		o.registry.SetBase(service, task.Version, int64(result.Revision))
-		o.logBase(service).WithFields(logrus.Fields{"base": task.Version, "revision": int64(result.Revision)}).Info("base version of a service was written")
+		o.log.WithFields(logrus.Fields{"event": "baseVersion", "service": service, "base": task.Version, "revision": int64(result.Revision)}).Info("base version of a service was written")
 	default:
 		o.readBase(context.Background(), service)
 	}
 }
 
-func (o *origins) logBase(service call.Model) logrus.FieldLogger {
-	return o.log.WithFields(logrus.Fields{"event": "baseVersion", "service": service})
-}
-
 // writeAgain makes the records of this VM be written again, after the store has lost some, and the
 // bases be read again. It returns the number of records.
 func (o *origins) writeAgain() int {
--- a/io/peer/gossip.go
+++ b/io/peer/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"net/netip"
 	"time"
 
@@ -121,17 +122,24 @@
 const maxPushes = 32
 
 // Push sends the items to all VMs and returns at once. It is for rare items that cannot
-// wait for the next rounds.
-func (g *Gossip) Push(now time.Time, items spread.Items) {
+// wait for the next rounds. The result is closed once all VMs have answered, or do not.
+func (g *Gossip) Push(now time.Time, items spread.Items) <-chan struct{} {
 	message := toProto(items, now)
 	slots := make(chan struct{}, maxPushes)
+	var all sync.WaitGroup
 	for _, p := range g.config.Peers() {
-		go func() {
+		all.Go(func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
 			g.exchange(p, message)
-		}()
+		})
 	}
+	done := make(chan struct{})
+	go func() {
+		all.Wait()
+		close(done)
+	}()
+	return done
 }
 
 func (g *Gossip) exchange(to Peer, items []*peerpb.Item) {
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -89,6 +89,9 @@
 	// StreamOrigin returns the service and the version at which a team's request began a stream
 	// that a caller takes up; the version is empty if any may go on with it. By default any may.
 	StreamOrigin func(ctx context.Context, team call.Team, service call.Model, request string) (origin.Stream, error)
+	// StreamPrefers returns the version at which a stream that may be resumed should begin if one
+	// of its replicas has room; empty if any will do, which is the default.
+	StreamPrefers func(service call.Model) call.Version
 	// MaxRetryAfter is the longest time that a refused caller is told to wait,
 	// MaxBusyRetryAfter the same for a caller refused because replicas are full or refused
 	// the request.
@@ -153,6 +156,9 @@
 			return origin.Stream{Service: service}, nil
 		}
 	}
+	if c.StreamPrefers == nil {
+		c.StreamPrefers = func(call.Model) call.Version { return "" }
+	}
 	if c.RetryShare == nil {
 		c.RetryShare = func() float64 { return defaultRetryShare }
 	}
--- a/io/proxy/origin.go
+++ b/io/proxy/origin.go
@@ -52,6 +52,21 @@
 	return 0, ""
 }
 
+// pickPreferred chooses a replica of the version at which the stream should begin. It returns an
+// error if none is preferred or has room.
+func (p *proxyRequest) pickPreferred(now time.Time) (route.Decision, error) {
+	preferred := call.Version("")
+	if p.resumable() && p.call.Version == "" && !p.takesUp() {
+		preferred = p.s.c.StreamPrefers(p.call.Model)
+	}
+	if preferred == "" {
+		return route.Decision{}, route.ErrNoVersion
+	}
+	c := p.call
+	c.Version = preferred
+	return p.s.c.Router.Pick(now, c, p.tried)
+}
+
 // recordVersion begins to record the version of the replica of an attempt, if a stream may begin
 // there.
 func (p *proxyRequest) recordVersion(d route.Decision) {
--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -115,7 +115,10 @@
 			return d, nil
 		}
 	}
-	d, err := p.s.c.Router.Pick(now, p.call, p.tried)
+	d, err := p.pickPreferred(now)
+	if err != nil {
+		d, err = p.s.c.Router.Pick(now, p.call, p.tried)
+	}
 	if err != nil {
 		d, err = p.pickGivenUp(now, d, err)
 	}
