What replicas say of themselves: Server-Leaving, and Retry-After of a 503

Nothing read either: by the finding a replica whose answers said that it leaves got 29 to 36 requests from 3 to 5 s after the first, and one that refused with Retry-After: 3 got 33 to 35 in its pause, while callers got 503 though others were idle.

Change: both hold for the VM that was told, until the time is over or the replica is listed with a later start. The router passes such replicas over, also as homes of prefixes and when a silent request goes back; where only replicas with a pause are left, callers are refused at once, as by limits. What is not understood is logged once for each replica and ignored.

--- a/core/route/decision.go
+++ b/core/route/decision.go
@@ -21,8 +21,8 @@
 	// ErrNoVersion means that the model has no replica of the call's version.
 	ErrNoVersion = errors.ConstError("no replica of the version for the model")
 	// ErrLimited means that the replicas of the model that are left take no more requests of
-	// this VM now, by limits that they have named.
-	ErrLimited = errors.ConstError("all replicas of the model have named limits that are used up")
+	// this VM now, by limits that they have named or pauses that they have asked for.
+	ErrLimited = errors.ConstError("all replicas of the model have named limits that are used up, or asked for a pause")
 )
 
 // Reason says why a replica was chosen.
@@ -45,8 +45,10 @@
 // Reasons for not choosing a replica. SkipWorse: another candidate has a better
 // score. SkipLimited: the replica has named a limit, of which this VM holds no part or has
 // used its part up. SkipReserved: the replica runs a call that must run alone, or is kept free
-// for one.
+// for one. SkipLeaving: it has said that it leaves. SkipPaused: it has asked for a pause.
 const (
+	SkipLeaving  SkipReason = "leaving"
+	SkipPaused   SkipReason = "paused"
 	SkipExcluded SkipReason = "excluded"
 	SkipEjected  SkipReason = "ejected"
 	SkipFull     SkipReason = "full"
--- a/core/route/home.go
+++ b/core/route/home.go
@@ -44,12 +44,12 @@
 }
 
 // homes returns the two replicas that rank first for the call's longest prefix among
-// those of the lane that are not excluded, ejected, reserved or limited.
+// those of the lane that are not excluded, leaving, paused, ejected, reserved or limited.
 func (r *Router) homes(now time.Time, c call.Call, p *pool, exclude []call.ReplicaID, lane lane) (first, second *state) {
 	prefix := c.Prefixes[len(c.Prefixes)-1]
 	least, next := uint64(math.MaxUint64), uint64(math.MaxUint64)
 	for _, s := range p.all {
-		if slices.Contains(exclude, s.ID) || !s.runs(c) || s.ejected(now) || r.zoneEjected(now, s.Zone) || s.reserved(now) || !lane.has(s) || r.limited(now, s) {
+		if slices.Contains(exclude, s.ID) || !s.runs(c) || s.leaving || s.paused(now) || s.ejected(now) || r.zoneEjected(now, s.Zone) || s.reserved(now) || !lane.has(s) || r.limited(now, s) {
 			continue
 		}
 		switch hash := homeHash(prefix, s.ID); {
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -65,15 +65,15 @@
 		return Decision{}, errors.Annotatef(ErrNoReplica, "Router.PickReplica: %s on %s", c.Model, id)
 	}
 	s, lane := p.all[i], r.laneOf(now, c, p)
-	if !s.runs(c) {
-		return Decision{}, errors.Annotatef(ErrNoReplica, "Router.PickReplica: %s of version %s on %s", c.Model, c.Version, id)
+	if !s.runs(c) || s.leaving {
+		return Decision{}, errors.Annotatef(ErrNoReplica, "Router.PickReplica: %s on %s", c.Model, id)
 	}
 	f := filtered{maxLoad: p.classes.slotShare(now, c)}
 	if lane.long {
 		f.maxLoad *= longMaxLoad
 	}
 	_, _, over := r.overShare(now, p, lane)
-	if over || s.reserved(now) || r.limited(now, s) || r.full(now, s, &f) {
+	if over || s.paused(now) || s.reserved(now) || r.limited(now, s) || r.full(now, s, &f) {
 		return Decision{}, errors.Annotatef(ErrBusy, "Router.PickReplica: %s on %s", c.Model, id)
 	}
 	best := r.candidate(now, s, f.warm)
@@ -176,7 +176,8 @@
 	// count.
 	from call.ReplicaID
 	// full counts the replicas that are unusable only because they are full, reserved or
-	// in another lane, limited those that are only because of the limits that they name.
+	// in another lane, limited those that are only because of the limits that they name or the
+	// pause that they have asked for.
 	full, limited int
 	// mean is the mean load per slot of the usable replicas.
 	mean float64
@@ -210,8 +211,8 @@
 	return r.split(list)
 }
 
-// filter returns those of the replicas that are not excluded, ejected, reserved or
-// full, and whose limits allow a call. If only ejected replicas are left, it returns those.
+// filter returns those of the replicas that are not excluded, ejected, reserved or full, that do
+// not leave, and whose limits and pauses allow a call. If only ejected replicas are left, it returns those.
 func (r *Router) filter(now time.Time, local, remote []*state, exclude []call.ReplicaID, d *Decision, maxLoad float64, from call.ReplicaID) filtered {
 	r.scratch = r.scratch[:0]
 	f := filtered{maxLoad: maxLoad, from: from, hadLocal: len(local) > 0, warm: r.anyWarm(now, local, remote)}
@@ -233,6 +234,11 @@
 		switch {
 		case slices.Contains(exclude, s.ID):
 			d.skip(s.ID, SkipExcluded)
+		case s.leaving:
+			d.skip(s.ID, SkipLeaving)
+		case s.paused(now):
+			f.limited++
+			d.skip(s.ID, SkipPaused)
 		case (s.ejected(now) || r.zoneEjected(now, s.Zone)) && !includeEjected:
 			d.skip(s.ID, SkipEjected)
 		case s.reserved(now):
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -93,6 +93,9 @@
 		s = r.newState(now, s)
 		r.byID[replica.ID] = s
 	}
+	if s.Started.Before(replica.Started) {
+		s.leaving, s.pausedUntil = false, time.Time{}
+	}
 	s.Replica = replica
 	s.Slots = cmp.Or(s.reportedSlots, replica.Slots, r.cfg.Slots)
 	s.listed = true
--- a/core/route/state.go
+++ b/core/route/state.go
@@ -50,8 +50,12 @@
 	lastFailure time.Time
 	successes   int
 	// firstToken is the moving average of the time to the first token, in seconds.
-	firstToken   float64
-	samples      int
+	firstToken float64
+	samples    int
+	// leaving is true once the replica has said that it leaves, pausedUntil is until when it
+	// has asked for no requests.
+	leaving      bool
+	pausedUntil  time.Time
 	ejections    int
 	ejectedUntil time.Time
 	ejectedFor   EjectReason
@@ -143,4 +147,6 @@
 	return s.runsAlone() || s.keptFree(now) || now.Before(s.reservedUntil)
 }
 
+func (s *state) paused(now time.Time) bool { return now.Before(s.pausedUntil) }
+
 func (s *state) ejected(now time.Time) bool { return now.Before(s.ejectedUntil) }
--- a/core/route/types.go
+++ b/core/route/types.go
@@ -18,6 +18,8 @@
 	Slots int
 	// Version is the version of its software; empty if unknown.
 	Version call.Version
+	// Started is when it started, by its own clock; zero if unknown.
+	Started time.Time
 }
 
 // Replicas is the list of all replicas of the fleet.
@@ -25,7 +27,7 @@
 
 func (l Replicas) equal(other Replicas) bool {
 	return slices.EqualFunc(l, other, func(a, b Replica) bool {
-		same := a.ID == b.ID && a.Zone == b.Zone && a.Address == b.Address && a.Slots == b.Slots && a.Version == b.Version
+		same := a.ID == b.ID && a.Zone == b.Zone && a.Address == b.Address && a.Slots == b.Slots && a.Version == b.Version && a.Started.Equal(b.Started)
 		return same && slices.Equal(a.Models, b.Models)
 	})
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -91,6 +91,7 @@
 	loads       *loads
 	clocks      clocks
 	limits      *limits
+	notices     *notices
 	members     *members
 	storeStatus *storeStatus
 	crashes     *crashes
@@ -159,7 +160,7 @@
 	}
 	e.items = spread.New(spread.Config{Self: c.VM, Rand: e.options.rand(randGossip)})
 	e.tables = &tables{parse: e.options.Source.ParseConfig, log: e.log}
-	e.loads = &loads{router: e.router}
+	e.loads, e.notices = &loads{router: e.router}, &notices{router: e.router, log: e.log}
 	e.limits.items, e.limits.changed = e.items, e.router.LimitsChanged
 	e.replicas = &replicas{
 		onList: e.loads.setReplicas, onVersions: func(now time.Time, v map[call.Model]map[call.Version]int) { e.origins.setVersions(now, v) },
@@ -233,7 +234,9 @@
 		Forbids: e.crashes.forbids, HasCrashed: e.crashes.hasCrashed, RunLost: e.crashes.runLost, RunCompleted: e.crashes.runCompleted,
 		StreamBegins: e.origins.begins, StreamOrigin: e.origins.find, StreamPrefers: e.origins.prefers,
 		Answered: func(id call.ReplicaID, sent time.Time, info proxy.ResponseInfo) {
-			e.limits.answered(e.options.Now(), id, sent, info)
+			now := e.options.Now()
+			e.limits.answered(now, id, sent, info)
+			e.notices.answered(now, id, info)
 		},
 		MaxBodyMemory: int64(bodyMemoryFraction * float64(e.options.Config.MemoryBytes)),
 		RetryShare:    func() float64 { return e.config.Load().RetryRatio * budgetFraction },
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -80,6 +80,14 @@
 	gauge("vms", "Entry VMs known, this one included.", func() float64 { return float64(e.members.count()) })
 	gauge("budget_vms", "Entry VMs that the retry budget is divided by.", func() float64 { return float64(e.budgetVMs.Load()) })
 	gauge("ejected_replicas", "Replicas that get no new work for a time.", func() float64 { return float64(len(e.router.Ejected(e.options.Now()))) })
+	gauge("leaving_replicas", "Listed replicas that have said that they leave.", func() float64 {
+		leaving, _ := e.router.Unavailable(e.options.Now())
+		return float64(leaving)
+	})
+	gauge("paused_replicas", "Replicas that have asked for a pause.", func() float64 {
+		_, paused := e.router.Unavailable(e.options.Now())
+		return float64(paused)
+	})
 	gauge("backend_limits", "Backend servers that name a limit for all entry VMs together.", func() float64 {
 		replicas, _ := e.limits.quota.Totals()
 		return float64(replicas)
--- a/io/entry/replicas.go
+++ b/io/entry/replicas.go
@@ -194,7 +194,7 @@
 	list := make(route.Replicas, 0, len(usable))
 	for _, e := range usable {
 		list = append(list, route.Replica{
-			ID: e.ID, Zone: e.Zone, Address: e.Address, Models: []call.Model{e.Service}, Slots: e.Slots, Version: e.Version,
+			ID: e.ID, Zone: e.Zone, Address: e.Address, Models: []call.Model{e.Service}, Slots: e.Slots, Version: e.Version, Started: e.Started,
 		})
 	}
 	r.router.SetReplicas(now, list)
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -149,8 +149,13 @@
 	if respInfo.Load != nil {
 		p.s.c.Router.Report(p.s.c.Now(), e.replica, *respInfo.Load)
 	}
-	if respInfo.ID == p.info.ID && x.Status != http.StatusMisdirectedRequest {
+	switch {
+	case x.Status == http.StatusMisdirectedRequest:
+	case respInfo.ID == p.info.ID:
 		p.s.c.Answered(e.replica, e.started, respInfo)
+	case respInfo.ID == "":
+		// A refusal, perhaps of an earlier request: what the replica says of itself holds.
+		p.s.c.Answered(e.replica, e.started, ResponseInfo{Leaving: respInfo.Leaving, RetryAfter: respInfo.RetryAfter, InvalidNotices: respInfo.InvalidNotices})
 	}
 	err := p.checkResponse(x, respInfo)
 	if err == nil && respInfo.ID == "" {
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -79,8 +79,8 @@
 	RunLost      func(LostRun)
 	RunCompleted func(request poison.Fingerprint, parts []poison.Fingerprint)
 	// Answered is called with the header of each response that belongs to its request and is of
-	// the replica; sent is when the request was sent to it. It must return at once. It may be
-	// nil.
+	// the replica, and with what a response without an id says of the replica itself; sent is
+	// when the request was sent to it. It must return at once. It may be nil.
 	Answered func(replica call.ReplicaID, sent time.Time, info ResponseInfo)
 	// StreamBegins is called before an attempt at which a stream may begin that may be resumed.
 	// The result is closed once the version is known to all VMs, and nil if there is nothing to
--- a/io/proxy/header.go
+++ b/io/proxy/header.go
@@ -65,6 +65,12 @@
 	// at least 0.
 	Limit        *float64
 	InvalidLimit string
+	// Leaving is true if the backend server says that it leaves; RetryAfter is for how long it
+	// wants no requests of this VM, if it refuses one; zero if it does not say. InvalidNotices
+	// are the fields, with their values, that say so in a way that is not understood.
+	Leaving        bool
+	RetryAfter     time.Duration
+	InvalidNotices []string
 	// Encoded is true if the body has a content encoding.
 	Encoded bool
 }
