--- a/io/peer/gossip.go
+++ b/io/peer/gossip.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"sync"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
