--- a/io/proxy/takeover_test.go
+++ b/io/proxy/takeover_test.go
@@ -164,3 +164,29 @@
 		})
 	}
 }
+
+// A stream whose first events are about to be forwarded goes on at no other version: a place taken
+// at one before ends the attempt, and none is taken afterwards.
+func TestTakeoverKeepsTheVersion(t *testing.T) {
+	p := newSilentRequest(t, 3, 1, route.Config{})
+	var list route.Replicas
+	for i, version := range []call.Version{"v1", "v2", "v1"} {
+		list = append(list, route.Replica{
+			ID: call.ReplicaID(fmt.Sprintf("r%d", i)), Zone: "sala", Slots: 1, Models: []call.Model{"m"}, Version: version,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 80),
+		})
+	}
+	p.s.c.Router.SetReplicas(time.Now(), list)
+	p.tried = []call.ReplicaID{"r2"}
+	early := p.newTakeover("r0")
+	assert.Assert(t, early.take())
+	assert.Equal(t, early.decision.Replica.Version, call.Version("v2"))
+	assert.Assert(t, !early.begin("v1"))
+	early.release()
+
+	late := p.newTakeover("r0")
+	assert.Assert(t, late.begin("v1"))
+	assert.Assert(t, late.take())
+	assert.Equal(t, late.decision.Replica.ID, call.ReplicaID("r2"))
+	assert.Assert(t, late.begin("v1"))
+}
