core/origin: a base that left and came back is read again before a take-up relies on it

Read in review. A VM whose base had had no replica for a while took streams without a record to be of that base as soon as it was listed again, before its next read of the base in the store, which another VM may have replaced meanwhile. Base now tells whether it is in force; find reads it if not. Records that are dropped because too many wait count as not written.

No test shows the window itself.

--- a/core/origin/doc.go
+++ b/core/origin/doc.go
@@ -20,8 +20,8 @@
 //	}
 //	if r.NeedsRecord("drafts", version) { ... } // write a record before the first event
 //	r.Began(now, id, origin.Stream{Service: "drafts", Version: version}, timeout)
-//	stream, known := r.Lookup(now, id)          // began at this VM, or read from the store
-//	version, known := r.Sole(now, "drafts", false)     // no other version for as long as streams last
+//	stream, known := r.Lookup(now, id)             // began at this VM, or read from the store
+//	version, known := r.Sole(now, "drafts", false) // no other version for as long as streams last
 //
 // A Registry is safe for concurrent use. It has no I/O.
 package origin
--- a/core/origin/registry.go
+++ b/core/origin/registry.go
@@ -71,13 +71,13 @@
 	return r.service(name).task(now, r.keep)
 }
 
-// Base returns the base of a service as last read from the store, and whether it is known. It
-// may have been replaced since if it has no replica.
-func (r *Registry) Base(name call.Model) (base call.Version, known, hasReplicas bool) {
+// Base returns the base of a service as last read from the store, and whether it is known and
+// certainly in force. If it is not, it has had no replica since and may have been replaced.
+func (r *Registry) Base(name call.Model) (base call.Version, known, inForce bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.service(name)
-	return s.base, s.read && s.base != "", s.listed[s.base] > 0
+	return s.base, s.read && s.base != "", s.inForce
 }
 
 // NeedsRecord reports whether a stream that begins at a version needs a record in the store.
--- a/core/origin/registry_test.go
+++ b/core/origin/registry_test.go
@@ -161,8 +161,8 @@
 	if version, ok := f.records[id]; ok {
 		return version
 	}
-	base, known, hasReplicas := vm.Base(drafts)
-	if !known || !hasReplicas {
+	base, known, inForce := vm.Base(drafts)
+	if !known || !inForce {
 		vm.SetBase(drafts, f.base, f.revision)
 		base, _, _ = vm.Base(drafts)
 	}
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -212,7 +212,8 @@
 }
 
 // filter returns those of the replicas that are not excluded, ejected, reserved or full, that do
-// not leave, and whose limits and pauses allow a call. If only ejected replicas are left, it returns those.
+// not leave, and whose limits and pauses allow a call. If only ejected replicas are left, it
+// returns those.
 func (r *Router) filter(now time.Time, local, remote []*state, exclude []call.ReplicaID, d *Decision, maxLoad float64, from call.ReplicaID) filtered {
 	r.scratch = r.scratch[:0]
 	f := filtered{maxLoad: maxLoad, from: from, hadLocal: len(local) > 0, warm: r.anyWarm(now, local, remote)}
--- a/io/entry/origin_writer.go
+++ b/io/entry/origin_writer.go
@@ -66,6 +66,7 @@
 	record := &originRecord{stream: s, done: make(chan struct{})}
 	if _, waits := w.unwritten[id]; !waits {
 		if len(w.unwritten) >= maxUnwritten {
+			w.observe(false, 1)
 			return nil
 		}
 		w.order = append(w.order, id)
--- a/io/entry/origins.go
+++ b/io/entry/origins.go
@@ -111,8 +111,8 @@
 	if o.storeUp() {
 		return ""
 	}
-	base, known, hasReplicas := o.registry.Base(service)
-	if !known || !hasReplicas || o.registry.NeedsRecord(service, base) {
+	base, known, inForce := o.registry.Base(service)
+	if !known || !inForce {
 		return ""
 	}
 	return base
@@ -189,8 +189,8 @@
 		}
 		return s, err
 	}
-	base, known, hasReplicas := o.registry.Base(service)
-	if !known || !hasReplicas {
+	base, known, inForce := o.registry.Base(service)
+	if !known || !inForce {
 		o.readBase(ctx, service)
 		base, known, _ = o.registry.Base(service)
 	}
