Streams are recorded when their answer begins, not when their request is sent

Cause, by the VMs' logs: the request was first sent to a replica of v2 that refused the connection, and its record written; the store then wrote late, so that the record of v1, where the stream began 17 ms later, was not there when its caller took it up. The class: a fact was recorded before it was one.

Change: the record is written with the header of the answer.

--- a/io/entry/origin_writer.go
+++ b/io/entry/origin_writer.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// originWriteInterval is how often records of streams are written, which is shorter than
-	// most streams take to their first event.
+	// originWriteInterval is how often records of streams are written; the first event of a
+	// stream waits for that.
 	originWriteInterval = 50 * time.Millisecond
 	// originWriteTimeout limits one write, originWriteBackoff is the wait after a failed one.
 	originWriteTimeout = 500 * time.Millisecond
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -74,7 +74,6 @@
 	target := back.Target{ID: d.Replica.ID, Address: d.Replica.Address}
 	e := attemptResult{replica: d.Replica.ID, version: d.Replica.Version, target: target, started: p.s.c.Now()}
 	p.takeover = p.newTakeover(d.Replica.ID)
-	p.recordVersion(d)
 	x, result, err := p.s.c.Open(ctx, target, p.attemptRequest(d.Replica.ID))
 	if err == nil {
 		result, err = p.receive(x, &e)
@@ -164,6 +163,7 @@
 	switch {
 	case err != nil:
 	case x.Status < http.StatusMultipleChoices && p.route.Kind == table.KindStream:
+		p.recordVersion(e.version)
 		err = p.forwardStream(x, e)
 	default:
 		err = p.readResponse(x, e, respInfo)
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -82,7 +82,8 @@
 	// the replica, and with what a response without an id says of the replica itself; sent is
 	// when the request was sent to it. It must return at once. It may be nil.
 	Answered func(replica call.ReplicaID, sent time.Time, info ResponseInfo)
-	// StreamBegins is called before an attempt at which a stream may begin that may be resumed.
+	// StreamBegins is called with the header of the answer with which a stream begins that may be
+	// resumed, before any event is forwarded.
 	// The result is closed once the version is known to all VMs, and nil if there is nothing to
 	// wait for. By default there is not.
 	StreamBegins func(StreamStart) <-chan struct{}
--- a/io/proxy/origin.go
+++ b/io/proxy/origin.go
@@ -67,13 +67,14 @@
 	return p.s.c.Router.Pick(now, c, p.tried)
 }
 
-// recordVersion begins to record the version of the replica of an attempt, if a stream may begin
-// there.
-func (p *proxyRequest) recordVersion(d route.Decision) {
+// recordVersion begins to record the version of a replica that answers with a stream, if the
+// stream begins there. An attempt that fails before leaves no record of a version at which
+// nothing has begun.
+func (p *proxyRequest) recordVersion(version call.Version) {
 	p.recorded = nil
 	if p.resumable() && p.call.Version == "" && !p.takesUp() {
 		p.recorded = p.s.c.StreamBegins(StreamStart{
-			Team: p.call.Team, Request: p.info.ID, Service: p.call.Model, Version: d.Replica.Version, Timeout: cmp.Or(p.info.Timeout, defaultTimeout),
+			Team: p.call.Team, Request: p.info.ID, Service: p.call.Model, Version: version, Timeout: cmp.Or(p.info.Timeout, defaultTimeout),
 		})
 	}
 }
