io/proxy: a request goes on after a refusal without an id on a kept connection, as before

Callers would have got 502 for requests that other replicas were to complete.

Change: the refusal counts as not run for the next attempt, and as perhaps run for the final answer, which is 502 or 504 in place of 503.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -158,7 +158,7 @@
 	}
 	err := p.checkResponse(x, respInfo)
 	if err == nil && respInfo.ID == "" {
-		err = p.checkUnclaimed(x)
+		err = p.checkUnclaimed(x, e)
 	}
 	switch {
 	case err != nil:
@@ -194,12 +194,16 @@
 
 // checkUnclaimed checks a refusal without an id. On a connection that has carried an
 // earlier request it may be a late response to that one, and the response to this one may
-// follow: the connection must not be used again, and this request may be running. Only requests
-// that may be repeated use such connections.
-func (p *proxyRequest) checkUnclaimed(x *back.Exchange) error {
+// follow: the connection must not be used again. Only requests that may be repeated use such
+// connections; they go on as after any other refusal, but may be running.
+func (p *proxyRequest) checkUnclaimed(x *back.Exchange, e *attemptResult) error {
 	if !x.Reused {
 		return nil
 	}
+	p.unclaimed = true
+	if p.route.Repeatable() {
+		e.cause = retry.CauseBusy
+	}
 	return errors.Annotatef(errUnclaimed, "status %d", x.Status)
 }
 
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -41,6 +41,8 @@
 	// sends counts the attempts, possibleRuns those in which a replica may have run the
 	// request.
 	sends, possibleRuns int
+	// unclaimed is true after a refusal that may not have been of this request.
+	unclaimed bool
 	// tried holds the replicas that failed or refused the request, silent those of them
 	// that were given up because they were silent.
 	tried, silent []call.ReplicaID
--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -252,13 +252,16 @@
 
 // failWithoutReplica ends a request for which no replica was found.
 func (p *proxyRequest) failWithoutReplica(ctx context.Context, status int, reason Reason) {
-	if p.possibleRuns > 0 {
+	if p.mayHaveRun() {
 		p.fail(ctx)
 		return
 	}
 	p.refuse(status, reason)
 }
 
+// mayHaveRun reports whether a replica may have run the request.
+func (p *proxyRequest) mayHaveRun() bool { return p.possibleRuns > 0 || p.unclaimed }
+
 // fail ends a request after its last attempt.
 func (p *proxyRequest) fail(ctx context.Context) {
 	e := &p.lastAttempt
@@ -267,7 +270,7 @@
 		p.abort(p.abortReason(ctx))
 	case p.callerGone():
 		p.refuse(http.StatusBadGateway, ReasonCallerGone)
-	case p.possibleRuns == 0:
+	case !p.mayHaveRun():
 		p.refuse(http.StatusServiceUnavailable, p.notRunReason(ctx))
 	case e.replicaFailure != nil && ctx.Err() == nil:
 		p.writeReplicaFailure(e)
@@ -304,7 +307,7 @@
 // timeoutStatus returns the status of a request whose time is over while it waits for
 // a replica: 503 says that it has not run, 504 that it may have run.
 func (p *proxyRequest) timeoutStatus() int {
-	if p.possibleRuns > 0 {
+	if p.mayHaveRun() {
 		return http.StatusGatewayTimeout
 	}
 	return http.StatusServiceUnavailable
