A VM out of step joins no versions of streams

Cause: a missing record was read as proof of the base version, while a stream could begin without one. A VM that was cut off began streams at any version 250 ms after it had sent the record, and a VM whose list of replicas was old took all streams for those of the one version it knew, without asking the store.

Change: both halves give way. A stream begins beside the base only once its record is in the store or at every VM that may be asked; a VM that cannot bring that about begins streams at the base, sends those that have no event yet there, and else refuses them (versionUnrecorded). A take-up without a record in memory or gossip always asks the store; without the store it goes on only if all other VMs have said that they cannot read it either. A VM that has stood still reads the bases again, and Gossip.Push tells how many VMs have answered.

--- a/core/origin/doc.go
+++ b/core/origin/doc.go
@@ -10,6 +10,11 @@
 // taken up after it has broken: no stream that began there is left then. A VM that cannot tell
 // whether its base is in force treats none as such, and records all streams.
 //
+// A VM that is out of step with the others breaks neither half: it begins no stream at another
+// version whose record has reached neither the store nor all other VMs (BeginsUnrecorded), and takes a
+// missing record for the base only by the store's answer, or if no VM can read the store
+// (WithoutRecord).
+//
 // # Usage
 //
 //	r := origin.New(origin.Config{})
@@ -21,7 +26,7 @@
 //	if r.NeedsRecord("drafts", version) { ... } // write a record before the first event
 //	r.Began(now, id, origin.Stream{Service: "drafts", Version: version}, timeout)
 //	stream, known := r.Lookup(now, id)             // began at this VM, or read from the store
-//	version, known := r.Sole(now, "drafts", false) // no other version for as long as streams last
+//	version, known := r.WithoutRecord(now, "drafts", origin.EvidenceStore) // the store has no record
 //
 // A Registry is safe for concurrent use. It has no I/O.
 package origin
--- a/core/origin/registry.go
+++ b/core/origin/registry.go
@@ -55,12 +55,13 @@
 	s.inForce = base != "" && s.listed[base] > 0
 }
 
-// Reread makes the bases of all services be read again, as the store may have lost some.
-func (r *Registry) Reread() {
+// Reread makes the bases of all services be read again, as the store may have lost some, or this
+// VM has been out of touch. Versions may have come and gone meanwhile.
+func (r *Registry) Reread(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, s := range r.services {
-		s.read, s.revision, s.inForce = false, 0, false
+		s.read, s.revision, s.inForce, s.since = false, 0, false, now
 	}
 }
 
@@ -88,27 +89,53 @@
 	return version != "" && !(s.inForce && s.base == version)
 }
 
-// Sole returns the base of a service if no other version has been listed for as long as streams
-// may be taken up. With recent, this VM need not have known the list for so long, and if there is
-// no base yet the only version that it has seen will do: that is for streams that cannot be told
-// apart, and for those without a record where all have one.
-func (r *Registry) Sole(now time.Time, name call.Model, recent bool) (call.Version, bool) {
+// Sole returns the only version of a service that has been listed since this VM knows the list, or
+// for as long as streams may be taken up; that is for streams that cannot be told apart.
+func (r *Registry) Sole(now time.Time, name call.Model) (call.Version, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.service(name)
-	sole := s.base
-	if recent && sole == "" {
-		sole = s.most()
-	}
-	if sole == "" || !recent && (!s.inForce || now.Sub(s.since) < r.keep) || s.listed[sole] == 0 {
-		return "", false
+	sole := s.most()
+	return sole, sole != "" && s.only(now, sole, r.keep)
+}
+
+// settledKeeps is how long, in multiples of the time for which streams may be taken up, a version is
+// the only one before a VM that is out of touch takes it that the others have made it the base. A
+// longer outage of the store may have kept them from it.
+const settledKeeps = 3
+
+// BeginsUnrecorded reports whether a stream may begin at a version although its record has reached
+// neither the store nor the other VMs: at the base, and at the only version that has been listed
+// for so long that the base was replaced by it.
+func (r *Registry) BeginsUnrecorded(now time.Time, name call.Model, version call.Version) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(name)
+	if version == "" || s.inForce && s.base == version {
+		return true
 	}
-	for version := range s.lastListed {
-		if version != sole && s.mayBe(now, version, r.keep) {
-			return "", false
-		}
+	settled := settledKeeps * r.keep
+	return s.listed[version] > 0 && now.Sub(s.since) >= settled && s.only(now, version, settled)
+}
+
+// WithoutRecord returns the version at which a stream began of which this VM has found no record,
+// by the store's answer or by what it knows of the other VMs. It returns false if that does not
+// show where the stream began.
+func (r *Registry) WithoutRecord(now time.Time, name call.Model, e Evidence) (call.Version, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(name)
+	switch {
+	case e == EvidenceStore && s.read && s.base != "":
+		return s.base, true
+	case e == EvidenceStore:
+		only := s.most()
+		return only, only != "" && s.only(now, only, r.keep)
+	case e == EvidenceOutage:
+		known := s.inForce && now.Sub(s.since) >= r.keep && s.only(now, s.base, r.keep)
+		return s.base, known
 	}
-	return sole, true
+	return "", false
 }
 
 // Began records where a stream began or, read from the store, has begun. Its caller may take it
--- a/core/origin/service.go
+++ b/core/origin/service.go
@@ -10,7 +10,7 @@
 // service is what is known of a service's versions.
 type service struct {
 	// listed holds the number of replicas of each version that has any, lastListed when each
-	// version had some last, since when the list is known.
+	// version had some last, since when the list has been known without a gap.
 	listed     map[call.Version]int
 	lastListed map[call.Version]time.Time
 	since      time.Time
@@ -41,6 +41,16 @@
 	return s.listed[version] > 0 || !s.lastListed[version].IsZero() && now.Sub(s.lastListed[version]) < keep
 }
 
+// only reports whether no other version has been listed within keep.
+func (s *service) only(now time.Time, version call.Version, keep time.Duration) bool {
+	for other := range s.lastListed {
+		if other != version && s.mayBe(now, other, keep) {
+			return false
+		}
+	}
+	return true
+}
+
 // most returns the version with the most replicas, of several the first by name.
 func (s *service) most() call.Version {
 	var out call.Version
--- a/io/entry/budget.go
+++ b/io/entry/budget.go
@@ -96,6 +96,13 @@
 	return max(assumedVMs, f.peak)
 }
 
+// known returns the number of VMs that there may be, this one included, as of the last update.
+func (f *fleetSize) known() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(1, f.peak)
+}
+
 // RouteConfig returns the part of the router's configuration that is the same on all
 // entry VMs. The simulation of whole fleets uses it too.
 func RouteConfig() route.Config {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -15,6 +15,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -210,9 +211,10 @@
 }
 
 func (e *Entry) newOrigins() *origins {
-	o := &origins{
+	return &origins{
 		registry: origin.New(origin.Config{Keep: e.options.Config.StreamKeep}), store: e.options.Source.Store, storeUp: e.storeStatus.up, items: e.items,
-		push:     func(now time.Time, items spread.Items) <-chan struct{} { return e.gossip.Push(now, items) },
+		push:   func(now time.Time, items spread.Items) <-chan peer.PushResult { return e.gossip.Push(now, items) },
+		outage: e.isOutage, fleet: e.possibleVMs, untold: map[string]*originRecord{},
 		services: func() map[call.Model]bool { return e.tables.Current().Resumed() }, vms: e.members.count, random: e.random,
 		now: e.options.Now, log: e.log, bases: map[call.Model]time.Time{},
 		writer: &originWriter{
@@ -220,8 +222,6 @@
 			observe: func(written bool, records int) { e.metrics.observeStreamRecords(written, records) },
 		},
 	}
-	o.writer.failed = o.tellUnwritten
-	return o
 }
 
 func (e *Entry) proxyConfig() proxy.Config {
@@ -232,7 +232,7 @@
 		Stopping: func() bool { return !e.drain.Ready() }, Ended: e.requests,
 		Random: e.random, Now: e.options.Now, Log: e.log, Observe: e.metrics.observe,
 		Forbids: e.crashes.forbids, HasCrashed: e.crashes.hasCrashed, RunLost: e.crashes.runLost, RunCompleted: e.crashes.runCompleted,
-		StreamBegins: e.origins.begins, StreamOrigin: e.origins.find, StreamPrefers: e.origins.prefers,
+		StreamBegins: e.origins.begins, StreamMayBegin: e.origins.mayBegin, StreamOrigin: e.origins.find, StreamPrefers: e.origins.prefers,
 		Answered: func(id call.ReplicaID, sent time.Time, info proxy.ResponseInfo) {
 			now := e.options.Now()
 			e.limits.answered(now, id, sent, info)
@@ -266,6 +266,27 @@
 // StoreUp reports whether the last reads of the platform's store succeeded.
 func (e *Entry) StoreUp() bool { return e.storeStatus.up() }
 
+// possibleVMs returns the number of VMs that there may be, this one and those out of touch included.
+func (e *Entry) possibleVMs() int {
+	if e.hasOtherSeeds() {
+		return max(2, e.fleetSize.known())
+	}
+	return e.fleetSize.known()
+}
+
+// isOutage reports whether the store is down for all VMs, as far as they have said: each has announced
+// that it cannot read the store, and one of them has answered within isolatedAfter.
+func (e *Entry) isOutage(now time.Time) bool {
+	if e.storeStatus.up() {
+		return false
+	}
+	others := e.members.others()
+	if len(others) == 0 {
+		return e.possibleVMs() == 1
+	}
+	return e.members.contactedWithin(now, isolatedAfter) && !slices.ContainsFunc(others, func(m member) bool { return !m.storeLost })
+}
+
 // tableIsCurrent reports whether the routing table is known to be the newest: the store
 // can be read, or a peer has answered recently.
 func (e *Entry) tableIsCurrent() bool {
--- a/io/entry/origin_writer.go
+++ b/io/entry/origin_writer.go
@@ -20,6 +20,10 @@
 	// originWriteTimeout limits one write, originWriteBackoff is the wait after a failed one.
 	originWriteTimeout = 500 * time.Millisecond
 	originWriteBackoff = 200 * time.Millisecond
+	// originWriteLate is the age from which a record that the store has not taken is told the
+	// other VMs, originTellInterval how often that is tried.
+	originWriteLate    = 100 * time.Millisecond
+	originTellInterval = time.Second
 	// maxOriginWrites is the number of records of one transaction, by the platform's limit.
 	maxOriginWrites = 32
 	// maxUnwritten limits the records that wait for the store.
@@ -38,8 +42,6 @@
 	log   logrus.FieldLogger
 	// observe is called with the number of records written, or not written, by a transaction.
 	observe func(written bool, records int)
-	// failed is called with records that the store has not taken.
-	failed func(map[string]origin.Stream)
 
 	mu sync.Mutex
 	// unwritten holds the records to write, in the order of ids; beingWritten those of the
@@ -53,26 +55,21 @@
 	leaseAt      time.Time
 }
 
-// originRecord is a record to write; done is closed once it is in the store.
-type originRecord struct {
-	stream origin.Stream
-	done   chan struct{}
-}
-
-// add adds a record to write. Beyond maxUnwritten it is dropped, and nobody waits for it.
+// add adds a record to write and returns what is closed once it is known. Beyond maxUnwritten it is
+// dropped and never known.
 func (w *originWriter) add(id string, s origin.Stream) <-chan struct{} {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	record := &originRecord{stream: s, done: make(chan struct{})}
+	record := newOriginRecord(s, w.now())
 	if _, waits := w.unwritten[id]; !waits {
 		if len(w.unwritten) >= maxUnwritten {
 			w.observe(false, 1)
-			return nil
+			return record.known
 		}
 		w.order = append(w.order, id)
 	}
 	w.unwritten[id] = record
-	return record.done
+	return record.known
 }
 
 // pending returns what add has returned for a record that is not written yet, else nil.
@@ -81,12 +78,45 @@
 	defer w.mu.Unlock()
 	for _, records := range []map[string]*originRecord{w.unwritten, w.beingWritten} {
 		if record := records[id]; record != nil {
-			return record.done
+			return record.known
 		}
 	}
 	return nil
 }
 
+// isLate reports whether a record waits that the store should have taken by now.
+func (w *originWriter) isLate() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.now()
+	if now.Before(w.retryAt) || len(w.order) > 0 && now.Sub(w.unwritten[w.order[0]].added) >= originWriteLate {
+		return true
+	}
+	for _, record := range w.beingWritten {
+		if now.Sub(record.added) >= originWriteLate {
+			return true
+		}
+	}
+	return false
+}
+
+// takeLate returns the records to tell the other VMs: those that are late, or all, and have not been
+// returned within originTellInterval.
+func (w *originWriter) takeLate(now time.Time, all bool) map[string]*originRecord {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := map[string]*originRecord{}
+	for _, records := range []map[string]*originRecord{w.unwritten, w.beingWritten} {
+		for id, record := range records {
+			if !all && now.Sub(record.added) < originWriteLate || record.isKnown() || now.Sub(record.toldAt) < originTellInterval {
+				continue
+			}
+			record.toldAt, out[id] = now, record
+		}
+	}
+	return out
+}
+
 // reset forgets the lease, which the store may have lost.
 func (w *originWriter) reset() {
 	w.mu.Lock()
@@ -141,7 +171,7 @@
 	defer w.mu.Unlock()
 	w.observe(true, len(w.beingWritten))
 	for _, record := range w.beingWritten {
-		close(record.done)
+		record.setKnown()
 	}
 	w.beingWritten = nil
 	return true
@@ -149,14 +179,11 @@
 
 // retryLater puts the batch back after a failed write.
 func (w *originWriter) retryLater(err error) {
-	streams := map[string]origin.Stream{}
-	defer func() { w.failed(streams) }()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.observe(false, len(w.beingWritten))
 	w.log.WithFields(logrus.Fields{"event": "streamWrite", "records": len(w.beingWritten)}).WithError(err).Info("records of streams were not written to the store, trying again")
 	for id, record := range w.beingWritten {
-		streams[id] = record.stream
 		if _, newer := w.unwritten[id]; !newer && len(w.unwritten) < maxUnwritten {
 			w.unwritten[id] = record
 			w.order = append(w.order, id)
--- a/io/entry/origins.go
+++ b/io/entry/origins.go
@@ -15,6 +15,7 @@
 	"gentianwell/core/origin"
 	"gentianwell/core/spread"
 	"gentianwell/io/kvs"
+	"gentianwell/io/peer"
 	"gentianwell/io/proxy"
 )
 
@@ -35,6 +36,8 @@
 	basePausePerVM = 20 * time.Millisecond
 	// pushPausePerVM is, times the number of VMs, the pause between two pushes of records.
 	pushPausePerVM = 10 * time.Millisecond
+	// maxTickPause is the longest pause between two ticks of a VM that has not stood still.
+	maxTickPause = 2 * time.Second
 	// maxStreamItems limits the gossip items for streams.
 	maxStreamItems = 512
 )
@@ -50,11 +53,15 @@
 	store    kvs.Service
 	storeUp  func() bool
 	items    *spread.Store
-	// push sends items to all VMs.
-	push func(time.Time, spread.Items) <-chan struct{}
+	// push sends items to all known VMs; see peer.Gossip.Push.
+	push func(time.Time, spread.Items) <-chan peer.PushResult
+	// outage reports whether the store is down for all VMs, as far as they say.
+	outage func(time.Time) bool
 	// services returns the services of routes whose streams callers may take up.
 	services func() map[call.Model]bool
 	vms      func() int
+	// fleet returns the number of VMs that there may be, those out of touch included.
+	fleet func() int
 	// random returns a random number in [0, 1).
 	random func() float64
 	now    func() time.Time
@@ -63,15 +70,17 @@
 	mu sync.Mutex
 	// bases holds when the base of a service may be read or written next.
 	bases map[call.Model]time.Time
-	// untold holds the records to push, which may begin again at pushAt.
-	// told is closed once the other VMs have them.
-	untold spread.Items
-	told   chan struct{}
+	// untold holds the records to push, by stream; the next push may begin at pushAt.
+	untold map[string]*originRecord
 	pushAt time.Time
+	// alone is until when records are taken not to reach all VMs, after a push that did not.
+	alone time.Time
 	// listed holds the versions as last set.
 	listed map[call.Model]map[call.Version]int
-	// outage is true while the store is down; only tick uses it.
-	outage bool
+	// storeLost is true while the store is down, tickedAt is when tick was last called; only
+	// tick uses them.
+	storeLost bool
+	tickedAt  time.Time
 }
 
 // streamID returns the key of a stream, which began with a request of a team: what callers choose
@@ -81,8 +90,8 @@
 	return hex.EncodeToString(sum[:16])
 }
 
-// begins records at which version a stream is about to begin. The result is closed once the
-// record is in the store; it is nil if there is nothing to wait for.
+// begins records at which version a stream is about to begin. The result is closed once every VM
+// can find the record, in the store or by gossip; it is nil if there is nothing to wait for.
 func (o *origins) begins(s proxy.StreamStart) <-chan struct{} {
 	if s.Version == "" {
 		return nil
@@ -98,46 +107,57 @@
 	if !known && !o.registry.NeedsRecord(s.Service, s.Version) {
 		return nil
 	}
-	done := o.writer.add(id, stream)
-	if !o.storeUp() {
-		return o.tell(now, id, stream)
-	}
-	return done
+	return o.writer.add(id, stream)
+}
+
+// mayBegin reports whether a stream may begin although its record has not become known in time.
+func (o *origins) mayBegin(service call.Model, version call.Version) bool {
+	return o.registry.BeginsUnrecorded(o.now(), service, version)
 }
 
 // prefers returns the version at which streams of a service should begin while this VM cannot
-// record another one; empty if any may be chosen.
-func (o *origins) prefers(service call.Model) call.Version {
-	if o.storeUp() {
-		return ""
+// record another one at once; empty if any may be chosen. With only, they must not begin at another
+// one, because neither the store nor all other VMs have heard of the latest records.
+func (o *origins) prefers(service call.Model) (preferred call.Version, only bool) {
+	if o.storeUp() && !o.writer.isLate() {
+		return "", false
 	}
+	now := o.now()
 	base, known, inForce := o.registry.Base(service)
-	if !known || !inForce {
-		return ""
+	only = o.isAlone(now)
+	if !inForce && (!known || !only || o.beginsAtSole(now, service)) {
+		return "", false
 	}
-	return base
+	return base, only
+}
+
+// isAlone reports whether the last records have not reached all VMs.
+func (o *origins) isAlone(now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return now.Before(o.alone)
+}
+
+// beginsAtSole reports whether streams may begin unrecorded at the only version listed.
+func (o *origins) beginsAtSole(now time.Time, service call.Model) bool {
+	sole, known := o.registry.Sole(now, service)
+	return known && o.registry.BeginsUnrecorded(now, service, sole)
 }
 
-// tell gossips a record that is not in the store, if there is room. The result is closed once the
-// other VMs have it.
-func (o *origins) tell(now time.Time, id string, s origin.Stream) <-chan struct{} {
+// tell gossips a record that the store has not taken, if there is room.
+func (o *origins) tell(now time.Time, id string, record *originRecord) {
 	if len(o.items.All(now, kindStream)) >= maxStreamItems {
-		return nil
+		return
 	}
-	value, err := json.Marshal(s)
+	value, err := json.Marshal(record.stream)
 	if err != nil {
 		o.log.WithFields(logrus.Fields{"event": "streamRecord", "stream": id}).WithError(err).Warn("record of a stream cannot be encoded")
-		return nil
+		return
 	}
-	item := spread.Item{ID: spread.ID{Kind: kindStream, Key: id}, Version: uint64(now.UnixNano()), Value: value, Expires: now.Add(streamLease)}
-	o.items.Put(now, item)
+	o.items.Put(now, spread.Item{ID: spread.ID{Kind: kindStream, Key: id}, Version: uint64(now.UnixNano()), Value: value, Expires: now.Add(streamLease)})
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.untold = append(o.untold, item)
-	if o.told == nil {
-		o.told = make(chan struct{})
-	}
-	return o.told
+	o.untold[id] = record
 }
 
 // pushUntold sends records that are not in the store to all VMs, which may be asked for them at
@@ -148,15 +168,43 @@
 	if len(o.untold) == 0 || now.Before(o.pushAt) {
 		return
 	}
-	told, answered := o.told, o.push(now, o.untold)
-	go func() {
-		<-answered
-		close(told)
-	}()
-	o.untold, o.told, o.pushAt = nil, nil, now.Add(time.Duration(o.vms())*pushPausePerVM)
+	records := o.untold
+	var items spread.Items
+	for id := range records {
+		if item, ok := o.items.Get(now, spread.ID{Kind: kindStream, Key: id}); ok {
+			items = append(items, item)
+		}
+	}
+	pushed := o.push(now, items)
+	go func() { o.afterPush(<-pushed, records) }()
+	o.untold, o.pushAt = map[string]*originRecord{}, now.Add(time.Duration(o.vms())*pushPausePerVM)
+}
+
+// afterPush notes which records all VMs have now.
+func (o *origins) afterPush(r peer.PushResult, records map[string]*originRecord) {
+	reached := o.reachesAll(r)
+	o.mu.Lock()
+	o.alone = time.Time{}
+	if !reached {
+		o.alone = o.now().Add(2 * originTellInterval)
+	}
+	o.mu.Unlock()
+	if !reached {
+		return
+	}
+	for _, record := range records {
+		record.setKnown()
+	}
 }
 
-// find returns where a stream began that a caller takes up.
+// reachesAll reports whether a push has reached all VMs that may be asked for a stream. The list
+// of VMs shrinks while this one is cut off, so it has to hold most of those that there may be.
+func (o *origins) reachesAll(r peer.PushResult) bool {
+	return r.Answered == r.Sent && 2*(r.Answered+1) > o.fleet()
+}
+
+// find returns where a stream began that a caller takes up. What this VM knows of the versions may
+// be old, so that a stream without a record is judged by the store's answer of this moment.
 //
 // Errors: errOriginUnknown.
 func (o *origins) find(ctx context.Context, team call.Team, service call.Model, request string) (origin.Stream, error) {
@@ -167,17 +215,14 @@
 	if item, ok := o.items.Get(now, spread.ID{Kind: kindStream, Key: id}); ok {
 		return parseStream(item.Value)
 	}
-	if version, ok := o.registry.Sole(now, service, request == ""); ok {
-		return origin.Stream{Service: service, Version: version}, nil
-	}
-	if request == "" {
-		return origin.Stream{}, errors.Annotate(errOriginUnknown, "origins.find: the caller does not say which request began the stream")
-	}
 	if !o.storeUp() {
-		return origin.Stream{}, errors.Annotate(errOriginUnknown, "origins.find: the store is down")
+		return o.findInOutage(now, service)
 	}
 	ctx, cancel := context.WithTimeout(ctx, originReadTimeout)
 	defer cancel()
+	if request == "" {
+		return o.findUnnamed(ctx, service)
+	}
 	found, err := o.store.Get(ctx, streamPrefix+id)
 	if err != nil {
 		return origin.Stream{}, errors.Wrap(err, errors.Annotate(errOriginUnknown, "origins.find"))
@@ -189,17 +234,43 @@
 		}
 		return s, err
 	}
-	base, known, inForce := o.registry.Base(service)
-	if !known || !inForce {
+	if _, known, inForce := o.registry.Base(service); !known || !inForce {
 		o.readBase(ctx, service)
-		base, known, _ = o.registry.Base(service)
 	}
+	version, known := o.registry.WithoutRecord(now, service, origin.EvidenceStore)
 	if !known {
-		if base, known = o.registry.Sole(now, service, true); !known {
-			return origin.Stream{}, errors.Annotate(errOriginUnknown, "origins.find: the service has no base version yet")
-		}
+		return origin.Stream{}, errors.Annotate(errOriginUnknown, "origins.find: the service has no base version yet")
+	}
+	return origin.Stream{Service: service, Version: version}, nil
+}
+
+// findInOutage returns where a stream began of which this VM knows no record, while it cannot read
+// the store.
+func (o *origins) findInOutage(now time.Time, service call.Model) (origin.Stream, error) {
+	evidence := origin.EvidenceNone
+	if o.outage(now) {
+		evidence = origin.EvidenceOutage
+	}
+	version, known := o.registry.WithoutRecord(now, service, evidence)
+	if !known {
+		return origin.Stream{}, errors.Annotate(errOriginUnknown, "origins.find: the store cannot be read")
+	}
+	return origin.Stream{Service: service, Version: version}, nil
+}
+
+// findUnnamed returns where a stream began whose caller does not say which request began it: that
+// is known where one version serves, if the store's answer shows that this VM is in touch.
+func (o *origins) findUnnamed(ctx context.Context, service call.Model) (origin.Stream, error) {
+	found, err := o.store.Get(ctx, basePrefix+string(service))
+	if err != nil {
+		return origin.Stream{}, errors.Wrap(err, errors.Annotate(errOriginUnknown, "origins.find"))
+	}
+	o.setBase(service, found)
+	version, known := o.registry.Sole(o.now(), service)
+	if !known {
+		return origin.Stream{}, errors.Annotate(errOriginUnknown, "origins.find: the caller does not say which request began the stream")
 	}
-	return origin.Stream{Service: service, Version: base}, nil
+	return origin.Stream{Service: service, Version: version}, nil
 }
 
 func parseStream(value []byte) (origin.Stream, error) {
@@ -215,13 +286,17 @@
 
 // tick writes records and does what has to be done with the bases.
 func (o *origins) tick(now time.Time) {
+	o.rereadAfterPause(now)
+	for id, record := range o.writer.takeLate(now, !o.storeUp()) {
+		o.tell(now, id, record)
+	}
 	o.pushUntold(now)
 	if !o.storeUp() {
-		o.outage = true
+		o.storeLost = true
 		return
 	}
-	if o.outage {
-		o.outage = false
+	if o.storeLost {
+		o.storeLost = false
 		o.writeAgain()
 	}
 	o.writer.start()
@@ -244,6 +319,16 @@
 	}
 }
 
+// rereadAfterPause makes the bases be read again if this VM has stood still for a time in which
+// they may have been replaced.
+func (o *origins) rereadAfterPause(now time.Time) {
+	if !o.tickedAt.IsZero() && now.Sub(o.tickedAt) > maxTickPause {
+		o.log.WithFields(logrus.Fields{"event": "baseVersion", "pause": now.Sub(o.tickedAt).String()}).Warn("this VM has stood still, the base versions are read again")
+		o.registry.Reread(now)
+	}
+	o.tickedAt = now
+}
+
 // takeTurn reports whether the base of a service may be read or written now, and takes the turn.
 func (o *origins) takeTurn(now time.Time, service call.Model, wait time.Duration) bool {
 	o.mu.Lock()
@@ -305,7 +390,7 @@
 // writeAgain makes the records of this VM be written again, after the store has lost some, and the
 // bases be read again. It returns the number of records.
 func (o *origins) writeAgain() int {
-	o.registry.Reread()
+	o.registry.Reread(o.now())
 	o.writer.reset()
 	recorded := o.registry.Recorded(o.now())
 	for id, s := range recorded {
@@ -328,11 +413,3 @@
 	}
 	o.listed = versions
 }
-
-// tellUnwritten gossips records that the store has not taken.
-func (o *origins) tellUnwritten(streams map[string]origin.Stream) {
-	now := o.now()
-	for id, s := range streams {
-		o.tell(now, id, s)
-	}
-}
--- a/io/peer/gossip.go
+++ b/io/peer/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -121,28 +122,36 @@
 // maxPushes limits the concurrent exchanges of one Push.
 const maxPushes = 32
 
-// Push sends the items to all VMs and returns at once. It is for rare items that cannot
-// wait for the next rounds. The result is closed once all VMs have answered, or do not.
-func (g *Gossip) Push(now time.Time, items spread.Items) <-chan struct{} {
+// PushResult tells how many VMs a push was sent to, and how many have answered.
+type PushResult struct{ Sent, Answered int }
+
+// Push sends the items to all known VMs and returns at once. It is for rare items that cannot
+// wait for the next rounds. The result is sent once all have answered, or do not.
+func (g *Gossip) Push(now time.Time, items spread.Items) <-chan PushResult {
 	message := toProto(items, now)
 	slots := make(chan struct{}, maxPushes)
 	var all sync.WaitGroup
-	for _, p := range g.config.Peers() {
+	var answered atomic.Int64
+	peers := g.config.Peers()
+	for _, p := range peers {
 		all.Go(func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			g.exchange(p, message)
+			if g.exchange(p, message) {
+				answered.Add(1)
+			}
 		})
 	}
-	done := make(chan struct{})
+	done := make(chan PushResult, 1)
 	go func() {
 		all.Wait()
-		close(done)
+		done <- PushResult{Sent: len(peers), Answered: int(answered.Load())}
 	}()
 	return done
 }
 
-func (g *Gossip) exchange(to Peer, items []*peerpb.Item) {
+// exchange sends items to a peer and applies its answer. It reports whether the peer has answered.
+func (g *Gossip) exchange(to Peer, items []*peerpb.Item) bool {
 	req := &peerpb.ExchangeRequest{
 		Vm: string(g.config.Self), Zone: string(g.config.Zone), SettingsVersion: g.config.SettingsVersion(), Items: items,
 		Loads: g.config.Loads(g.config.Now()), Demands: g.config.Demands(g.config.Now()),
@@ -160,13 +169,14 @@
 	}
 	if err != nil {
 		g.config.ExchangeDone(now, ExchangeResult{Peer: to, Err: errors.Annotate(err, "Gossip.exchange")})
-		return
+		return false
 	}
 	g.config.ExchangeDone(now, ExchangeResult{Peer: to, SettingsVersion: reply.SettingsVersion})
 	g.receiveClock(now, call.VMID(reply.Vm), reply.ClockNanoseconds)
 	g.receive(now, call.VMID(reply.Vm), reply.SettingsVersion, reply.Items)
 	g.config.ReceiveLoads(now, reply.Loads)
 	g.config.ReceiveDemands(now, reply.Demands)
+	return true
 }
 
 // receiveClock passes on the clock of another VM; it is zero if the VM does not send it.
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -66,6 +66,7 @@
 	errNotStream    = errors.ConstError("response to a stream request is not text/event-stream")
 	errTooLarge     = errors.ConstError("response or stream event is larger than the limit")
 	errCrashed      = errors.ConstError("response without a length ended, and its replica refuses connections")
+	errUnrecorded   = errors.ConstError("stream must not begin, because its version could not be recorded")
 	errGivenUp      = errors.ConstError("replica was given up as silent before its response was forwarded")
 )
 
@@ -294,7 +295,7 @@
 	case refused && e.status == http.StatusMisdirectedRequest:
 		// Another replica has the address now.
 		out.Status = route.StatusFailed
-	case e.callerGone, refused, e.cause == retry.CauseSilent && p.takeover.countsAsFailure():
+	case e.callerGone, refused, errors.Is(e.err, errUnrecorded), e.cause == retry.CauseSilent && p.takeover.countsAsFailure():
 		out.Status = route.StatusCanceled
 	case e.cause == retry.CauseUnreachable:
 		out.Status = route.StatusUnreachable
--- a/io/proxy/config.go
+++ b/io/proxy/config.go
@@ -87,12 +87,16 @@
 	// The result is closed once the version is known to all VMs, and nil if there is nothing to
 	// wait for. By default there is not.
 	StreamBegins func(StreamStart) <-chan struct{}
+	// StreamMayBegin reports whether a stream may begin at a version although that has not become
+	// known in time. By default it may.
+	StreamMayBegin func(service call.Model, version call.Version) bool
 	// StreamOrigin returns the service and the version at which a team's request began a stream
 	// that a caller takes up; the version is empty if any may go on with it. By default any may.
 	StreamOrigin func(ctx context.Context, team call.Team, service call.Model, request string) (origin.Stream, error)
 	// StreamPrefers returns the version at which a stream that may be resumed should begin if one
-	// of its replicas has room; empty if any will do, which is the default.
-	StreamPrefers func(service call.Model) call.Version
+	// of its replicas has room; empty if any will do, which is the default. With only, it must not
+	// begin at another one.
+	StreamPrefers func(service call.Model) (preferred call.Version, only bool)
 	// MaxRetryAfter is the longest time that a refused caller is told to wait,
 	// MaxBusyRetryAfter the same for a caller refused because replicas are full or refused
 	// the request.
@@ -152,13 +156,16 @@
 	if c.StreamBegins == nil {
 		c.StreamBegins = func(StreamStart) <-chan struct{} { return nil }
 	}
+	if c.StreamMayBegin == nil {
+		c.StreamMayBegin = func(call.Model, call.Version) bool { return true }
+	}
 	if c.StreamOrigin == nil {
 		c.StreamOrigin = func(_ context.Context, _ call.Team, service call.Model, _ string) (origin.Stream, error) {
 			return origin.Stream{Service: service}, nil
 		}
 	}
 	if c.StreamPrefers == nil {
-		c.StreamPrefers = func(call.Model) call.Version { return "" }
+		c.StreamPrefers = func(call.Model) (call.Version, bool) { return "", false }
 	}
 	if c.RetryShare == nil {
 		c.RetryShare = func() float64 { return defaultRetryShare }
--- a/io/proxy/origin.go
+++ b/io/proxy/origin.go
@@ -6,14 +6,15 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"gentianwell/core/call"
-	"gentianwell/core/route"
 	"gentianwell/core/table"
 )
 
 // maxRecordWait limits how long the first event of a stream is held back until its version is
 // recorded.
-const maxRecordWait = 250 * time.Millisecond
+const maxRecordWait = 500 * time.Millisecond
 
 // StreamStart describes a stream that is about to begin.
 type StreamStart struct {
@@ -52,19 +53,13 @@
 	return 0, ""
 }
 
-// pickPreferred chooses a replica of the version at which the stream should begin. It returns an
-// error if none is preferred or has room.
-func (p *proxyRequest) pickPreferred(now time.Time) (route.Decision, error) {
-	preferred := call.Version("")
-	if p.resumable() && p.call.Version == "" && !p.takesUp() {
-		preferred = p.s.c.StreamPrefers(p.call.Model)
-	}
-	if preferred == "" {
-		return route.Decision{}, route.ErrNoVersion
+// preference returns the version at which the stream should begin, and whether it must not begin
+// at another one; empty if any will do.
+func (p *proxyRequest) preference() (preferred call.Version, only bool) {
+	if !p.resumable() || p.call.Version != "" || p.takesUp() {
+		return "", false
 	}
-	c := p.call
-	c.Version = preferred
-	return p.s.c.Router.Pick(now, c, p.tried)
+	return p.s.c.StreamPrefers(p.call.Model)
 }
 
 // recordVersion begins to record the version of a replica that answers with a stream, if the
@@ -79,19 +74,24 @@
 	}
 }
 
-// awaitRecord waits until the version is recorded, but not for long: a late stream is better than
-// one that the store holds up.
-func (p *proxyRequest) awaitRecord() {
+// awaitRecord waits until the version is recorded, but not for long. It returns false if the stream
+// must not begin, because it could be taken up at another version.
+func (p *proxyRequest) awaitRecord(version call.Version) bool {
 	if p.recorded == nil {
-		return
+		return true
 	}
 	t := time.NewTimer(maxRecordWait)
 	defer t.Stop()
+	recorded := p.recorded
+	p.recorded = nil
 	select {
-	case <-p.recorded:
+	case <-recorded:
+		return true
 	case <-p.r.Context().Done():
+		return false
 	case <-t.C:
-		p.log("streamRecord").WithField("waited", maxRecordWait.String()).Warn("a stream begins although its version is not recorded yet")
 	}
-	p.recorded = nil
+	begins := p.s.c.StreamMayBegin(p.call.Model, version)
+	p.log("streamRecord").WithFields(logrus.Fields{"waited": maxRecordWait.String(), "version": version, "begins": begins}).Warn("the version of a stream is not recorded yet")
+	return begins
 }
--- a/io/proxy/reason.go
+++ b/io/proxy/reason.go
@@ -31,6 +31,9 @@
 	ReasonVersionGone Reason = "versionGone"
 	// ReasonVersionUnknown: the version that began a stream is not known now.
 	ReasonVersionUnknown Reason = "versionUnknown"
+	// ReasonVersionUnrecorded: a stream could only begin at a version that this VM cannot record
+	// now, so that it could not be taken up.
+	ReasonVersionUnrecorded Reason = "versionUnrecorded"
 	// ReasonLimited: the replicas that are left have named limits that are used up.
 	ReasonLimited Reason = "backendLimits"
 	// ReasonReplicasRefused: the replicas refused the request without running it.
--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -91,6 +91,8 @@
 			return d, 0, "", nil
 		case ctx.Err() != nil:
 			return d, p.timeoutStatus(), p.timeoutReason(ctx), err
+		case errors.Is(err, route.ErrNoVersion) && p.call.Version == "":
+			return d, http.StatusServiceUnavailable, ReasonVersionUnrecorded, err
 		case errors.Is(err, route.ErrNoVersion):
 			return d, http.StatusServiceUnavailable, ReasonVersionGone, err
 		case errors.Is(err, route.ErrNoReplica) && !p.gaveUp():
@@ -115,20 +117,28 @@
 			return d, nil
 		}
 	}
-	d, err := p.pickPreferred(now)
-	if err != nil {
-		d, err = p.s.c.Router.Pick(now, p.call, p.tried)
+	c := p.call
+	preferred, only := p.preference()
+	if preferred != "" {
+		c.Version = preferred
 	}
-	if err != nil {
+	d, err := p.s.c.Router.Pick(now, c, p.tried)
+	if err != nil && !only {
+		c = p.call
+		if preferred != "" {
+			d, err = p.s.c.Router.Pick(now, c, p.tried)
+		}
+	}
+	if err != nil && !only {
 		d, err = p.pickGivenUp(now, d, err)
 	}
 	// A replica that has already failed this request is better than none, one that
 	// refused it better than one that was silent.
 	if errors.Is(err, route.ErrNoReplica) && len(p.tried) > len(p.silent) {
-		d, err = p.s.c.Router.Pick(now, p.call, p.silent)
+		d, err = p.s.c.Router.Pick(now, c, p.silent)
 	}
 	if errors.Is(err, route.ErrNoReplica) && len(p.tried) > 0 {
-		d, err = p.s.c.Router.Pick(now, p.call, nil)
+		d, err = p.s.c.Router.Pick(now, c, nil)
 	}
 	if err == nil {
 		p.s.c.Router.Started(now, d.Replica.ID, p.cost())
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -92,7 +92,9 @@
 	x.PauseTimeout()
 	defer x.ResumeTimeout()
 	if !p.responseStarted {
-		p.awaitRecord()
+		if !p.awaitRecord(e.version) {
+			return errUnrecorded
+		}
 		if !p.takeover.begin(e.version) {
 			return errGivenUp
 		}
