A run that goes on with a stream begins with the next event

Cause: a run that went on after an event was only checked for ids that grow. An event without an id, or one after a gap, was forwarded: the head of a failure in the body of a 200 "text/event-stream" got into the caller's stream.

Change: core/event takes what the ids have to be. The first event of a run that goes on needs an id; where the stream's ids have had no gaps (before two events are known: where those of the service's other streams have none) it has to be the next one, and a run that skips an event later is broken, too. Nothing of a broken run from there on reaches the caller.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -40,6 +40,8 @@
 	status         int
 	// answeredAt is when the header of the response had arrived.
 	answeredAt time.Time
+	// resumed is true if the attempt goes on with a stream after an event that the caller has.
+	resumed bool
 	// events counts the events of a stream that this attempt forwarded, the first of them
 	// at firstEventAt.
 	events       int
@@ -73,7 +75,7 @@
 // attempt sends the request to a replica once and forwards the response.
 func (p *proxyRequest) attempt(ctx context.Context, d route.Decision) attemptResult {
 	target := back.Target{ID: d.Replica.ID, Address: d.Replica.Address}
-	e := attemptResult{replica: d.Replica.ID, version: d.Replica.Version, target: target, started: p.s.c.Now()}
+	e := attemptResult{replica: d.Replica.ID, version: d.Replica.Version, target: target, started: p.s.c.Now(), resumed: p.lastEvent != ""}
 	p.takeover = p.newTakeover(d.Replica.ID)
 	x, result, err := p.s.c.Open(ctx, target, p.attemptRequest(d.Replica.ID))
 	if err == nil {
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -57,6 +57,8 @@
 	responseStarted bool
 	lastEvent       string
 	endsWithoutID   bool
+	// steps and gaps count the steps between the ids of forwarded events.
+	steps, gaps int
 	// recorded is closed once the version of the current attempt is recorded; nil if nothing is
 	// to be waited for.
 	recorded <-chan struct{}
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -10,8 +10,9 @@
 
 // Server is the HTTP handler that serves callers.
 type Server struct {
-	c      Config
-	bodies bodyMemory
+	c         Config
+	bodies    bodyMemory
+	sequences sequences
 }
 
 // New returns a server.
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -52,7 +52,7 @@
 		}
 		n, err := x.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
-		prefix := event.Scan(buf, p.lastEvent)
+		prefix := event.Scan(buf, p.order(e))
 		if prefix.Bytes > 0 {
 			if err := p.writeEvents(x, e, buf[:prefix.Bytes], prefix); err != nil {
 				return err
@@ -106,6 +106,7 @@
 	}
 	e.events += prefix.Events
 	p.lastEvent = prefix.LastID
+	p.countSteps(prefix, e)
 	if _, err := p.w.Write(data); err != nil {
 		e.callerGone = true
 		return errors.Annotate(err, "writing to the caller")
