A crash and a failure do not end a stream while sound replicas are idle

Change: an attempt whose replica refuses connections does not count towards the route's limit, for a stream that has begun and lost one replica only, if the latest attempt failed at one that still runs. Budgets and the verdicts on requests that crash replicas are as before.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -90,6 +90,7 @@
 	case e.done:
 		p.s.c.RunCompleted(p.fingerprint(), p.parts)
 	case result.Ending == back.EndingCrashed && e.mayHaveRun:
+		p.crashed = append(p.crashed, target)
 		p.s.c.RunLost(LostRun{
 			Request: p.info.ID, Fingerprint: p.fingerprint(), Parts: p.parts, Target: target,
 			Sent: e.started, Answered: e.answeredAt, FirstEvent: e.firstEventAt, At: p.s.c.Now(), Status: e.status, Events: e.events,
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -14,6 +14,7 @@
 	"gentianwell/core/call"
 	"gentianwell/core/poison"
 	"gentianwell/core/table"
+	"gentianwell/io/back"
 )
 
 // proxyRequest is the state of one request while it is served.
@@ -59,6 +60,9 @@
 	endsWithoutID   bool
 	// steps and gaps count the steps between the ids of forwarded events.
 	steps, gaps int
+	// crashed holds the replicas to which connections were lost while they may have run the
+	// request.
+	crashed []back.Target
 	// recorded is closed once the version of the current attempt is recorded; nil if nothing is
 	// to be waited for.
 	recorded <-chan struct{}
--- a/io/proxy/run.go
+++ b/io/proxy/run.go
@@ -245,19 +245,33 @@
 	return r == retry.ReasonBudgetOfVM || r == retry.ReasonBudgetOfClass || r == retry.ReasonDeadline
 }
 
-// decide returns the retry policy's decision after the last attempt.
+// decide returns the retry policy's decision after the last attempt. An attempt does not count
+// towards the route's limit if its replica has ended, and the next one added nothing to the stream.
 func (p *proxyRequest) decide() retry.Decision {
+	d := p.decideAfter(p.possibleRuns)
+	if d.Reason == retry.ReasonAttempts && p.lostToCrash() {
+		d = p.decideAfter(p.possibleRuns - 1)
+	}
+	p.lastAttempt.retry = d.Reason
+	return d
+}
+
+// lostToCrash reports whether a stream has begun, was lost to one crash of a replica, and failed at
+// replicas that still run. A request that has crashed two is not to meet a third so soon.
+func (p *proxyRequest) lostToCrash() bool {
+	return p.responseStarted && len(p.crashed) == 1 && p.lastAttempt.cause == retry.CauseFailed && p.s.c.HasCrashed(p.crashed[0])
+}
+
+func (p *proxyRequest) decideAfter(runs int) retry.Decision {
 	e := &p.lastAttempt
 	outcome := call.OutcomeNotRun
 	if p.possibleRuns > 0 {
 		outcome = call.OutcomeUnknown
 	}
-	d := p.s.c.Retry.Decide(p.s.c.Now(), retry.Attempt{
+	return p.s.c.Retry.Decide(p.s.c.Now(), retry.Attempt{
 		Class: call.Class(p.call.Model), Idempotent: p.route.Repeatable(), Deadline: p.deadline,
-		Number: p.possibleRuns, MaxAttempts: p.route.MaxAttempts(), Outcome: outcome, Cause: e.cause, BytesWritten: e.mayHaveRun,
+		Number: runs, MaxAttempts: p.route.MaxAttempts(), Outcome: outcome, Cause: e.cause, BytesWritten: e.mayHaveRun,
 	})
-	e.retry = d.Reason
-	return d
 }
 
 // failWithoutReplica ends a request for which no replica was found.
