Long prompts wait at engines only as far as they are answered in time

Cause: the long lane was limited by slots alone. An engine with 64 slots accepts ten times what it reads within the target of a prompt, so in a burst nearly all callers were late, or waited until their deadline for nothing, and none was refused.

Change: each VM keeps a window of long calls that wait for the first part of their answers, as congestion control does: an answer after the target cuts it, answers in time widen it, and it ends five seconds after the last late one. What does not fit is refused soon, with Retry-After.

--- a/core/route/pool.go
+++ b/core/route/pool.go
@@ -19,6 +19,7 @@
 	all []*state
 	// classes holds the statistics of the model's classes, from which its lanes follow.
 	classes classes
+	window  window
 	// local and remote are the subset's replicas in the own zone and in other zones.
 	local  []*state
 	remote []*state
@@ -35,7 +36,7 @@
 	}
 	for model, p := range r.pools {
 		if old := before[model]; old != nil {
-			p.classes = old.classes
+			p.classes, p.window = old.classes, old.window
 		}
 		r.chooseSubset(model, p)
 	}
--- a/core/route/share.go
+++ b/core/route/share.go
@@ -37,6 +37,9 @@
 			slots += float64(s.Slots)
 		}
 	}
+	if !p.window.allows() {
+		return p.window.pending, p.window.size, true
+	}
 	if load < busyLoad*slots {
 		return inFlight, 0, false
 	}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -40,6 +40,8 @@
 	status         int
 	// answeredAt is when the header of the response had arrived.
 	answeredAt time.Time
+	// waits is true until the first part of the answer has come, if the router is to be told.
+	waits bool
 	// resumed is true if the attempt goes on with a stream after an event that the caller has.
 	resumed bool
 	// events counts the events of a stream that this attempt forwarded, the first of them
@@ -77,6 +79,7 @@
 	target := back.Target{ID: d.Replica.ID, Address: d.Replica.Address}
 	e := attemptResult{replica: d.Replica.ID, version: d.Replica.Version, target: target, started: p.s.c.Now(), resumed: p.lastEvent != ""}
 	p.takeover = p.newTakeover(d.Replica.ID)
+	e.waits = p.s.c.Router.Sent(e.started, p.call)
 	x, result, err := p.s.c.Open(ctx, target, p.attemptRequest(d.Replica.ID))
 	if err == nil {
 		result, err = p.receive(x, &e)
@@ -98,6 +101,7 @@
 		})
 	}
 	now := p.s.c.Now()
+	p.waited(&e, false)
 	ejected := p.s.c.Router.Finished(now, d.Replica.ID, p.cost(), p.routeResult(&e, result))
 	p.logAttempt(&e, result, ejected)
 	return e
--- a/io/proxy/stream.go
+++ b/io/proxy/stream.go
@@ -99,6 +99,9 @@
 			return errGivenUp
 		}
 	}
+	if prefix.Events > 0 {
+		p.waited(e, true)
+	}
 	p.startResponse(x)
 	p.events += prefix.Events
 	if e.events == 0 && prefix.Events > 0 {
@@ -136,3 +139,11 @@
 	e.done = true
 	return nil
 }
+
+// waited records that the attempt does not wait for the first part of its answer any more.
+func (p *proxyRequest) waited(e *attemptResult, answered bool) {
+	if e.waits {
+		e.waits = false
+		p.s.c.Router.Waited(p.s.c.Now(), p.call, e.started, p.route.LatencyTarget, answered)
+	}
+}
