A route that is not valid is refused by itself

Cause: table.New refuses a configuration with one route that is not valid, so nothing of that version got in force: a withdrawn key stayed, and VMs that start served nobody.

Change: such a route is closed, its requests get 503 routeNotValid, and the rest is in force; routeBad names the field, its value and what is allowed. table.New is as strict as before.

Failed before: TestInvalidRouteClosesOnlyItself (the configuration was never in force).

--- a/core/table/document.go
+++ b/core/table/document.go
@@ -16,3 +16,21 @@
 	MaxHeaderBytes             int64
 	HeaderTimeout, IdleTimeout time.Duration
 }
+
+// CloseInvalid closes the routes that are not valid, so that they do not keep the others from being
+// in force, and returns what is wrong with them. Those without a usable host and prefix are removed.
+func (d *Document) CloseInvalid() []error {
+	var invalid []error
+	routes := make([]Route, 0, len(d.Routes))
+	for _, r := range d.Routes {
+		if err := r.Validate(); err != nil {
+			invalid = append(invalid, err)
+			r.Closed = true
+		}
+		if r.Validate() == nil {
+			routes = append(routes, r)
+		}
+	}
+	d.Routes = routes
+	return invalid
+}
--- a/core/table/route.go
+++ b/core/table/route.go
@@ -52,6 +52,8 @@
 	Attempts int
 	// Public routes need no key.
 	Public bool
+	// Closed routes are not valid otherwise and run nothing: their requests are refused.
+	Closed bool
 	// Resumes is true if another replica can resume an interrupted stream.
 	Resumes bool
 }
@@ -65,6 +67,8 @@
 		return errors.NotValidf("route %q: host \"\" (must not be empty)", r.Name)
 	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
 		return errors.NotValidf("route %q: prefix %q (must begin and end with /)", r.Name, r.Prefix)
+	case r.Closed:
+		return nil
 	case r.Kind != KindIdempotent && r.Kind != KindOnce && r.Kind != KindStream:
 		return errors.NotValidf("route %q: kind %q (allowed: %s, %s, %s)", r.Name, r.Kind, KindIdempotent, KindOnce, KindStream)
 	case len(r.Splits) == 0:
--- a/core/table/table_test.go
+++ b/core/table/table_test.go
@@ -98,6 +98,18 @@
 		change(&d.Routes[0])
 		_, err := New(d)
 		assert.ErrorContains(t, err, "not valid", name)
+
+		// Closed or removed, it keeps no other route from being in force.
+		bad, n := d.Routes[0], len(d.Routes)
+		invalid := d.CloseInvalid()
+		assert.Equal(t, len(invalid), 1, name)
+		assert.ErrorContains(t, invalid[0], "not valid", name)
+		in, err := New(d)
+		assert.NilError(t, err, name)
+		found, ok := in.Match(bad.Host, bad.Prefix)
+		matches := name != "no host" && name != "prefix"
+		assert.Assert(t, !matches || ok && found.Closed, name)
+		assert.Assert(t, matches && len(d.Routes) == n || !matches && len(d.Routes) == n-1, name)
 	}
 }
 
--- a/io/entry/tables.go
+++ b/io/entry/tables.go
@@ -44,6 +44,9 @@
 		t.logInvalid(source, err)
 		return
 	}
+	for _, err := range document.CloseInvalid() {
+		t.log.WithFields(logrus.Fields{"event": "routeBad", "source": source, "version": document.Version}).WithError(err).Error("route is not valid, its requests are refused")
+	}
 	next, err := table.New(document)
 	if err != nil {
 		t.logInvalid(source, err)
--- a/io/proxy/reason.go
+++ b/io/proxy/reason.go
@@ -19,7 +19,9 @@
 	// ReasonMemoryFull: the body does not fit beside those of other requests.
 	ReasonMemoryFull Reason = "memoryFull"
 	ReasonNoRoute    Reason = "noRoute"
-	ReasonUnknownKey Reason = "unknownKey"
+	// ReasonRouteNotValid: the operator's configuration of the route is not valid.
+	ReasonRouteNotValid Reason = "routeNotValid"
+	ReasonUnknownKey    Reason = "unknownKey"
 	// ReasonTableMayBeOld: the route or key is unknown, but the table may be outdated.
 	ReasonTableMayBeOld Reason = "configurationMayBeOld"
 	// ReasonNoReplica: the service has no replica, or none is left.
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -139,6 +139,9 @@
 		}
 		return http.StatusNotFound, ReasonNoRoute
 	}
+	if p.route.Closed {
+		return http.StatusServiceUnavailable, ReasonRouteNotValid
+	}
 	if !p.table.NeedsKey(p.route) {
 		return 0, ""
 	}
