What the store says of a stream wins over what VMs have told

Cause: a VM that takes a stream up looked at gossip before the store. An attempt at one version that became known to some VMs and began no stream may be followed by one at another version, whose record the store takes at once and which is not told then.

Change: the store is read first if it can be; what was told counts if the store has no record or cannot be read.

Failed before: TestStoreWinsOverWhatVMsHaveTold (v2 instead of v1 at VM 1).

--- a/io/entry/origins.go
+++ b/io/entry/origins.go
@@ -212,10 +212,11 @@
 	if s, ok := o.registry.Lookup(now, id); ok {
 		return s, nil
 	}
-	if item, ok := o.items.Get(now, spread.ID{Kind: kindStream, Key: id}); ok {
+	item, told := o.items.Get(now, spread.ID{Kind: kindStream, Key: id})
+	switch {
+	case told && !o.storeUp():
 		return parseStream(item.Value)
-	}
-	if !o.storeUp() {
+	case !o.storeUp():
 		return o.findInOutage(now, service)
 	}
 	ctx, cancel := context.WithTimeout(ctx, originReadTimeout)
@@ -223,8 +224,13 @@
 	if request == "" {
 		return o.findUnnamed(ctx, service)
 	}
+	// What the store says wins over what a VM has told: an attempt at one version may have been
+	// followed by one at another.
 	found, err := o.store.Get(ctx, streamPrefix+id)
-	if err != nil {
+	switch {
+	case told && (err != nil || !found.Found):
+		return parseStream(item.Value)
+	case err != nil:
 		return origin.Stream{}, errors.Wrap(err, errors.Annotate(errOriginUnknown, "origins.find"))
 	}
 	if found.Found {
--- a/io/entry/origins_test.go
+++ b/io/entry/origins_test.go
@@ -181,6 +181,23 @@
 	})
 }
 
+// A VM told the others of an attempt that then began no stream, and the store took the record of the next
+// attempt at once: the others took the stream up at the first one's version.
+func TestStoreWinsOverWhatVMsHaveTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newOriginFleet(t, 3, originVersions{"v1": 3, "v2": 3})
+		f.pass(time.Second)
+		f.down = true
+		f.begins(0, "twice", "v2")
+		f.pass(200 * time.Millisecond)
+		f.check("twice", "v2")
+		f.down = false
+		f.begins(0, "twice", "v1")
+		f.pass(time.Second)
+		f.check("twice", "v1")
+	})
+}
+
 // The base is replaced once it has been gone for as long as streams last, by one VM, and streams at
 // the new one need no record.
 func TestBaseIsReplacedOnce(t *testing.T) {
