A stream whose record is late waits for it if it cannot begin elsewhere

Cause: since an attempt ended after 500 ms without a known record, also where no other replica could take the stream: callers got 502 from sound replicas beside faults of the store alone.

Change: the attempt ends only if the route allows another one and a replica of the version that needs no record has room; else the first event waits until the record is known or the deadline has passed.

--- a/io/proxy/origin.go
+++ b/io/proxy/origin.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,8 +13,8 @@
 	"gentianwell/core/table"
 )
 
-// maxRecordWait limits how long the first event of a stream is held back until its version is
-// recorded.
+// maxRecordWait is how long the first event of a stream is held back until its version is recorded,
+// before the stream begins elsewhere.
 const maxRecordWait = 500 * time.Millisecond
 
 // StreamStart describes a stream that is about to begin.
@@ -74,24 +75,45 @@
 	}
 }
 
-// awaitRecord waits until the version is recorded, but not for long. It returns false if the stream
-// must not begin, because it could be taken up at another version.
+// awaitRecord waits until the version is recorded. It returns false if the stream must not begin here,
+// because it could be taken up at another version: after maxRecordWait it begins elsewhere if it can,
+// and else waits on until its deadline, as a late stream is better than none.
 func (p *proxyRequest) awaitRecord(version call.Version) bool {
 	if p.recorded == nil {
 		return true
 	}
-	t := time.NewTimer(maxRecordWait)
-	defer t.Stop()
 	recorded := p.recorded
 	p.recorded = nil
-	select {
-	case <-recorded:
-		return true
-	case <-p.r.Context().Done():
+	t := time.NewTicker(maxRecordWait)
+	defer t.Stop()
+	for {
+		select {
+		case <-recorded:
+			return true
+		case <-p.r.Context().Done():
+			return false
+		case <-t.C:
+		}
+		now := p.s.c.Now()
+		begins, elsewhere := p.s.c.StreamMayBegin(p.call.Model, version), p.beginsElsewhere(now)
+		p.log("streamRecord").WithFields(logrus.Fields{
+			"waited": milliseconds(now.Sub(p.arrived)), "version": version, "begins": begins, "elsewhere": elsewhere,
+		}).Warn("the version of a stream is not recorded yet")
+		if begins || elsewhere || !now.Before(p.deadline) {
+			return begins
+		}
+	}
+}
+
+// beginsElsewhere reports whether the route allows another attempt, and a replica of the version that
+// needs no record has room.
+func (p *proxyRequest) beginsElsewhere(now time.Time) bool {
+	preferred, _ := p.preference()
+	if preferred == "" || p.possibleRuns+1 >= p.route.MaxAttempts() {
 		return false
-	case <-t.C:
 	}
-	begins := p.s.c.StreamMayBegin(p.call.Model, version)
-	p.log("streamRecord").WithFields(logrus.Fields{"waited": maxRecordWait.String(), "version": version, "begins": begins}).Warn("the version of a stream is not recorded yet")
-	return begins
+	c := p.call
+	c.Version = preferred
+	_, err := p.s.c.Router.Pick(now, c, append(slices.Clone(p.tried), p.replica))
+	return err == nil
 }
