--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -41,9 +41,15 @@
 
 func (c *client) close() { _ = c.conn.Close() }
 
-// requestText returns a request with a length.
+// requestText returns a request with a length, whose client waits for four seconds.
 func requestText(method, target, id, body string) string {
-	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 4000\r\nAuthorization: Bearer %s\r\n", method, target, host, id, apiKey)
+	return requestWithin(4*time.Second, method, target, id, body)
+}
+
+// requestWithin is requestText for a client that waits for some time.
+func requestWithin(limit time.Duration, method, target, id, body string) string {
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n",
+		method, target, host, id, limit.Milliseconds(), apiKey)
 	if method == http.MethodGet {
 		return text + "\r\n"
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,6 +24,9 @@
 var cases = map[string]func(*site) ([]string, error){
 	"smuggled": smuggled,
 	"path":     changedPath,
+	"dark":     darkCrash,
+	"watch":    silentWatch,
+	"entry":    incompleteEntry,
 }
 
 func main() { os.Exit(play()) }
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -24,6 +24,9 @@
 	// work is how long a request takes.
 	work time.Duration
 	rec  *record
+	// crashOn, if set, is the body of a request that crashes the replica; crash is then called.
+	crashOn string
+	crash   func(*replica, *run)
 
 	srv     *http.Server
 	active  atomic.Int64
@@ -31,6 +34,9 @@
 	runs    []*run
 	exited  time.Time
 	refused int
+	// silent is closed at the end of the case, if the replica has fallen silent: its connections stay
+	// open, and nothing is answered.
+	silent chan struct{}
 }
 
 const replicaSlots = 6
@@ -61,8 +67,33 @@
 	}
 }
 
+// fallSilent makes the replica answer nothing more, without closing a connection.
+func (p *replica) fallSilent() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = make(chan struct{})
+}
+
+// isSilent reports whether the replica has fallen silent; if so, it waits for the end of the connection.
+func (p *replica) isSilent(r *http.Request) bool {
+	p.mu.Lock()
+	silent := p.silent
+	p.mu.Unlock()
+	if silent == nil {
+		return false
+	}
+	select {
+	case <-silent:
+	case <-r.Context().Done():
+	}
+	return true
+}
+
 func (p *replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	if p.isSilent(r) {
+		return
+	}
 	id := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
 	running := p.active.Add(1)
@@ -98,7 +129,13 @@
 	p.runs = append(p.runs, this)
 	p.mu.Unlock()
 	p.rec.at(arrived, "replica %s (%s): runs %s %s %q for tenant %q", p.id, p.service, id, r.Method, r.RequestURI, this.tenant)
+	if p.crashOn != "" && this.body == p.crashOn {
+		p.crash(p, this)
+	}
 	time.Sleep(p.work)
+	if p.isSilent(r) {
+		return
+	}
 	p.mu.Lock()
 	this.done = p.exited.IsZero()
 	done := this.done
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -33,17 +33,17 @@
 	changed  chan struct{}
 	leases   map[int64]*time.Timer
 	lease    int64
-	// waiting holds what ends the waiting watches, by the address called and the prefix.
+	// waiting holds what silences the waiting watches, by the address called and the prefix.
 	waiting map[string]map[chan struct{}]bool
-	// refuses says whether the calls at an address get 503.
-	refuses map[string]bool
+	// listed counts the calls of /kv-range, by the address called and the prefix.
+	listed  map[string]int
 	servers []*http.Server
 }
 
 func newStore() *store {
 	return &store{
 		revision: 1, items: map[string]item{}, changed: make(chan struct{}), leases: map[int64]*time.Timer{},
-		waiting: map[string]map[chan struct{}]bool{}, refuses: map[string]bool{},
+		waiting: map[string]map[chan struct{}]bool{}, listed: map[string]int{},
 	}
 }
 
@@ -100,38 +100,33 @@
 	s.changed = make(chan struct{})
 }
 
-// setRefuses sets whether the calls at an address get 503.
-func (s *store) setRefuses(address string, refuses bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refuses[address] = refuses
-}
-
-// cutWatches cuts the watches of a prefix that are waiting at an address and returns their
-// number. Other calls and connections are not touched.
-func (s *store) cutWatches(address, prefix string) int {
+// silence makes the watches of a prefix that are waiting at an address return nothing further, and
+// returns their number. Other calls and connections are not touched.
+func (s *store) silence(address, prefix string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
-	for cut := range s.waiting[address+" "+prefix] {
-		close(cut)
+	for silent := range s.waiting[address+" "+prefix] {
+		close(silent)
 		n++
 	}
 	s.waiting[address+" "+prefix] = nil
 	return n
 }
 
-func (s *store) serve(address string, w http.ResponseWriter, r *http.Request) {
+// lists returns how often a prefix was listed at an address.
+func (s *store) lists(address, prefix string) int {
 	s.mu.Lock()
-	refuses := s.refuses[address]
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	return s.listed[address+" "+prefix]
+}
+
+func (s *store) serve(address string, w http.ResponseWriter, r *http.Request) {
 	switch {
-	case refuses:
-		w.WriteHeader(http.StatusServiceUnavailable)
 	case r.URL.Path == "/kv-key":
 		s.serveKey(w, r)
 	case r.URL.Path == "/kv-range":
-		s.serveRange(w, r)
+		s.serveRange(address, w, r)
 	case r.URL.Path == "/kv-watch":
 		s.serveWatch(address, w, r)
 	case r.URL.Path == "/kv-txn":
@@ -165,11 +160,12 @@
 	}{found, s.revision})
 }
 
-func (s *store) serveRange(w http.ResponseWriter, r *http.Request) {
+func (s *store) serveRange(address string, w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	const page = 500
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
+	s.listed[address+" "+prefix]++
 	items := []item{}
 	for key, i := range s.items {
 		if strings.HasPrefix(key, prefix) && key > after {
@@ -186,18 +182,18 @@
 	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
 	wait, _ := strconv.ParseInt(query.Get("waitMs"), 10, 64)
 	end := time.After(time.Duration(min(wait, 30_000)) * time.Millisecond)
-	cut := make(chan struct{})
+	silent := make(chan struct{})
 	name := address + " " + prefix
 	s.mu.Lock()
 	if s.waiting[name] == nil {
 		s.waiting[name] = map[chan struct{}]bool{}
 	}
-	s.waiting[name][cut] = true
+	s.waiting[name][silent] = true
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		delete(s.waiting[name], cut)
+		delete(s.waiting[name], silent)
 	}()
 	for {
 		s.mu.Lock()
@@ -218,9 +214,9 @@
 		case <-end:
 			reply(w, http.StatusOK, map[string]any{"events": events, "asOf": asOf})
 			return
-		case <-cut:
-			// Closes the connection without an answer.
-			panic(http.ErrAbortHandler)
+		case <-silent:
+			<-r.Context().Done()
+			return
 		case <-r.Context().Done():
 			return
 		}
