--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -42,7 +42,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{rec: rec, trouble: trouble, dir: dir, store: newStore(), subnet: 1 + os.Getpid()%250}
+	s := &site{rec: rec, trouble: trouble, dir: dir, store: newStore(), subnet: os.Getpid() % subnets}
+	if err := s.claimSubnet(); err != nil {
+		return nil, err
+	}
 	for i, zone := range zones {
 		v := &vm{name: "edge-" + zone + "-1", zone: zone, ip: s.ip(11 + i), dir: dir}
 		v.store = fmt.Sprintf("%s:%d", s.ip(201+i), storePort)
@@ -72,6 +75,21 @@
 	return s, nil
 }
 
+// subnets is the number of subnets of loopback addresses for a run.
+const subnets = 250
+
+// claimSubnet looks for a subnet that no other run uses, and holds an address of it.
+func (s *site) claimSubnet() error {
+	var err error
+	for range subnets {
+		s.subnet = s.subnet%subnets + 1
+		if err = s.store.listen(fmt.Sprintf("%s:%d", s.ip(200), storePort)); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
 func (s *site) ip(last int) string { return fmt.Sprintf("127.%d.%d.%d", 77, s.subnet, last) }
 
 func (s *site) replica(id, service, zone string, last int, work time.Duration) *replica {
