--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -37,20 +37,29 @@
 
 var zones = []string{"a", "b", "c"}
 
+// newSite starts the stand-ins of a site. If that fails, it ends those that it has started.
 func newSite(rec *record, trouble bool) (*site, error) {
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
 	}
 	s := &site{rec: rec, trouble: trouble, dir: dir, store: newStore(), subnet: os.Getpid() % subnets}
-	if err := s.claimSubnet(); err != nil {
+	if err := s.startStandIns(); err != nil {
+		s.close()
 		return nil, err
 	}
+	return s, nil
+}
+
+func (s *site) startStandIns() error {
+	if err := s.claimSubnet(); err != nil {
+		return err
+	}
 	for i, zone := range zones {
-		v := &vm{name: "edge-" + zone + "-1", zone: zone, ip: s.ip(11 + i), dir: dir}
+		v := &vm{name: "edge-" + zone + "-1", zone: zone, ip: s.ip(11 + i), dir: s.dir}
 		v.store = fmt.Sprintf("%s:%d", s.ip(201+i), storePort)
 		if err := s.store.listen(v.store); err != nil {
-			return nil, err
+			return err
 		}
 		s.vms = append(s.vms, v)
 	}
@@ -67,12 +76,12 @@
 	}
 	for _, p := range s.replicas() {
 		if err := p.start(); err != nil {
-			return nil, err
+			return err
 		}
 		s.store.put("servers/"+p.id, p.entry("ready"))
 	}
 	s.store.put("op/config", s.config(7, apiKey, otherKey))
-	return s, nil
+	return nil
 }
 
 // subnets is the number of subnets of loopback addresses for a run.
