Refuse requests of uncertain length wherever they stand on a connection

Cause: net/http takes the chunks and hides the length from the handler. The connection wrapper that looked for both took the first empty line for the end of a header, also one before the request line, and scanned only reads that began while net/http waited for a request. Both cases of the test of io/front failed: the connection stayed open.

`serve`, which cannot see the bytes below TLS and HTTP/2, closes the connection after a request with chunks or in HTTP/1.0.

--- /dev/null
+++ b/core/frame/doc.go
@@ -0,0 +1,28 @@
+// Package frame follows the framing of the HTTP/1 requests in a byte stream: where each
+// header ends, how long its body is and where the next request begins. It finds the requests
+// whose length can be read in two ways, which makes request smuggling possible: bytes that
+// are part of a body to one reader are a request of their own to another.
+//
+// net/http ignores Content-Length beside Transfer-Encoding, and Transfer-Encoding in
+// HTTP/1.0, and does not tell the handler. A server that is to refuse such requests passes a
+// Scanner all bytes that it reads from a connection.
+//
+// A Scanner takes what net/http takes and ends requests where net/http does. Where it cannot
+// follow a stream, all later requests have FaultNotUnderstood.
+//
+// The rules are those of RFC 9112, sections 6 and 7.
+//
+// # Usage
+//
+//	var s frame.Scanner
+//	n, err := conn.Read(p)
+//	s.Scan(p[:n])
+//	…
+//	if fault := s.Fault(); fault != frame.FaultNone {
+//		refuse(fault) // and close the connection
+//	}
+//	…
+//	s.Next() // the response was sent
+//
+// A Scanner is not safe for concurrent use.
+package frame
--- a/io/front/server.go
+++ b/io/front/server.go
@@ -49,7 +49,19 @@
 }
 
 // ServeHTTP handles one request.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if mayHaveTwoLengths(r) {
+		w.Header().Set("Connection", "close")
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// mayHaveTwoLengths reports whether the request may have had a second length, which net/http
+// ignores without a trace: a Content-Length beside chunks, or chunks in HTTP/1.0. What follows
+// such a request on its connection may be a part of its body (RFC 9112, section 6.3).
+func mayHaveTwoLengths(r *http.Request) bool {
+	return r.ProtoMajor == 1 && (len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1))
+}
 
 // pingTimeout is how long a caller's HTTP/2 connection may be silent before a ping is
 // sent, and how long the ping may remain unanswered.
--- a/io/front/server_test.go
+++ b/io/front/server_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -177,6 +181,32 @@
 	assert.ErrorContains(t, err, "unexpected EOF")
 }
 
+// Guards against text in the body of a request that runs as a request of its own.
+func TestBodyRunsNoRequestOfItsOwn(t *testing.T) {
+	const inner = "POST /ledger/inner HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer k\r\nContent-Length: 1\r\n\r\nx"
+	for name, head := range map[string]string{
+		"both lengths":       fmt.Sprintf("POST /ledger/a HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer k\r\nContent-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", len(inner)+5),
+		"chunks in HTTP/1.0": "POST /ledger/a HTTP/1.0\r\nConnection: keep-alive\r\nAuthorization: Bearer k\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			srv := serve(t, func(*runner.Job, runner.Sink) runner.Answer {
+				runs.Add(1)
+				return runner.Answer{Outcome: call.OutcomeRan, Status: http.StatusOK}
+			}, nil)
+			conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+			assert.NilError(t, err)
+			t.Cleanup(func() { assert.Check(t, conn.Close()) })
+			_, err = io.WriteString(conn, head+inner)
+			assert.NilError(t, err)
+			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+			_, err = io.Copy(io.Discard, conn)
+			assert.Check(t, err == nil || errors.Is(err, syscall.ECONNRESET), "%v", err)
+			assert.Equal(t, runs.Load(), int64(1))
+		})
+	}
+}
+
 func TestModels(t *testing.T) {
 	srv := serve(t, notReached, nil)
 	req, err := http.NewRequest(http.MethodGet, srv.URL+"/v1/models", nil)
--- a/io/proxy/framing.go
+++ b/io/proxy/framing.go
@@ -1,94 +1,67 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+
+	"gentianwell/core/frame"
 )
 
-// headerScanConn scans the headers of the requests on a connection for one with
-// both Content-Length and Transfer-Encoding. net/http uses the chunks and silently
-// ignores the length. This allows request smuggling: bytes that belong to the body by
-// the length would be taken for the next request.
+// headerScanConn scans the requests on a connection for those whose length is not certain,
+// such as one with both Content-Length and Transfer-Encoding. net/http uses the chunks and
+// silently ignores the length. This allows request smuggling: bytes that belong to the body
+// by the length would be taken for the next request.
 //
 // It also applies the limits in force for headers and idle connections.
 type headerScanConn struct {
 	net.Conn
 	limits func() connLimits
 
-	mu sync.Mutex
-	// inHeader is true from the start of a request to the end of its header.
+	mu      sync.Mutex
+	scanner frame.Scanner
+	// inHeader is true while net/http waits for a request or reads its header.
 	inHeader bool
 	// idle is true from the end of a request until its idle timeout is set.
-	idle            bool
-	headerBytes     int
-	line            []byte
-	length, chunked bool
+	idle bool
 	// finish is called once the response to the request in progress was sent or the
 	// connection closed; nil if there is none.
 	finish func()
 }
 
-// maxHeaderLine is how many bytes of a line are kept: enough for the two header names.
-const maxHeaderLine = 32
-
-// Read reads from the connection and scans the headers in the data.
+// Read reads from the connection and scans the data.
 func (c *headerScanConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if c.headerTooLarge(n) {
+	if c.headerTooLarge(p[:n]) {
 		c.refuseHeader()
 		return 0, io.EOF
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.inHeader {
-		c.scan(p[:n])
-	}
 	return n, err
 }
 
-func (c *headerScanConn) scan(data []byte) {
-	for len(data) > 0 {
-		n := bytes.IndexByte(data, '\n')
-		if n < 0 {
-			c.appendLine(data)
-			return
-		}
-		c.appendLine(data[:n])
-		data = data[n+1:]
-		line := bytes.TrimSuffix(c.line, []byte("\r"))
-		if len(line) == 0 {
-			c.inHeader = false
-			return
-		}
-		name, _, _ := bytes.Cut(line, []byte(":"))
-		c.length = c.length || bytes.EqualFold(name, []byte("Content-Length"))
-		c.chunked = c.chunked || bytes.EqualFold(name, []byte("Transfer-Encoding"))
-		c.line = c.line[:0]
-	}
-}
-
-func (c *headerScanConn) appendLine(data []byte) {
-	c.line = append(c.line, data[:min(len(data), maxHeaderLine-len(c.line))]...)
+// headerTooLarge scans data and reports whether a header in it is larger than allowed.
+func (c *headerScanConn) headerTooLarge(data []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	size := c.scanner.Scan(data)
+	return c.inHeader && size > c.limits().headerBytes
 }
 
-// expectHeader makes Read scan the header of the next request.
-func (c *headerScanConn) expectHeader() {
+// expectRequest is called when the connection waits for its next request.
+func (c *headerScanConn) expectRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.inHeader, c.idle, c.headerBytes, c.length, c.chunked = true, true, 0, false, false
-	c.line = c.line[:0]
+	c.inHeader, c.idle = true, true
+	c.scanner.Next()
 }
 
-// hasBothLengths reports whether the last header has both Content-Length and
-// Transfer-Encoding.
-func (c *headerScanConn) hasBothLengths() bool {
+// fault returns that of the framing of the request in progress.
+func (c *headerScanConn) fault() frame.Fault {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.length && c.chunked
+	return c.scanner.Fault()
 }
 
 // headerScanListener wraps each accepted connection in a headerScanConn.
@@ -97,8 +70,8 @@
 	s *Server
 }
 
-// WrapListener wraps a listener for HTTP, so that requests with both Content-Length and
-// Transfer-Encoding are detected and the limits of the table are in force.
+// WrapListener wraps a listener for HTTP, so that requests whose length is not certain
+// are detected and the limits of the table are in force.
 func (s *Server) WrapListener(l net.Listener) net.Listener { return headerScanListener{l, s} }
 
 // Accept waits for the next connection.
@@ -145,7 +118,7 @@
 	switch state {
 	case http.StateIdle:
 		scanned.sent()
-		scanned.expectHeader()
+		scanned.expectRequest()
 	case http.StateClosed, http.StateHijacked:
 		scanned.sent()
 	}
@@ -161,9 +134,12 @@
 	return ok
 }
 
-// requestHasBothLengths reports whether the request has both Content-Length and
-// Transfer-Encoding.
-func requestHasBothLengths(r *http.Request) bool {
+// framingFault returns the fault of a request's framing; frame.FaultNone if its connection is
+// not from WrapListener.
+func framingFault(r *http.Request) frame.Fault {
 	c, ok := r.Context().Value(connKey{}).(*headerScanConn)
-	return ok && c.hasBothLengths()
+	if !ok {
+		return frame.FaultNone
+	}
+	return c.fault()
 }
--- a/io/proxy/limits.go
+++ b/io/proxy/limits.go
@@ -67,18 +67,6 @@
 	return limits.headerTimeout
 }
 
-// headerTooLarge counts bytes that may belong to a header and reports whether it is larger
-// than allowed.
-func (c *headerScanConn) headerTooLarge(n int) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.inHeader {
-		return false
-	}
-	c.headerBytes += n
-	return c.headerBytes > c.limits().headerBytes
-}
-
 // refusalLinger is how long the connection stays open after a refused header, so that the
 // caller gets the refusal before its unread bytes reset the connection.
 const refusalLinger = 500 * time.Millisecond
@@ -98,8 +86,7 @@
 	}
 }
 
-// headerEnded is called when net/http has read the header of a request, part of which it
-// may have read together with the request before.
+// headerEnded is called when net/http has read the header of a request.
 func headerEnded(r *http.Request) {
 	if c, ok := r.Context().Value(connKey{}).(*headerScanConn); ok {
 		c.mu.Lock()
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"gentianwell/core/call"
+	"gentianwell/core/frame"
 	"gentianwell/core/poison"
 	"gentianwell/core/table"
 	"gentianwell/io/back"
@@ -96,7 +97,8 @@
 // prepare reads the request and finds its route and team. It returns a status and a
 // reason if the request is refused, otherwise a zero status.
 func (p *proxyRequest) prepare() (int, Reason) {
-	if requestHasBothLengths(p.r) {
+	if fault := framingFault(p.r); fault != frame.FaultNone {
+		p.log("framing").WithField("fault", fault).Info("the length of the request is not certain")
 		p.closeConnection()
 		p.bodyUnread = false
 		return http.StatusBadRequest, ReasonMalformed
