Count grace periods of removed replicas from the removal, not from its discovery

Cause: removed entries stay in use for 2.3 s after an outage of the store. A watch whose response was lost, a watch whose connection failed and a read refused with 429 counted as outages, and the period began when the VM noticed that the store answers, for each prefix anew. The period for many removals at a time began when the VM learned of them, with silent watches 1.1 s late.

Evidence: the VM's log has `storeLost` with the deadline of one watch call as its cause and no failed read; 100 ms after `storeRegained` the removal comes with state gone, and requests go on for 2.2 s.

--- a/core/fleet/registry.go
+++ b/core/fleet/registry.go
@@ -9,12 +9,15 @@
 // written to, and are written again afterwards. The same holds where the store comes back
 // from an older copy; its entries then do not make a leaving replica ready at once.
 //
+// Replicas soon exit after their removal, so grace periods count from when it may have
+// happened at the earliest, and not from when this VM has learned of it.
+//
 // # Usage
 //
 //	r := fleet.New(fleet.Config{})
-//	r.ApplySnapshot(now, revision, records) // all entries of the store
-//	r.ApplyRecord(now, record)              // a change received from another VM
-//	r.StoreRecovered(now)                   // the store answers again after an outage
+//	r.ApplySnapshot(now, since, revision, records) // all entries of the store
+//	r.ApplyRecord(now, record)                     // a change received from another VM
+//	r.StoreRecovered(now, lastDown)                // the store answers again after an outage
 //	use(r.Usable(now))
 //
 // A Registry is not safe for concurrent use.
@@ -34,6 +37,8 @@
 	// defaultOutageGracePeriod covers the time in which entries that expired during
 	// an outage are written again, which the platform states as about two seconds.
 	defaultOutageGracePeriod = 2300 * time.Millisecond
+	// defaultOutageLimit is the time after which the known platforms count as stable.
+	defaultOutageLimit = 3 * time.Second
 	// defaultMassRemovalGracePeriod must be shorter than the time for which a replica
 	// continues to serve after its entry was removed, two seconds on the known
 	// platforms.
@@ -48,6 +53,9 @@
 	// OutageGracePeriod is how long after an outage of the store a removed entry
 	// stays in use.
 	OutageGracePeriod time.Duration
+	// OutageLimit ends that period: it is how long after the store was last known to be down
+	// a removed entry stays in use at most, however late this VM noticed the end of the outage.
+	OutageLimit time.Duration
 	// MassRemovalGracePeriod is how long removed entries stay in use where at least
 	// MassRemovalFraction of a service's replicas, and at least two, are removed at
 	// the same time.
@@ -61,6 +69,7 @@
 // Defaults returns the config with its unset fields filled in.
 func (c Config) Defaults() Config {
 	c.OutageGracePeriod = cmp.Or(c.OutageGracePeriod, defaultOutageGracePeriod)
+	c.OutageLimit = cmp.Or(c.OutageLimit, defaultOutageLimit)
 	c.MassRemovalGracePeriod = cmp.Or(c.MassRemovalGracePeriod, defaultMassRemovalGracePeriod)
 	c.MassRemovalFraction = cmp.Or(c.MassRemovalFraction, defaultMassRemovalFraction)
 	if c.Era == nil {
@@ -84,9 +93,9 @@
 // Registry is the list of replicas.
 type Registry struct {
 	c Config
-	// recovered is when the store last recovered from an outage; entries may be
-	// missing from it until OutageGracePeriod after that.
-	recovered time.Time
+	// recovered is when the store was found to answer again after the latest outage; entries
+	// may be missing from it until graceEnds.
+	recovered, graceEnds time.Time
 	// eraBegan is the revision of the first snapshot of the latest era. Records with later
 	// revisions of that era were written after the store was restored.
 	eraBegan int64
@@ -98,12 +107,22 @@
 	return &Registry{c: c.Defaults(), replicas: map[call.ReplicaID]*replica{}}
 }
 
-// StoreRecovered records that the store answers again after an outage.
-func (r *Registry) StoreRecovered(now time.Time) { r.recovered = now }
+// StoreRecovered records that the store answers again after an outage, in which it was last
+// known to be down at lastDown. It does nothing if the end of that outage is known already.
+func (r *Registry) StoreRecovered(now, lastDown time.Time) {
+	if !lastDown.After(r.recovered) {
+		return
+	}
+	r.recovered, r.graceEnds = now, now.Add(r.c.OutageGracePeriod)
+	if limit := lastDown.Add(r.c.OutageLimit); limit.Before(r.graceEnds) {
+		r.graceEnds = limit
+	}
+}
 
-// ApplySnapshot applies the list of all entries that the store holds at a revision.
-// It returns the records that changed; that of a removed replica has no entry.
-func (r *Registry) ApplySnapshot(now time.Time, revision int64, list Records) Records {
+// ApplySnapshot applies the list of all entries that the store holds at a revision. All
+// removals in it were made after since. It returns the records that changed; that of a
+// removed replica has no entry.
+func (r *Registry) ApplySnapshot(now, since time.Time, revision int64, list Records) Records {
 	if r.c.Era(revision) > r.c.Era(r.eraBegan) {
 		r.eraBegan = revision
 	}
@@ -128,7 +147,11 @@
 	massRemovals := r.massRemovals(missing)
 	for _, rep := range missing {
 		changed = append(changed, Record{ID: rep.record.ID, Revision: revision})
-		r.remove(now, rep, revision, massRemovals[rep.record.Entry.Service])
+		var until time.Time
+		if massRemovals[rep.record.Entry.Service] {
+			until = since.Add(r.c.MassRemovalGracePeriod)
+		}
+		r.remove(now, rep, revision, until)
 	}
 	r.prune(now)
 	return changed
@@ -153,7 +176,7 @@
 	}
 	rep.held = nil
 	if record.Entry == nil && rep.record.Entry != nil {
-		r.remove(now, rep, record.Revision, false)
+		r.remove(now, rep, record.Revision, time.Time{})
 		return true
 	}
 	rep.record, rep.usableUntil = record, time.Time{}
@@ -216,15 +239,12 @@
 	return out
 }
 
-// remove takes an entry out of use, at once or after a grace period.
-func (r *Registry) remove(now time.Time, rep *replica, revision int64, massRemoval bool) {
+// remove takes an entry out of use: at the given time or, after an outage, at the end of its
+// grace period if that is later, but not before now.
+func (r *Registry) remove(now time.Time, rep *replica, revision int64, until time.Time) {
 	rep.record.Revision = revision
-	until := now
-	if !r.recovered.IsZero() {
-		until = r.recovered.Add(r.c.OutageGracePeriod)
-	}
-	if massRemoval && now.Add(r.c.MassRemovalGracePeriod).After(until) {
-		until = now.Add(r.c.MassRemovalGracePeriod)
+	if r.graceEnds.After(until) {
+		until = r.graceEnds
 	}
 	if until.After(now) {
 		rep.usableUntil = until
--- a/core/fleet/registry_test.go
+++ b/core/fleet/registry_test.go
@@ -40,7 +40,7 @@
 
 func TestSnapshotsAndRecords(t *testing.T) {
 	r := New(Config{})
-	changed := r.ApplySnapshot(at(0), 10, Records{ready("a", 1), ready("b", 2), ready("c", 3), ready("d", 4), ready("e", 5)})
+	changed := r.ApplySnapshot(at(0), at(0), 10, Records{ready("a", 1), ready("b", 2), ready("c", 3), ready("d", 4), ready("e", 5)})
 	assert.Equal(t, len(changed), 5)
 	assert.Equal(t, names(r.Usable(at(0))), "abcde")
 
@@ -49,7 +49,7 @@
 	assert.Assert(t, !r.ApplyRecord(at(2), ready("a", 1)), "an older record must not restore a replica")
 	assert.Equal(t, names(r.Usable(at(2))), "bcde")
 
-	changed = r.ApplySnapshot(at(3), 12, Records{leaving("a", 11), ready("c", 3), ready("d", 4), ready("e", 5)})
+	changed = r.ApplySnapshot(at(3), at(3), 12, Records{leaving("a", 11), ready("c", 3), ready("d", 4), ready("e", 5)})
 	assert.DeepEqual(t, changed, Records{{ID: "b", Revision: 12}})
 	assert.Equal(t, names(r.Usable(at(3))), "cde")
 	assert.Assert(t, !r.ApplyRecord(at(4), ready("b", 2)))
@@ -60,39 +60,56 @@
 func TestSnapshotOlderThanRecord(t *testing.T) {
 	r := New(Config{})
 	r.ApplyRecord(at(0), ready("new", 30))
-	r.ApplySnapshot(at(1), 20, Records{ready("old", 3)})
+	r.ApplySnapshot(at(1), at(1), 20, Records{ready("old", 3)})
 	assert.Equal(t, names(r.Usable(at(1))), "newold", "a snapshot older than a replica's record must not remove it")
 }
 
 func TestUnreadableEntryIsNoReplica(t *testing.T) {
 	r := New(Config{})
-	r.ApplySnapshot(at(0), 10, Records{ready("a", 1), {ID: "x", Revision: 9}})
+	r.ApplySnapshot(at(0), at(0), 10, Records{ready("a", 1), {ID: "x", Revision: 9}})
 	assert.Equal(t, names(r.Usable(at(0))), "a")
-	r.ApplySnapshot(at(1), 12, Records{{ID: "a", Revision: 12}, {ID: "x", Revision: 9}})
+	r.ApplySnapshot(at(1), at(1), 12, Records{{ID: "a", Revision: 12}, {ID: "x", Revision: 9}})
 	assert.Equal(t, names(r.Usable(at(1))), "")
 }
 
 func TestAfterAnOutage(t *testing.T) {
 	r := New(Config{})
-	r.ApplySnapshot(at(0), 10, Records{ready("a", 1), ready("b", 2), ready("c", 3)})
-	r.StoreRecovered(at(5000))
-	r.ApplySnapshot(at(5000), 11, nil)
+	r.ApplySnapshot(at(0), at(0), 10, Records{ready("a", 1), ready("b", 2), ready("c", 3)})
+	r.StoreRecovered(at(5000), at(5000))
+	r.ApplySnapshot(at(5000), at(5000), 11, nil)
 	assert.Equal(t, names(r.Usable(at(5000))), "abc", "entries that expired during the outage stay in use")
-	r.ApplySnapshot(at(6000), 12, Records{ready("b", 12)})
-	r.ApplySnapshot(at(6500), 13, Records{ready("b", 12)})
+	r.ApplySnapshot(at(6000), at(6000), 12, Records{ready("b", 12)})
+	r.ApplySnapshot(at(6500), at(6500), 13, Records{ready("b", 12)})
 	assert.Equal(t, names(r.Usable(at(7299))), "abc")
 	assert.Equal(t, names(r.Usable(at(7301))), "b", "entries still missing after the grace period are removed")
-	r.ApplySnapshot(at(7400), 14, nil)
+	r.ApplySnapshot(at(7400), at(7400), 14, nil)
 	assert.Equal(t, names(r.Usable(at(7400))), "")
 }
 
+// Guards against grace periods that count from when a VM notices the end of an outage, which may
+// be long after it.
+func TestGracePeriodsEndHoweverLateTheyBegin(t *testing.T) {
+	r := New(Config{})
+	r.ApplySnapshot(at(0), at(0), 10, Records{ready("a", 1), ready("b", 2), ready("c", 3), ready("d", 4)})
+	r.StoreRecovered(at(5000), at(3000))
+	r.ApplySnapshot(at(5000), at(5000), 11, Records{ready("b", 2), ready("c", 3), ready("d", 4)})
+	assert.Equal(t, names(r.Usable(at(5999))), "abcd")
+	assert.Equal(t, names(r.Usable(at(6001))), "bcd", "three seconds after the store was last known to be down")
+	r.StoreRecovered(at(6100), at(4900))
+	r.ApplySnapshot(at(6100), at(6100), 12, Records{ready("c", 3), ready("d", 4)})
+	assert.Equal(t, names(r.Usable(at(6100))), "cd", "the same outage, noticed by another read")
+	r.ApplySnapshot(at(6200), at(5200), 13, nil)
+	assert.Equal(t, names(r.Usable(at(6699))), "cd", "both may have been removed since 5200")
+	assert.Equal(t, names(r.Usable(at(6701))), "")
+}
+
 func TestMassRemoval(t *testing.T) {
 	r := New(Config{})
-	r.ApplySnapshot(at(0), 10, Records{ready("a", 1), ready("b", 2), ready("c", 3)})
-	r.ApplySnapshot(at(100), 11, Records{ready("a", 1)})
+	r.ApplySnapshot(at(0), at(0), 10, Records{ready("a", 1), ready("b", 2), ready("c", 3)})
+	r.ApplySnapshot(at(100), at(100), 11, Records{ready("a", 1)})
 	assert.Equal(t, names(r.Usable(at(1599))), "abc")
 	assert.Equal(t, names(r.Usable(at(1601))), "a")
-	r.ApplySnapshot(at(2000), 12, Records{ready("a", 1), ready("b", 12)})
+	r.ApplySnapshot(at(2000), at(2000), 12, Records{ready("a", 1), ready("b", 12)})
 	assert.Equal(t, names(r.Usable(at(2000))), "ab")
 }
 
@@ -142,13 +159,13 @@
 // written after the restore counts at once.
 func TestRestoredStoreBringsNothingBack(t *testing.T) {
 	r := newEraRegistry()
-	r.ApplySnapshot(at(0), inEra(1, 10), Records{ready("a", inEra(1, 1)), ready("b", inEra(1, 2)), ready("c", inEra(1, 3))})
+	r.ApplySnapshot(at(0), at(0), inEra(1, 10), Records{ready("a", inEra(1, 1)), ready("b", inEra(1, 2)), ready("c", inEra(1, 3))})
 	r.ApplyRecord(at(1), leaving("a", inEra(1, 11)))
 	r.ApplyRecord(at(1), Record{ID: "b", Revision: inEra(1, 12)})
 	assert.Equal(t, names(r.Usable(at(1))), "c")
 
-	r.StoreRecovered(at(100))
-	r.ApplySnapshot(at(100), inEra(2, 5), Records{ready("a", inEra(2, 1)), ready("b", inEra(2, 2))})
+	r.StoreRecovered(at(100), at(100))
+	r.ApplySnapshot(at(100), at(100), inEra(2, 5), Records{ready("a", inEra(2, 1)), ready("b", inEra(2, 2))})
 	assert.Equal(t, names(r.Usable(at(100))), "c", "c has yet to register again")
 	r.ApplyRecord(at(200), leaving("a", inEra(2, 6)))
 	assert.Equal(t, names(r.Usable(at(2399))), "c")
@@ -161,14 +178,14 @@
 // goes with the entry.
 func TestRestoredStoreIsBelievedAnew(t *testing.T) {
 	r := newEraRegistry()
-	r.ApplySnapshot(at(0), inEra(1, 10), Records{ready("a", inEra(1, 1)), ready("b", inEra(1, 2))})
-	r.ApplySnapshot(at(1), inEra(1, 11), nil)
+	r.ApplySnapshot(at(0), at(0), inEra(1, 10), Records{ready("a", inEra(1, 1)), ready("b", inEra(1, 2))})
+	r.ApplySnapshot(at(1), at(1), inEra(1, 11), nil)
 	assert.Equal(t, names(r.Usable(at(2000))), "")
-	r.ApplySnapshot(at(2100), inEra(2, 5), Records{ready("a", inEra(2, 1)), ready("b", inEra(2, 2))})
+	r.ApplySnapshot(at(2100), at(2100), inEra(2, 5), Records{ready("a", inEra(2, 1)), ready("b", inEra(2, 2))})
 	assert.Equal(t, names(r.Usable(at(2100))), "")
 	assert.Assert(t, r.ApplyRecord(at(2200), ready("a", inEra(2, 6))))
 	assert.Equal(t, names(r.Usable(at(2200))), "a")
-	r.ApplySnapshot(at(2300), inEra(2, 7), Records{ready("a", inEra(2, 6))})
+	r.ApplySnapshot(at(2300), at(2300), inEra(2, 7), Records{ready("a", inEra(2, 6))})
 	assert.Equal(t, names(r.Usable(at(9000))), "a")
 }
 
--- a/io/entry/bounds.go
+++ b/io/entry/bounds.go
@@ -43,11 +43,11 @@
 }
 
 // fleetConfig returns the configuration of the list of replicas. A removal that follows an
-// outage counts from StableTime after the end of the outage on.
+// outage counts from StableTime after the end of the outage on, whenever the VM notices that.
 func (c *Config) fleetConfig() fleet.Config {
 	massRemoval := min(maxMassRemovalGracePeriod, time.Duration(massRemovalFraction*float64(c.DrainTime)))
 	return fleet.Config{
-		MassRemovalGracePeriod: massRemoval, OutageGracePeriod: min(maxOutageGracePeriod, c.StableTime+massRemoval),
+		MassRemovalGracePeriod: massRemoval, OutageGracePeriod: min(maxOutageGracePeriod, c.StableTime+massRemoval), OutageLimit: c.StableTime,
 		Era: func(revision int64) int64 { return kvs.Revision(revision).Era() },
 	}
 }
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -170,7 +170,7 @@
 		registry: fleet.New(c.fleetConfig()), values: map[call.ReplicaID][]byte{},
 	}
 	e.members = &members{self: c.VM, zone: c.Zone, address: c.PeerAddress, items: e.items, now: e.options.Now, log: e.log, unreachable: map[call.VMID]bool{}}
-	e.storeStatus = &storeStatus{now: e.options.Now, log: e.log, onRecovery: e.replicas.storeRecovered, onChange: func() { e.members.announce(e.options.Now()) }}
+	e.storeStatus = &storeStatus{now: e.options.Now, log: e.log, onChange: func() { e.members.announce(e.options.Now()) }}
 	e.members.storeUp = e.storeStatus.up
 	var suspects crashRegistries
 	if suspects.requests, err = poison.New(crashConfig(c.VM, e.clocks.ahead)); err != nil {
--- a/io/entry/replicas.go
+++ b/io/entry/replicas.go
@@ -68,11 +68,14 @@
 	return len(r.registry.Usable(r.now()))
 }
 
-// storeRecovered tells the registry that the store answers again.
-func (r *replicas) storeRecovered() {
+// storeRecovered tells the registry that the store answers again and how long ago it was last
+// known to be down, by a read of a prefix.
+func (r *replicas) storeRecovered(prefix string, lastDown time.Duration) {
+	r.log.WithFields(logrus.Fields{"event": "storeOutage", "prefix": prefix, "lastDown": lastDown.String()}).Info("the store was down, entries that expired meanwhile stay in use for a grace period")
+	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.registry.StoreRecovered(r.now())
+	r.registry.StoreRecovered(now, now.Add(-lastDown))
 }
 
 // applySnapshot applies the list of all entries in the store.
@@ -89,7 +92,7 @@
 		records = append(records, record)
 		r.values[record.ID] = e.Value
 	}
-	changed := r.registry.ApplySnapshot(now, int64(snap.Revision), records)
+	changed := r.registry.ApplySnapshot(now, now.Add(-snap.Delay), int64(snap.Revision), records)
 	for _, record := range changed {
 		if record.Entry == nil {
 			delete(r.values, record.ID)
--- a/io/entry/restore.go
+++ b/io/entry/restore.go
@@ -20,7 +20,7 @@
 			break
 		}
 	}
-	e.replicas.storeRecovered()
+	e.replicas.storeRecovered(prefix, 0)
 	records, streams := e.crashes.writeAgain(), e.origins.writeAgain()
 	for _, m := range e.probe.mirrors {
 		if m.Prefix() != prefix {
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -211,6 +211,7 @@
 		Service: e.options.Source.Store, Prefix: prefix, Changed: changed, Rand: e.options.rand(stream), Log: e.log,
 		RereadInterval: mirrorReread, Backoff: mirrorBackoff,
 		DownChanged: func(down bool, cause error) { e.storeStatus.set(prefix, down, cause) },
+		OutageEnded: func(lastDown time.Duration) { e.replicas.storeRecovered(prefix, lastDown) },
 		Restored:    func(before, after kvs.Revision) { e.storeRestored(prefix, before, after) },
 	})
 	return m, errors.Trace(err)
--- a/io/entry/store_status.go
+++ b/io/entry/store_status.go
@@ -11,8 +11,6 @@
 type storeStatus struct {
 	now func() time.Time
 	log logrus.FieldLogger
-	// onRecovery is called when a prefix can be read again.
-	onRecovery func()
 	// onChange is called after each change of the status.
 	onChange func()
 
@@ -46,7 +44,6 @@
 		return true
 	}
 	s.log.WithFields(logrus.Fields{"event": "storeRegained", "prefix": prefix, "lostFor": s.now().Sub(s.lostAt).String()}).Info("the store can be read again")
-	s.onRecovery()
 	return true
 }
 
--- a/io/kvs/types.go
+++ b/io/kvs/types.go
@@ -10,6 +10,9 @@
 const (
 	// ErrUnavailable means that the call certainly had no effect.
 	ErrUnavailable = errors.ConstError("key-value service unavailable")
+	// ErrRefused is an ErrUnavailable of a service that is up and refuses this call, such as
+	// one beyond a limit.
+	ErrRefused = errors.ConstError("key-value service refused the call")
 	// ErrUnknown means that there was no usable reply, so that the call may have had
 	// its effect.
 	ErrUnknown = errors.ConstError("key-value service gave no reply: effect unknown")
@@ -52,6 +55,9 @@
 type Snapshot struct {
 	Entries  Entries
 	Revision Revision
+	// Delay is for how long the newest change may have gone unnoticed at most; zero if it has
+	// just been delivered, and in the result of a call.
+	Delay time.Duration
 }
 
 // CompareTarget is the property of a key that a Compare tests.
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -44,6 +44,11 @@
 	// DownChanged is called when reads or watches begin to fail and when reads succeed
 	// again, then before Changed is called. By default, both are logged.
 	DownChanged func(down bool, cause error)
+	// OutageEnded is called when all keys were read after a read had failed because the
+	// service was down, before Changed, with how long ago it was last known to be down. Watches
+	// that fail are no sign of an outage: their connections fail, too. By default, nothing is
+	// called.
+	OutageEnded func(lastDown time.Duration)
 	// Restored is called when all keys were read for the first time after the service was
 	// restored from an older copy, before Changed, with the revision of the copy before and
 	// the new one. By default, it is logged.
@@ -64,6 +69,9 @@
 	if c.DownChanged == nil {
 		c.DownChanged = c.logDown
 	}
+	if c.OutageEnded == nil {
+		c.OutageEnded = func(time.Duration) {}
+	}
 	if c.Restored == nil {
 		c.Restored = c.logRestored
 	}
@@ -103,7 +111,10 @@
 	// sharedRevision is a copy of revision that other goroutines may read.
 	sharedRevision atomic.Int64
 	// down is true while reads or watches fail.
-	down bool
+	down   bool
+	outage outage
+	// currentAt is when the copy was last known to be complete.
+	currentAt time.Time
 	// rereadNow gets a value when Reread is called.
 	rereadNow chan struct{}
 }
@@ -152,8 +163,9 @@
 
 // readAndWatch reads all keys and follows a watch until RereadInterval has passed,
 // Reread is called or the watch fails. It returns an error if the service fails, but
-// not if the watch's revision was compacted, for which the next read is the remedy. If
-// that happens again soon after a read, it waits first.
+// not if the watch got no response in time, as only its connection may have failed, nor if
+// its revision was compacted: the next read is the remedy for both. If a revision is
+// compacted soon after a read, it waits first.
 func (m *Mirror) readAndWatch(ctx context.Context) error {
 	if err := m.readAll(ctx); err != nil {
 		return errors.Annotate(err, "Mirror.readAndWatch")
@@ -169,7 +181,7 @@
 		}
 	}()
 	err := m.config.Service.Watch(watchCtx, m.config.Prefix, m.revision+1, m.apply)
-	if watchCtx.Err() != nil || errors.Is(err, kvs.ErrCompacted) {
+	if watchCtx.Err() != nil || errors.Is(err, kvs.ErrCompacted) || errors.Is(err, context.DeadlineExceeded) {
 		m.config.Log.WithFields(logrus.Fields{"event": "mirrorEnd", "prefix": m.config.Prefix, "revision": m.revision, "cause": err}).Info("watch ended, reading all keys again")
 		if errors.Is(err, kvs.ErrCompacted) && time.Since(readAt) < m.config.Backoff {
 			m.backOff(ctx)
@@ -182,11 +194,16 @@
 func (m *Mirror) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, m.config.Timeout)
 	defer cancel()
+	began := time.Now()
 	snap, err := m.config.Service.List(ctx, m.config.Prefix)
 	if err != nil {
+		m.outage.failed(began, err)
 		return err
 	}
 	m.setDown(false, nil)
+	if lastDown, ok := m.outage.end(); ok {
+		m.config.OutageEnded(lastDown)
+	}
 	m.entries = make(map[string]kvs.Entry, len(snap.Entries))
 	for _, e := range snap.Entries {
 		m.entries[e.Key] = e
@@ -197,7 +214,9 @@
 	m.revision = snap.Revision
 	m.sharedRevision.Store(int64(m.revision))
 	m.config.Log.WithFields(logrus.Fields{"event": "mirrorRead", "prefix": m.config.Prefix, "revision": m.revision, "entries": len(snap.Entries)}).Info("read all keys")
-	m.publish()
+	since := m.currentAt
+	m.currentAt = began
+	m.publish(time.Since(since))
 	return nil
 }
 
@@ -211,8 +230,9 @@
 	}
 	m.revision = max(m.revision, b.Revision)
 	m.sharedRevision.Store(int64(m.revision))
+	m.currentAt = time.Now()
 	if len(b.Events) > 0 {
-		m.publish()
+		m.publish(0)
 	}
 	return nil
 }
@@ -224,8 +244,8 @@
 func (m *Mirror) Revision() kvs.Revision { return kvs.Revision(m.sharedRevision.Load()) }
 
 // publish passes the copy to Changed.
-func (m *Mirror) publish() {
-	snap := kvs.Snapshot{Revision: m.revision, Entries: make(kvs.Entries, 0, len(m.entries))}
+func (m *Mirror) publish(delay time.Duration) {
+	snap := kvs.Snapshot{Revision: m.revision, Delay: delay, Entries: make(kvs.Entries, 0, len(m.entries))}
 	for _, e := range m.entries {
 		snap.Entries = append(snap.Entries, e)
 	}
--- a/io/mirror/mirror_test.go
+++ b/io/mirror/mirror_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
@@ -24,6 +25,9 @@
 	rev     kvs.Revision
 	down    bool
 	events  chan kvs.Batch
+	// watchErr ends a watch, listErr a read, if not nil.
+	watchErr chan error
+	listErr  error
 }
 
 func (f *fakeService) set(down bool, entries kvs.Entries, rev kvs.Revision) {
@@ -40,6 +44,9 @@
 			if f.down {
 				return kvs.Snapshot{}, kvs.ErrUnavailable
 			}
+			if f.listErr != nil {
+				return kvs.Snapshot{}, f.listErr
+			}
 			return kvs.Snapshot{Entries: f.entries, Revision: f.rev}, nil
 		},
 		Watch: func(ctx context.Context, _ string, _ kvs.Revision, fn func(kvs.Batch) error) error {
@@ -47,6 +54,8 @@
 				select {
 				case <-ctx.Done():
 					return ctx.Err()
+				case err := <-f.watchErr:
+					return err
 				case b := <-f.events:
 					if err := fn(b); err != nil {
 						return err
@@ -116,3 +125,55 @@
 		assert.DeepEqual(t, *got, []string{"p/c"})
 	})
 }
+
+// Guards against a watch without a response, or a call that the service refuses, that counts as
+// an outage: entries that are removed after one stay in use.
+func TestOnlyFailedReadsAreOutages(t *testing.T) {
+	for name, test := range map[string]struct {
+		watchErr, listErr error
+		wantDown          bool
+		// wantAgo is how long ago the service was last known to be down, negative if never.
+		wantAgo time.Duration
+	}{
+		"watch without a response":    {watchErr: context.DeadlineExceeded, wantAgo: -1},
+		"watch that fails":            {watchErr: kvs.ErrUnknown, wantDown: true, wantAgo: -1},
+		"reads beyond a limit":        {watchErr: kvs.ErrUnknown, listErr: errors.WithType(kvs.ErrUnavailable, kvs.ErrRefused), wantDown: true, wantAgo: -1},
+		"reads that fail":             {watchErr: kvs.ErrUnknown, listErr: kvs.ErrUnavailable, wantDown: true, wantAgo: 500 * time.Millisecond},
+		"reads without a response":    {watchErr: context.DeadlineExceeded, listErr: context.DeadlineExceeded, wantDown: true, wantAgo: 500 * time.Millisecond},
+		"reads and watches are sound": {watchErr: kvs.ErrCompacted, wantAgo: -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeService{rev: 1, events: make(chan kvs.Batch), watchErr: make(chan error)}
+				log, _ := logtest.NewNullLogger()
+				ago, down := time.Duration(-1), false
+				m, err := New(Config{
+					Service: f.service(), Prefix: "p/", Log: log, Rand: rand.New(rand.NewPCG(gwtest.Seed(), 3)), Changed: func(kvs.Snapshot) {},
+					OutageEnded: func(lastDown time.Duration) { ago = lastDown },
+					DownChanged: func(isDown bool, _ error) { down = down || isDown },
+				})
+				assert.NilError(t, err)
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() { _ = m.Run(ctx) }()
+				time.Sleep(10 * time.Second)
+				f.mu.Lock()
+				f.listErr = test.listErr
+				f.mu.Unlock()
+				f.watchErr <- test.watchErr
+				time.Sleep(5 * time.Second)
+				f.mu.Lock()
+				f.listErr = nil
+				f.mu.Unlock()
+				time.Sleep(5 * time.Second)
+				cancel()
+				synctest.Wait()
+				assert.Equal(t, down, test.wantDown)
+				if test.wantAgo < 0 {
+					assert.Equal(t, ago, time.Duration(-1))
+					return
+				}
+				assert.Assert(t, ago >= test.wantAgo && ago <= 1500*time.Millisecond, "%s", ago)
+			})
+		})
+	}
+}
