Limit response bodies that are being read in sum

What callers could see: a `serve` VM that ends, and their requests with it, because one engine sends bodies without end (a report of other operators; not seen in use).

Cause: io/back limits each body to 32 MB, and the sum of all bodies not at all.

`entry` holds 256 KB of a body and was not affected.

--- a/io/back/client.go
+++ b/io/back/client.go
@@ -13,6 +13,7 @@
 	conns    *connTracker
 	pooled   *http.Transport
 	unpooled *http.Transport
+	bodies   bodyMemory
 }
 
 // New returns a client.
@@ -23,7 +24,7 @@
 	if err := c.Validate(); err != nil {
 		return nil, errors.Annotate(err, "New")
 	}
-	out := &Client{config: c, conns: newConnTracker(c)}
+	out := &Client{config: c, conns: newConnTracker(c), bodies: bodyMemory{limit: c.MaxBodies}}
 	out.pooled = out.newTransport(false)
 	out.unpooled = out.newTransport(true)
 	return out, nil
--- a/io/back/client_test.go
+++ b/io/back/client_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -205,3 +206,42 @@
 	_, err = New(Config{MaxBody: -1})
 	assert.ErrorContains(t, err, "negative limit")
 }
+
+// Guards against a process that runs out of memory because backend servers send bodies without
+// end: all attempts together keep to Config.MaxBodies, and later ones are not affected.
+func TestEndlessBodiesShareMemory(t *testing.T) {
+	const bodyBytes, fit, attempts = 100 << 10, 3, 12
+	var endless atomic.Bool
+	endless.Store(true)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", bodyBytes))
+		if endless.Load() {
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(srv.Close)
+	log, _ := logtest.NewNullLogger()
+	client, err := New(Config{ProgressTimeout: testTimeout, FirstByteTimeout: testTimeout, MaxBody: 1 << 20, MaxBodies: fit*bodyBytes + bodyBytes/2, Log: log})
+	assert.NilError(t, err)
+	t.Cleanup(client.Close)
+	target := Target{ID: "engine-1", Address: srv.Listener.Addr().(*net.TCPAddr).AddrPort()}
+	do := func() error {
+		_, err := client.Do(t.Context(), target, Request{Path: "/a"}, nil)
+		return err
+	}
+	errs := make(chan error, attempts)
+	for range attempts {
+		go func() { errs <- do() }()
+	}
+	full := 0
+	for range attempts {
+		if err := <-errs; errors.Is(err, errMemoryFull) {
+			full++
+		}
+	}
+	assert.Assert(t, full >= attempts-fit, "%d attempts did not fit", full)
+	endless.Store(false)
+	assert.NilError(t, do())
+	assert.Equal(t, client.bodies.held.Load(), int64(0))
+}
--- a/io/back/config.go
+++ b/io/back/config.go
@@ -32,6 +32,8 @@
 	MaxHeader int64
 	MaxEvent  int
 	MaxBody   int64
+	// MaxBodies limits the sum of the bodies that are being read at a time, in bytes.
+	MaxBodies int64
 	// NotRunHeader is the header by which a backend server guarantees on a 429 or 503
 	// response that it has run nothing of the request.
 	NotRunHeader string
@@ -51,6 +53,7 @@
 	defaultMaxHeader        = 64 << 10
 	defaultMaxEvent         = 1 << 20
 	defaultMaxBody          = 32 << 20
+	defaultMaxBodies        = 128 << 20
 	defaultNotRunHeader     = "X-Not-Run"
 )
 
@@ -64,6 +67,7 @@
 	c.MaxHeader = cmp.Or(c.MaxHeader, defaultMaxHeader)
 	c.MaxEvent = cmp.Or(c.MaxEvent, defaultMaxEvent)
 	c.MaxBody = cmp.Or(c.MaxBody, defaultMaxBody)
+	c.MaxBodies = cmp.Or(c.MaxBodies, defaultMaxBodies)
 	c.NotRunHeader = cmp.Or(c.NotRunHeader, defaultNotRunHeader)
 	if c.Dial == nil {
 		c.Dial = dialTCP
@@ -88,9 +92,9 @@
 	case c.DialTimeout < 0 || c.FirstByteTimeout < 0 || c.ProgressTimeout < 0 || c.IdleTimeout < 0:
 		return errors.NotValidf("Config.Validate: negative timeout: DialTimeout %s, FirstByteTimeout %s, ProgressTimeout %s, IdleTimeout %s",
 			c.DialTimeout, c.FirstByteTimeout, c.ProgressTimeout, c.IdleTimeout)
-	case c.MaxIdleConns < 0 || c.MaxHeader < 0 || c.MaxEvent < 0 || c.MaxBody < 0:
-		return errors.NotValidf("Config.Validate: negative limit: MaxIdleConns %d, MaxHeader %d, MaxEvent %d, MaxBody %d",
-			c.MaxIdleConns, c.MaxHeader, c.MaxEvent, c.MaxBody)
+	case c.MaxIdleConns < 0 || c.MaxHeader < 0 || c.MaxEvent < 0 || c.MaxBody < 0 || c.MaxBodies < 0:
+		return errors.NotValidf("Config.Validate: negative limit: MaxIdleConns %d, MaxHeader %d, MaxEvent %d, MaxBody %d, MaxBodies %d",
+			c.MaxIdleConns, c.MaxHeader, c.MaxEvent, c.MaxBody, c.MaxBodies)
 	}
 	return nil
 }
--- a/io/back/receive.go
+++ b/io/back/receive.go
@@ -56,9 +56,14 @@
 func (a *attempt) readBody(res *http.Response) error {
 	a.result.FirstLatency = time.Since(a.started)
 	a.watchdog.setTimeout(a.request.ProgressTimeout)
-	body, err := io.ReadAll(io.LimitReader(res.Body, a.client.config.MaxBody+1))
+	counted := &countedBody{Reader: io.LimitReader(res.Body, a.client.config.MaxBody+1), memory: &a.client.bodies}
+	defer counted.release()
+	body, err := io.ReadAll(counted)
 	a.result.Body = body
 	switch {
+	case errors.Is(err, errMemoryFull):
+		a.result.Body = nil
+		return errors.Trace(err)
 	case err != nil:
 		return errors.Trace(err)
 	case int64(len(body)) > a.client.config.MaxBody:
