Notice outages of the store in which it is silent

What callers could see: replicas that live are not used for up to two seconds after the store was silent, since their entries expired meanwhile, and requests are refused or late.

Cause: in such an outage no watch ends and no list is read, so no read fails. Evidence: TestEntriesThatExpireInOutageStayInUse/silent failed before: the entry was out of use 0.27 s after the store was back (bound 1.9 s, replicas write again within two seconds).

Change: two probes in a row without a response are an outage; probes follow each other without a pause while there is none, and a slow one counts as down when it began. Metric gentianwell_store_outages_total.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -165,7 +165,8 @@
 	e.limits.items, e.limits.changed = e.items, e.router.LimitsChanged
 	e.replicas = &replicas{
 		onList: e.loads.setReplicas, onVersions: func(now time.Time, v map[call.Model]map[call.Version]int) { e.origins.setVersions(now, v) },
-		onEnded: func(id call.ReplicaID) { e.crashes.replicaEnded(id) }, latest: map[call.ReplicaID]fleet.Entry{},
+		onOutage: func(prefix string) { e.metrics.storeOutages.WithLabelValues(prefix).Inc() },
+		onEnded:  func(id call.ReplicaID) { e.crashes.replicaEnded(id) }, latest: map[call.ReplicaID]fleet.Entry{},
 		prefix: e.options.Source.ReplicaPrefix, parse: e.options.Source.ParseReplica, router: e.router, items: e.items, now: e.options.Now, log: e.log,
 		registry: fleet.New(c.fleetConfig()), values: map[call.ReplicaID][]byte{},
 	}
@@ -205,6 +206,7 @@
 		ReceiveClock: e.clocks.heard,
 	})
 	e.probe = &probe{list: e.options.Source.Store.List, members: e.members, push: e.pushReplicas, grace: c.probeGrace(), log: e.log}
+	e.probe.recovered = func(lastDown time.Duration) { e.replicas.storeRecovered(probePrefix, lastDown) }
 	e.metrics = newMetrics(prometheus.NewRegistry(), e)
 	e.proxy, err = proxy.New(e.proxyConfig())
 	return errors.Trace(err)
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -38,6 +38,8 @@
 	streamRecords *prometheus.CounterVec
 	// storeRestores counts the times that the store came back from an older copy.
 	storeRestores prometheus.Counter
+	// storeOutages counts the outages of the store whose end was noticed, by the prefix that was read.
+	storeOutages *prometheus.CounterVec
 
 	first *prometheus.HistogramVec
 	total *prometheus.HistogramVec
@@ -63,6 +65,7 @@
 		crashes:       counter("crashes_total", "Crashes of backend servers under a request, by how the request was judged with it.", "reason"),
 		takenUp:       counter("taken_up_total", "Streams that callers took up again, by how the request ended.", "reason"),
 		streamRecords: counter("stream_records_total", "Records of the version at which a stream began, by whether the store took them.", "written"),
+		storeOutages:  counter("store_outages_total", "Outages of the store whose end was noticed; removed replicas may then stay in use for a time.", "prefix"),
 		storeRestores: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gentianwell_store_restores_total", Help: "Times that the platform's store came back from an older copy.",
 		}),
@@ -70,7 +73,7 @@
 		total: histogram("total_seconds", "Time to the end of the answer."),
 	}
 	registry.MustRegister(
-		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.requests, m.sends, m.onTime, m.cut, m.lostRuns, m.crashes, m.takenUp, m.streamRecords, m.storeRestores, m.first, m.total,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.requests, m.sends, m.onTime, m.cut, m.lostRuns, m.crashes, m.takenUp, m.streamRecords, m.storeRestores, m.storeOutages, m.first, m.total,
 	)
 	gauge := func(name, help string, value func() float64) {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gentianwell_" + name, Help: help}, value))
--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"gentianwell/io/kvs"
@@ -16,6 +17,14 @@
 	probeTimeout = time.Second
 	// probePrefix is a prefix without keys, so that the response is just the revision.
 	probePrefix = "gentianwell/none/"
+	// outageProbes is how many reads in a row have to fail in an outage. A single one may only
+	// have met a connection that is dead.
+	outageProbes = 2
+	// maxSilentProbes is how many reads in a row follow one that got no response without a pause,
+	// so that the end of an outage is noticed soon.
+	maxSilentProbes = 10
+	// slowProbe is the duration above which the store did not answer when a read began.
+	slowProbe = probeTimeout / 2
 	// isolatedAfter is how long after the last response of another VM this VM probes in
 	// any case.
 	isolatedAfter = 1500 * time.Millisecond
@@ -32,8 +41,13 @@
 	// grace is how long the watches have to deliver a change themselves.
 	grace time.Duration
 	log   logrus.FieldLogger
+	// recovered is called when the store answers again after an outage, with how long ago it
+	// was last known to be down. In an outage in which the store is silent, no watch fails.
+	recovered func(lastDown time.Duration)
 	// running is true while check runs.
 	running atomic.Bool
+	// outage is that of the checks.
+	outage mirror.Outage
 }
 
 // start starts a check if this VM is the prober and none is running; it does not wait
@@ -44,7 +58,11 @@
 	}
 	go func() {
 		defer p.running.Store(false)
-		p.check()
+		for range maxSilentProbes {
+			if !p.check() {
+				return
+			}
+		}
 	}()
 }
 
@@ -66,18 +84,28 @@
 	return true
 }
 
-// check reads the store's revision and calls refresh if the mirrors are behind it.
-func (p *probe) check() {
+// check reads the store's revision and calls refresh if the mirrors are behind it. It reports
+// whether the read got no response.
+func (p *probe) check() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
+	began := time.Now()
 	snap, err := p.list(ctx, probePrefix)
 	if err != nil {
+		p.outage.Failed(began, err)
 		p.log.WithFields(logrus.Fields{"event": "probe"}).WithError(err).Debug("reading the store's revision failed")
-		return
+		return errors.Is(err, context.DeadlineExceeded)
+	}
+	if time.Since(began) > slowProbe {
+		p.outage.Failed(began, context.DeadlineExceeded)
+	}
+	if failures, lastDown := p.outage.End(); failures >= outageProbes {
+		p.recovered(lastDown)
 	}
 	if snap.Revision > p.newestRevision() {
 		time.AfterFunc(p.grace, func() { p.refresh(snap.Revision) })
 	}
+	return false
 }
 
 // rereadTime is about as long as reading everything again takes.
--- a/io/entry/replicas.go
+++ b/io/entry/replicas.go
@@ -32,6 +32,8 @@
 	// version, leaving ones included.
 	onList     func(route.Replicas)
 	onVersions func(time.Time, map[call.Model]map[call.Version]int)
+	// onOutage is called with the prefix by which the end of an outage of the store was noticed.
+	onOutage func(prefix string)
 	// onEnded is called with each replica that has started again or gone, unless it was
 	// leaving. It must return at once.
 	onEnded func(call.ReplicaID)
@@ -72,6 +74,7 @@
 // known to be down, by a read of a prefix.
 func (r *replicas) storeRecovered(prefix string, lastDown time.Duration) {
 	r.log.WithFields(logrus.Fields{"event": "storeOutage", "prefix": prefix, "lastDown": lastDown.String()}).Info("the store was down, entries that expired meanwhile stay in use for a grace period")
+	r.onOutage(prefix)
 	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -112,7 +112,7 @@
 	sharedRevision atomic.Int64
 	// down is true while reads or watches fail.
 	down   bool
-	outage outage
+	outage Outage
 	// currentAt is when the copy was last known to be complete.
 	currentAt time.Time
 	// rereadNow gets a value when Reread is called.
@@ -197,11 +197,11 @@
 	began := time.Now()
 	snap, err := m.config.Service.List(ctx, m.config.Prefix)
 	if err != nil {
-		m.outage.failed(began, err)
+		m.outage.Failed(began, err)
 		return err
 	}
 	m.setDown(false, nil)
-	if lastDown, ok := m.outage.end(); ok {
+	if failures, lastDown := m.outage.End(); failures > 0 {
 		m.config.OutageEnded(lastDown)
 	}
 	m.entries = make(map[string]kvs.Entry, len(snap.Entries))
--- a/io/mirror/outage.go
+++ b/io/mirror/outage.go
@@ -9,30 +9,35 @@
 	"gentianwell/io/kvs"
 )
 
-// outage records from failed reads when a service was last known to be down.
-type outage struct {
+// Outage records from failed reads when a service was last known to be down. The zero value is
+// ready for use.
+type Outage struct {
 	// lastDown is zero if it has not been down since the last read that succeeded.
 	lastDown time.Time
+	failures int
 }
 
-// failed records that a read failed that began at a time. One without a response may have
-// met an outage that ended before the read did.
-func (o *outage) failed(began time.Time, err error) {
+// Failed records that a read failed that began at a time. One without a response may have
+// met an outage that ended before the read did. One that the service refused met none.
+func (o *Outage) Failed(began time.Time, err error) {
+	if errors.Is(err, kvs.ErrRefused) {
+		return
+	}
+	o.failures++
 	switch {
-	case errors.Is(err, kvs.ErrRefused):
-	case errors.Is(err, context.DeadlineExceeded):
-		if began.After(o.lastDown) {
-			o.lastDown = began
-		}
-	default:
+	case !errors.Is(err, context.DeadlineExceeded):
 		o.lastDown = time.Now()
+	case began.After(o.lastDown):
+		o.lastDown = began
 	}
 }
 
-// end records that a read succeeded. It returns how long ago the service was last known to
-// be down, and false if it has not been.
-func (o *outage) end() (time.Duration, bool) {
-	lastDown := o.lastDown
-	o.lastDown = time.Time{}
-	return time.Since(lastDown), !lastDown.IsZero()
+// End records that a read succeeded. It returns how many reads had failed since the last one
+// that did, and how long ago the service was last known to be down.
+func (o *Outage) End() (failures int, lastDown time.Duration) {
+	if o.failures > 0 {
+		failures, lastDown = o.failures, time.Since(o.lastDown)
+	}
+	*o = Outage{}
+	return failures, lastDown
 }
