--- a/core/frame/fault.go
+++ b/core/frame/fault.go
@@ -3,6 +3,7 @@
 // Fault says why the length of a request is not certain.
 type Fault string
 
+// The faults.
 const (
 	// FaultNone is that of a request with one length.
 	FaultNone Fault = ""
