--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -4,7 +4,7 @@
 //
 // Usage: stand2 CASE RECORD, in the folder of the repository. It exits with 1 if the rule was broken,
 // with 0 if it held, and with 2 if the case could not run. With TROUBLE=0 in the environment, the
-// disruption is left out.
+// disruption is left out; with KEEP_LOGS=1, the logs of the VMs stay in the temporary folder.
 package main
 
 import (
@@ -32,6 +32,7 @@
 
 var cases = map[string]func(*scene) (outcome, error){
 	"slow-reader": slowReader,
+	"revoked-key": revokedKey,
 }
 
 func main() { os.Exit(run()) }
@@ -51,7 +52,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	defer os.RemoveAll(dir)
+	if os.Getenv("KEEP_LOGS") == "" {
+		defer os.RemoveAll(dir)
+	} else {
+		fmt.Println("logs of the VMs:", dir)
+	}
 	s := &scene{rec: rec, dir: dir, trouble: os.Getenv("TROUBLE") != "0"}
 	defer func() {
 		for _, v := range s.vms {
--- a/review/stand2/replica.go
+++ b/review/stand2/replica.go
@@ -61,7 +61,11 @@
 	rep.mu.Lock()
 	rep.runs[id]++
 	rep.mu.Unlock()
+	if rep.rec == nil {
+		goto stamp
+	}
 	rep.rec.line("replica %s runs request %s %s (X-Deadline-Ms %s)", rep.id, id, r.URL.Path, r.Header.Get("X-Deadline-Ms"))
+stamp:
 	w.Header().Set("X-Response-Stamp", fmt.Sprintf("%s.%s", rep.id, id))
 	rep.serve(rep, w, r)
 }
--- a/review/stand2/slowreader.go
+++ b/review/stand2/slowreader.go
@@ -29,7 +29,7 @@
 
 // slowReader lets clients read nothing of a stream for a while, well within their deadline.
 func slowReader(s *scene) (outcome, error) {
-	kv, err := startStore()
+	kv, err := startStore(s.rec)
 	if err != nil {
 		return outcome{}, err
 	}
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sort"
@@ -53,15 +55,20 @@
 	leases  map[int64]*lease
 	nextID  int64
 	changed chan struct{}
+	// lost is the share of the answers that are lost.
+	lost float64
+	rng  *rand.Rand
+	rec  *record
 }
 
-func startStore() (*store, error) {
+func startStore(rec *record) (*store, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	s := &store{
 		address: listener.Addr().String(), rev: 400, items: map[string]item{}, leases: map[int64]*lease{}, nextID: 77000, changed: make(chan struct{}),
+		rng: rand.New(rand.NewPCG(48, 1)), rec: rec,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.key)
@@ -71,11 +78,53 @@
 	mux.HandleFunc("POST /kv-lease", s.grant)
 	mux.HandleFunc("POST /kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.end)
-	go func() { _ = http.Serve(listener, mux) }()
+	go func() { _ = http.Serve(listener, s.losing(mux)) }()
 	go s.expire()
 	return s, nil
 }
 
+// loseAnswers sets the share of the answers that are lost from now on.
+func (s *store) loseAnswers(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = share
+	s.rec.line("the store loses %.0f%% of its answers", 100*share)
+}
+
+// losing carries out each call and loses some of the answers. A connection on which an answer is lost
+// returns nothing further: it stays open until the client closes it.
+func (s *store) losing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		held := &heldAnswer{header: http.Header{}, status: http.StatusOK}
+		next.ServeHTTP(held, r)
+		s.mu.Lock()
+		lost := s.rng.Float64() < s.lost
+		s.mu.Unlock()
+		if lost {
+			s.rec.line("store: the answer to %s %s of %s is lost", r.Method, r.URL.Path, r.RemoteAddr)
+			<-r.Context().Done()
+			return
+		}
+		maps.Copy(w.Header(), held.header)
+		w.WriteHeader(held.status)
+		_, _ = w.Write(held.body)
+	})
+}
+
+// heldAnswer keeps an answer until it is known whether it is lost.
+type heldAnswer struct {
+	header http.Header
+	status int
+	body   []byte
+}
+
+func (h *heldAnswer) Header() http.Header    { return h.header }
+func (h *heldAnswer) WriteHeader(status int) { h.status = status }
+func (h *heldAnswer) Write(p []byte) (int, error) {
+	h.body = append(h.body, p...)
+	return len(p), nil
+}
+
 // put writes an item as the operator or a replica does, and returns its revision.
 func (s *store) put(key string, value any) int64 {
 	raw, err := json.Marshal(value)
