review: case 6, running streams are cut when the step between their ids grows

A script with a stand-in store, three replicas, three VMs and 24 callers, of which a burst makes 48.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -33,6 +33,7 @@
 var cases = map[string]func(*scene) (outcome, error){
 	"slow-reader": slowReader,
 	"revoked-key": revokedKey,
+	"growing-ids": growingIDs,
 }
 
 func main() { os.Exit(run()) }
