--- a/review/stand2/replica.go
+++ b/review/stand2/replica.go
@@ -16,8 +16,9 @@
 	store             *store
 	serve             func(rep *replica, w http.ResponseWriter, r *http.Request)
 
-	server *http.Server
-	addr   string
+	listener net.Listener
+	server   *http.Server
+	addr     string
 
 	mu       sync.Mutex
 	born     int64
@@ -31,6 +32,7 @@
 	if err != nil {
 		return err
 	}
+	rep.listener = listener
 	rep.addr, rep.born, rep.state = listener.Addr().String(), time.Now().UnixMilli(), "ready"
 	rep.runs = map[string]int{}
 	rep.server = &http.Server{Handler: http.HandlerFunc(rep.handle)}
--- a/review/stand2/vm.go
+++ b/review/stand2/vm.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -33,6 +34,32 @@
 	return l.Addr().(*net.TCPAddr).Port, nil
 }
 
+// metricsPort is the one that the command of the deploy file names.
+const metricsPort = 9464
+
+func loopbackIP(network, vm int) string { return fmt.Sprintf("127.%d.%d.1", network, 10+vm) }
+
+// freeNetwork returns the second byte of loopback addresses at which the port for metrics is free for
+// some VMs, also while another case is running.
+func freeNetwork(vms int) (int, error) {
+	for try := range 100 {
+		network := 1 + (os.Getpid()+try)%250
+		free := true
+		for i := range vms {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopbackIP(network, i), metricsPort))
+			if err != nil {
+				free = false
+				break
+			}
+			_ = l.Close()
+		}
+		if free {
+			return network, nil
+		}
+	}
+	return 0, fmt.Errorf("no loopback addresses at which port %d is free", metricsPort)
+}
+
 // newVMs chooses the addresses of some VMs and writes their settings files into dir. Ports are the
 // same on all machines, so each VM has a loopback address of its own.
 func newVMs(n int, dir, storeAddress string) ([]*vm, error) {
@@ -44,11 +71,15 @@
 		}
 		ports[i] = port
 	}
+	network, err := freeNetwork(n)
+	if err != nil {
+		return nil, err
+	}
 	zones := []string{"kigali-a", "kigali-b", "kigali-c"}
 	out := make([]*vm, n)
 	var seeds []string
 	for i := range out {
-		ip := fmt.Sprintf("127.0.%d.1", 10+i)
+		ip := loopbackIP(network, i)
 		out[i] = &vm{
 			name: fmt.Sprintf("edge-%s-%d", zones[i%3], 1+i/3), settings: filepath.Join(dir, fmt.Sprintf("node-%d.conf", i)),
 			callers: fmt.Sprintf("%s:%d", ip, ports[0]), readiness: fmt.Sprintf("%s:%d", ip, ports[1]), peer: fmt.Sprintf("%s:%d", ip, ports[2]),
@@ -87,7 +118,7 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command("target/gentianwell", "entry", "--metrics-port", "9464")
+	cmd := exec.Command("target/gentianwell", "entry", "--metrics-port", strconv.Itoa(metricsPort))
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GENTIANWELL_SETTINGS=" + v.settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	// The process ends with this one, however this one ends.
