--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -32,6 +32,7 @@
 
 var cases = map[string]func(*scene) (outcome, error){
 	"slow-reader": slowReader,
+	"preempted":   preempted,
 	"slow-body":   slowBody,
 	"leaving":     leaving,
 	"revoked-key": revokedKey,
