--- a/review/stand2/leaving.go
+++ b/review/stand2/leaving.go
@@ -15,20 +15,23 @@
 	leavingOf, leavingReplicas = 12, 3
 	// leavingStreams run at the same time, on three VMs.
 	leavingStreams = 528
-	// unframedEvery is the inverse of the share of a replica's answers that have no length.
-	unframedEvery = 20
-	longEvents    = 35
-	longPause     = 200 * time.Millisecond
-	drainTime     = 2 * time.Second
+	// unframedEvery is the inverse of the share of the answers that have no length, at unframedReplicas
+	// of the replicas.
+	unframedEvery, unframedReplicas = 20, 6
+	longEvents                      = 35
+	longPause                       = 200 * time.Millisecond
+	drainTime                       = 2 * time.Second
 	// littleLonger is how long a replica goes on serving beyond drainMs.
 	littleLonger = 500 * time.Millisecond
 )
 
-// leaver is a replica that may leave. Some of its answers have no length.
+// leaver is a replica that may leave.
 type leaver struct {
 	replica
-	mu      sync.Mutex
-	started int
+	// unframes is true if some of its answers have no length.
+	unframes bool
+	mu       sync.Mutex
+	started  int
 	// running counts the answers in progress.
 	running sync.WaitGroup
 }
@@ -43,7 +46,7 @@
 	if events > 1 {
 		l.mu.Lock()
 		l.started++
-		unframed = l.started%unframedEvery == 0
+		unframed = l.unframes && l.started%unframedEvery == 0
 		l.mu.Unlock()
 	}
 	l.running.Add(1)
@@ -115,7 +118,7 @@
 	})
 	replicas := make([]*leaver, leavingOf)
 	for i := range replicas {
-		l := &leaver{}
+		l := &leaver{unframes: i < unframedReplicas}
 		l.replica = replica{id: fmt.Sprintf("i-%02d", i), service: "huvo11a", zone: []string{"kigali-a", "kigali-b", "kigali-c"}[i%3], slots: 64, rec: s.rec, store: kv, serve: l.serve}
 		if err := l.start(); err != nil {
 			return outcome{}, err
--- a/review/stand2/revokedkey.go
+++ b/review/stand2/revokedkey.go
@@ -10,16 +10,16 @@
 )
 
 const (
-	// lostShare and lostTime are the largest dose of lost answers on the sheets.
-	lostShare = 0.35
-	lostTime  = 4500 * time.Millisecond
-	// stormGap is the pause between the changes made meanwhile (config_storm).
+	// lostTime is for how long the store loses answers, as on the sheets, whose share is 0.35.
+	lostTime = 4500 * time.Millisecond
+	// stormGap is the pause between the changes made meanwhile: twelve of a config_storm of 4 s, and two
+	// more (config_change).
 	stormGap = 330 * time.Millisecond
 	// contactTime and applyTime are contactMs and configApplyMs of the settings.
 	contactTime = 3 * time.Second
 	applyTime   = 2 * time.Second
 	// freezeTime is how long the first machine stands still (node_freeze).
-	freezeTime = 5 * time.Second
+	freezeTime = 4 * time.Second
 	revokedVMs = 9
 	askPause   = 20 * time.Millisecond
 )
@@ -67,14 +67,14 @@
 	}
 	time.Sleep(contactTime + time.Second)
 	if s.trouble {
-		kv.loseAnswers(lostShare)
+		kv.loseAnswers(true)
 	}
 	for end := time.Now().Add(lostTime); time.Now().Before(end); time.Sleep(stormGap) {
 		version += 3
 		kv.put("op/config", configuration(version, kept, dropped))
 		s.rec.line("the operator writes version %d", version)
 	}
-	kv.loseAnswers(0)
+	kv.loseAnswers(false)
 	// The store is stable, and the machines are in touch, contactMs after the last lost answer.
 	time.Sleep(contactTime + 500*time.Millisecond)
 	if s.trouble {
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -4,7 +4,6 @@
 	"encoding/base64"
 	"encoding/json"
 	"maps"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sort"
@@ -55,10 +54,12 @@
 	leases  map[int64]*lease
 	nextID  int64
 	changed chan struct{}
-	// lost is the share of the answers that are lost.
-	lost float64
-	rng  *rand.Rand
-	rec  *record
+	// loses is true while answers are lost; answers and lost count those of that time, watched by
+	// connection those to watches of "op/config".
+	loses         bool
+	answers, lost int
+	watched       map[string]int
+	rec           *record
 }
 
 func startStore(rec *record) (*store, error) {
@@ -68,7 +69,7 @@
 	}
 	s := &store{
 		address: listener.Addr().String(), rev: 400, items: map[string]item{}, leases: map[int64]*lease{}, nextID: 77000, changed: make(chan struct{}),
-		rng: rand.New(rand.NewPCG(48, 1)), rec: rec,
+		watched: map[string]int{}, rec: rec,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.key)
@@ -83,12 +84,36 @@
 	return s, nil
 }
 
-// loseAnswers sets the share of the answers that are lost from now on.
-func (s *store) loseAnswers(share float64) {
+// loseAnswers makes the store lose every third answer to a watch of "op/config" on each connection, or
+// no answers any more.
+func (s *store) loseAnswers(lose bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lost = share
-	s.rec.line("the store loses %.0f%% of its answers", 100*share)
+	s.loses = lose
+	if lose {
+		s.rec.line("the store begins to lose answers")
+		return
+	}
+	s.rec.line("the store has lost %d of %d answers, and loses no more", s.lost, s.answers)
+}
+
+// isLost counts an answer and reports whether it is lost.
+func (s *store) isLost(r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.loses {
+		return false
+	}
+	s.answers++
+	if r.URL.Path != "/kv-watch" || r.URL.Query().Get("prefix") != "op/config" {
+		return false
+	}
+	s.watched[r.RemoteAddr]++
+	if s.watched[r.RemoteAddr]%3 != 0 {
+		return false
+	}
+	s.lost++
+	return true
 }
 
 // losing carries out each call and loses some of the answers. A connection on which an answer is lost
@@ -97,10 +122,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		held := &heldAnswer{header: http.Header{}, status: http.StatusOK}
 		next.ServeHTTP(held, r)
-		s.mu.Lock()
-		lost := s.rng.Float64() < s.lost
-		s.mu.Unlock()
-		if lost {
+		if s.isLost(r) {
 			s.rec.line("store: the answer to %s %s of %s is lost", r.Method, r.URL.Path, r.RemoteAddr)
 			<-r.Context().Done()
 			return
