--- /dev/null
+++ b/review/stand3/vm.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// vm is an entry VM: a process of the project's own program.
+type vm struct {
+	site     *site
+	number   int
+	settings string
+	process  *exec.Cmd
+}
+
+func (v *vm) name() string { return fmt.Sprintf("edge-%d", v.number) }
+
+func (v *vm) zone() string { return zones[v.number%len(zones)] }
+
+func (v *vm) address(port int) string { return v.site.address(1, v.number+1, port) }
+
+// settingsText is the settings file, with the bounds of ibimenyetso-fleet.
+func (v *vm) settingsText() string {
+	ip, _, _ := strings.Cut(v.address(callerPort), ":")
+	seeds := make([]string, 0, 3)
+	for _, other := range []int{1, 2, 3} {
+		seeds = append(seeds, v.site.address(1, other, peerPort))
+	}
+	lines := []string{
+		"nodeName=" + v.name(), "role=entry", "machineClass=edge", "serves=edge,control", "ip=" + ip, "zone=" + v.zone(), "region=kigali",
+		"listen.frontend=" + v.address(callerPort), "listen.readiness=" + v.address(readyPort), "listen.controlPlane=" + v.address(peerPort),
+		"seedNodes=" + strings.Join(seeds, ","), "bootstrap=true", "limits.cpuShare=0.4", "limits.cpuCores=1", "limits.memoryMb=284", "limits.maxFds=4100",
+		"discovery=platform", "entryMode=vip", "heartbeatMs=1200", "contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,platform",
+		"bounds.seedLagS=3", "bounds.addrReuseS=2", "bounds.contactMs=3000", "bounds.ackTimeoutMs=4000", "bounds.catchUpS=4", "bounds.drainMs=2000",
+		"bounds.graceS=8", "bounds.lossSlackMs=200", "bounds.configApplyMs=2000", "bounds.rollbackSlackMs=250", "bounds.maxStretchMs=5000",
+		"bounds.retryBudgetRatio=0.2", "bounds.budgetWindowS=10", "bounds.budgetSlack=58", "bounds.recoverS=12", "bounds.passMs=120", "bounds.reuseWindowS=10",
+		"platform.address=" + v.site.store.address, "platform.form=kv", "platform.writesPerS=400", "platform.readsPerS=2000", "platform.historyS=20",
+		"platform.valueBytes=1048576", "platform.minTtlMs=1000",
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
+
+func (v *vm) start() error {
+	v.process = exec.Command(v.site.program, "entry", "--metrics-port", metricsPort)
+	v.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + v.site.dir, "GENTIANWELL_SETTINGS=" + v.settings}
+	// The process dies with this one, should this one be killed.
+	v.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := v.process.Start(); err != nil {
+		return err
+	}
+	v.site.note("%s started", v.name())
+	return nil
+}
+
+// kill ends the process as a kill of the platform does.
+func (v *vm) kill() {
+	if v.process == nil {
+		return
+	}
+	_ = v.process.Process.Kill()
+	_ = v.process.Wait()
+	v.process = nil
+}
+
+func (v *vm) ready() bool {
+	client := http.Client{Timeout: time.Second}
+	res, err := client.Get("http://" + v.address(readyPort) + "/ready")
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
