--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -26,19 +27,43 @@
 	versions []string
 	// began is the attempt that brought the first event.
 	began string
+	// closes is true if the connection of the last attempt broke or is to be closed.
+	closes bool
 	// complete is true if the last attempt's answer came to its proper end.
 	complete bool
 }
 
+// client keeps a connection open to its VM for one stream after the other. It goes to another VM if the
+// connection breaks or is to be closed.
+type client struct {
+	site *site
+	vm   *vm
+	http *http.Client
+}
+
+func (s *site) newClient() *client {
+	return &client{site: s, vm: s.vms[s.intn(vmCount)], http: newHTTPClient(false)}
+}
+
+func newHTTPClient(once bool) *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: once, DisableCompression: true}}
+}
+
+func (c *client) close() { c.http.CloseIdleConnections() }
+
 // ask asks for a stream. After a broken connection it goes on after the last event, on a new
 // connection to another VM, as the platform's pages say.
-func (s *site) ask(name string) stream {
+func (c *client) ask(name string) stream {
 	var out stream
+	s := c.site
 	deadline := time.Now().Add(clientDeadline)
-	at := s.intn(len(s.vms))
+	at, with := c.vm, c.http
 	for try := 1; try <= clientTries && time.Now().Before(deadline) && !out.complete; try++ {
 		id := fmt.Sprintf("%s-%d", name, try)
-		wait := s.attempt(s.vms[at], id, deadline, &out)
+		wait := s.attempt(with, at, id, deadline, &out)
+		if at == c.vm && out.closes {
+			c.vm = s.forward(c.vm)
+		}
 		if out.complete {
 			break
 		}
@@ -46,17 +71,16 @@
 			break
 		}
 		time.Sleep(wait)
-		at = (at + 1 + s.intn(len(s.vms)-1)) % len(s.vms)
+		at, with = s.forward(at), newHTTPClient(true)
 	}
 	return out
 }
 
 // attempt sends one attempt, appends its events to the stream and returns the wait before the next one.
-func (s *site) attempt(v *vm, id string, deadline time.Time, out *stream) time.Duration {
-	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
-	defer transport.CloseIdleConnections()
-	client := &http.Client{Transport: transport, Timeout: time.Until(deadline)}
-	q, err := http.NewRequest(http.MethodPost, "http://"+v.address(callerPort)+streamPath+"2f", strings.NewReader("draft "+id))
+func (s *site) attempt(with *http.Client, v *vm, id string, deadline time.Time, out *stream) time.Duration {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.address(callerPort)+streamPath+"2f", strings.NewReader("draft "+id))
 	if err != nil {
 		return clientPause
 	}
@@ -71,12 +95,11 @@
 	if n := len(out.ids); n > 0 {
 		last = out.ids[n-1]
 		q.Header.Set("Last-Event-Id", strconv.Itoa(last))
-		if s.resumes {
-			q.Header.Set("Resumes", out.began)
-		}
+		q.Header.Set("Resumes", out.began)
 	}
 	s.note("sent     %s to %s, after event %d", id, v.name(), last)
-	res, err := client.Do(q)
+	res, err := with.Do(q)
+	out.closes = err != nil || res.Close
 	if err != nil {
 		s.note("no answer to %s: %v", id, err)
 		return clientPause
@@ -104,6 +127,7 @@
 		out.began = id
 	}
 	out.complete = lines.Err() == nil
+	out.closes = out.closes || !out.complete
 	s.note("answer   %s: %v events by version, last %d, complete %t, stamp %s", id, counts, event, out.complete, res.Header.Get("X-Response-Stamp"))
 	return clientPause
 }
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -21,14 +21,13 @@
 	program := flag.String("program", "target/gentianwell", "the program of the deploy file")
 	record := flag.String("record", "record.txt", "the file for what was sent, answered and run")
 	seed := flag.Uint64("seed", 1, "seeds the random choices")
-	resumes := flag.Bool("resumes", false, "clients also name the attempt that began a stream, which the pages do not describe")
 	flag.Parse()
-	os.Exit(run(*name, *record, siteConfig{program: *program, seed: *seed, trouble: os.Getenv("TROUBLE") != "0", resumes: *resumes}))
+	os.Exit(run(*name, *record, siteConfig{program: *program, seed: *seed, trouble: os.Getenv("TROUBLE") != "0"}))
 }
 
 // run runs a scenario in a temporary folder, which it removes.
 func run(name, record string, c siteConfig) int {
-	scenario := map[string]func(*site) (bool, error){"versions": versions, "rolled": rolled}[name]
+	scenario := map[string]func(*site) (bool, error){"versions": versions}[name]
 	if scenario == nil {
 		fmt.Fprintf(os.Stderr, "no scenario %q\n", name)
 		return exitNotRun
--- a/review/stand3/replica.go
+++ b/review/stand3/replica.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,8 +12,8 @@
 
 const (
 	// eventCount and eventGap are those of a long answer whose pauses are within the sheet's 200 ms.
-	eventCount = 40
-	eventGap   = 150 * time.Millisecond
+	eventCount = 70
+	eventGap   = 195 * time.Millisecond
 	// firstEvent is the time to the first event.
 	firstEvent = 60 * time.Millisecond
 )
@@ -67,17 +66,12 @@
 	})
 }
 
-// leave removes the replica's entry. It serves on, and exits after a time; zero means once it has no
-// request left, but not within drainMs.
+// leave removes the replica's entry. It serves on and exits after a time.
 func (r *replica) leave(exit time.Duration) {
 	r.once.Do(func() { close(r.stopped) })
 	time.Sleep(10 * time.Millisecond)
 	r.site.store.remove("servers/" + r.id)
 	r.site.note("replica %s leaves: its entry is removed, it serves on", r.id)
-	if exit == 0 {
-		time.AfterFunc(3*time.Second, func() { _ = r.server.Shutdown(context.Background()) })
-		return
-	}
 	time.AfterFunc(exit, func() {
 		r.site.note("replica %s exits", r.id)
 		_ = r.server.Close()
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -36,9 +36,6 @@
 	program, dir string
 	seed         uint64
 	trouble      bool
-	// resumes makes clients name the attempt that began a stream, in a header that the pages do not
-	// describe.
-	resumes bool
 }
 
 // site is a deployment on loopback addresses of its own.
@@ -61,7 +58,7 @@
 	// The second byte keeps runs at the same time apart.
 	s.network = fmt.Sprintf("127.%d", 64+os.Getpid()%128)
 	var err error
-	if s.store, err = newStore(s.address(9, 1, storePort)); err != nil {
+	if s.store, err = newStore(s.address(9, 1, storePort), s.noteWrite); err != nil {
 		return nil, err
 	}
 	s.store.write("op/config", configuration())
@@ -89,15 +86,49 @@
 				ready++
 			}
 		}
-		if ready == len(s.vms) {
+		if ready == vmCount {
 			return nil
 		}
 		if time.Now().After(deadline) {
-			return fmt.Errorf("%d of %d VMs are ready after %s", ready, len(s.vms), readyWithin)
+			return fmt.Errorf("%d of %d VMs are ready after %s", ready, vmCount, readyWithin)
 		}
 	}
 }
 
+// balance asks each VM once a second whether it is ready. After two misses a VM gets no new connections
+// until it is ready again.
+func (s *site) balance(ended <-chan struct{}) {
+	for {
+		for _, v := range s.vms {
+			if v.ready() {
+				v.misses.Store(0)
+			} else {
+				v.misses.Add(1)
+			}
+		}
+		select {
+		case <-ended:
+			return
+		case <-time.After(time.Second):
+		}
+	}
+}
+
+// forward returns the VM to which the platform forwards a new connection of a client that comes from
+// another one.
+func (s *site) forward(from *vm) *vm {
+	var in []*vm
+	for _, v := range s.vms {
+		if v != from && v.misses.Load() < 2 {
+			in = append(in, v)
+		}
+	}
+	if len(in) == 0 {
+		return from
+	}
+	return in[s.intn(len(in))]
+}
+
 func (s *site) stop() {
 	for _, v := range s.vms {
 		v.kill()
@@ -124,6 +155,13 @@
 	s.lines = append(s.lines, fmt.Sprintf("%8.3f ", time.Since(s.started).Seconds())+fmt.Sprintf(format, args...))
 }
 
+// noteWrite records the base versions that the VMs write.
+func (s *site) noteWrite(key string, value []byte) {
+	if strings.HasPrefix(key, "gentianwell/versions/") {
+		s.note("store    %s is now %s", key, value)
+	}
+}
+
 func (s *site) writeRecord(path string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -35,8 +35,10 @@
 // store is the platform's key-value store, in memory. It keeps its whole history.
 type store struct {
 	address string
-	server  *http.Server
-	closed  chan struct{}
+	// wrote is called with each write of the VMs.
+	wrote  func(key string, value []byte)
+	server *http.Server
+	closed chan struct{}
 
 	mu       sync.Mutex
 	revision int64
@@ -48,13 +50,13 @@
 	changed chan struct{}
 }
 
-func newStore(address string) (*store, error) {
+func newStore(address string, wrote func(key string, value []byte)) (*store, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	s := &store{
-		address: address, revision: 100, items: map[string]item{}, leases: map[int64]*lease{}, lastID: 77000,
+		address: address, wrote: wrote, revision: 100, items: map[string]item{}, leases: map[int64]*lease{}, lastID: 77000,
 		changed: make(chan struct{}), closed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -258,6 +260,7 @@
 	}
 	for _, write := range txn.Writes {
 		s.put(write.Key, write.Value, write.Lease)
+		s.wrote(write.Key, write.Value)
 	}
 	for _, key := range txn.Remove {
 		s.drop(key)
--- a/review/stand3/versions.go
+++ b/review/stand3/versions.go
@@ -3,46 +3,25 @@
 import (
 	"fmt"
 	"sync"
-	"syscall"
 	"time"
 )
 
 const (
-	clientCount = 60
-	// settle is how long the deployment serves before the release: longer than a stream may be taken up.
+	clientCount = 200
+	// settle is how long the deployment serves before the release.
 	settle = 18 * time.Second
-	// releaseShare of the replicas are replaced by one release, one after the other with releaseGap
-	// between them. Releases follow each other until all are replaced.
-	releaseShare = 0.45
-	releaseGap   = time.Second
-	// killShare of the VMs are killed at the same moment, killAfter the last release. Their
-	// processes are started again after restartDelay.
-	killShare    = 0.55
-	killAfter    = 500 * time.Millisecond
-	restartDelay = 300 * time.Millisecond
-	// runOn is for how long clients begin streams after the last release.
-	runOn = 2 * time.Second
-	// rollGap is the time between two VMs that are stopped in turn, from the beginning of the last
-	// rollFrom replicas' release on. linger is how long a leaving replica serves on, which is more than
-	// drainMs.
-	rollGap  = 1300 * time.Millisecond
-	rollFrom = 6
-	// rollShare of the VMs are stopped in turn, and killed after grace if they have not exited by then.
-	rollShare = 0.45
-	grace     = 8 * time.Second
-	linger    = 3500 * time.Millisecond
+	// releaseGap is the time between two replicas that are replaced, one after the other.
+	releaseGap = time.Second
+	// linger is how long a leaving replica serves on.
+	linger = 11500 * time.Millisecond
+	// maxJoined is how many streams may hold events of two versions.
+	maxJoined = 2
 )
 
-// versions replaces all replicas by those of another version while clients stream, and kills many VMs
-// at the same moment after that. It reports whether a client got one stream from replicas of two versions,
-// or events that are not in order.
-func versions(s *site) (bool, error) { return release(s, false) }
-
-// rolled does the same with planned work only: leaving replicas exit in time, and instead of the kill the
-// VMs are stopped and started in turn.
-func rolled(s *site) (bool, error) { return release(s, true) }
-
-func release(s *site, planned bool) (bool, error) {
+// versions stops and starts one VM, and replaces all replicas by those of another version, one after the
+// other, while clients stream over connections that they keep. Without trouble, the VM is not stopped. It
+// reports whether more than maxJoined clients got one stream from replicas of two versions.
+func versions(s *site) (bool, error) {
 	var old, all []*replica
 	defer func() {
 		for _, r := range all {
@@ -59,21 +38,24 @@
 	if err := s.startVMs(); err != nil {
 		return false, err
 	}
-	var clients, roll sync.WaitGroup
+	var clients sync.WaitGroup
 	var mu sync.Mutex
-	var complete, incomplete, joined, disordered int
+	var complete, incomplete, joined int
 	ended := make(chan struct{})
+	go s.balance(ended)
 	for c := range clientCount {
 		clients.Go(func() {
-			time.Sleep(time.Duration(s.intn(3000)) * time.Millisecond)
+			time.Sleep(time.Duration(s.intn(13000)) * time.Millisecond)
+			client := s.newClient()
+			defer client.close()
 			for n := 0; ; n++ {
 				select {
 				case <-ended:
 					return
 				default:
 				}
-				name := fmt.Sprintf("c%02d-%d", c, n)
-				got := s.ask(name)
+				name := fmt.Sprintf("c%03d-%d", c, n)
+				got := client.ask(name)
 				mu.Lock()
 				if got.complete {
 					complete++
@@ -82,88 +64,40 @@
 				}
 				if text := got.joins(); text != "" {
 					joined++
-					s.note("BROKEN   %s: events of two versions in one stream: %s", name, text)
-				}
-				if text := got.disorder(); text != "" {
-					disordered++
-					s.note("BROKEN   %s: %s", name, text)
+					s.note("JOINED   %s: events of two versions in one stream: %s", name, text)
 				}
 				mu.Unlock()
 			}
 		})
 	}
 	time.Sleep(settle)
-	pool := float64(poolCount)
-	share := int(releaseShare * pool)
+	restarted := make(chan error, 1)
+	if s.trouble {
+		go func() { restarted <- s.vms[vmCount-1].restart() }()
+	} else {
+		restarted <- nil
+	}
 	for i, r := range old {
-		if i%share == 0 {
-			s.note("release %d begins", i/share+1)
-		}
 		next, err := s.startReplica(poolCount+i, "v2")
 		if err != nil {
 			return false, err
 		}
 		all = append(all, next)
-		if planned && s.trouble && i == len(old)-rollFrom {
-			roll.Go(func() { s.roll() })
-		}
 		time.Sleep(releaseGap)
-		if planned {
-			r.leave(linger)
-		} else {
-			r.leave(0)
-		}
+		r.leave(linger)
 	}
-	if s.trouble && !planned {
-		time.Sleep(killAfter)
-		vms := float64(vmCount)
-		killed := s.vms[:int(killShare*vms)]
-		s.note("%d of %d VMs are killed", len(killed), vmCount)
-		for _, v := range killed {
-			_ = v.process.Process.Kill()
-		}
-		for _, v := range killed {
-			v.kill()
-		}
-		time.Sleep(restartDelay)
-		for _, v := range killed {
-			if err := v.start(); err != nil {
-				return false, err
-			}
-		}
-	}
-	time.Sleep(runOn)
 	close(ended)
 	clients.Wait()
-	roll.Wait()
-	s.note("%d streams complete, %d not, %d with events of two versions, %d out of order", complete, incomplete, joined, disordered)
-	fmt.Printf("%d streams complete, %d not, %d with events of two versions, %d out of order\n", complete, incomplete, joined, disordered)
+	if err := <-restarted; err != nil {
+		return false, err
+	}
+	text := fmt.Sprintf("%d streams complete, %d not, %d with events of two versions", complete, incomplete, joined)
+	s.note("%s", text)
+	fmt.Println(text)
 	if complete == 0 {
 		return false, fmt.Errorf("no stream was complete")
 	}
-	return joined+disordered > 0, nil
-}
-
-// roll stops the VMs in turn with SIGTERM and starts each again once it has exited.
-func (s *site) roll() {
-	var all sync.WaitGroup
-	defer all.Wait()
-	vms := float64(vmCount)
-	for _, v := range s.vms[:int(rollShare*vms)] {
-		all.Go(func() {
-			s.note("%s gets SIGTERM", v.name())
-			_ = v.process.Process.Signal(syscall.SIGTERM)
-			kill := time.AfterFunc(grace, func() { _ = v.process.Process.Kill() })
-			_ = v.process.Wait()
-			kill.Stop()
-			s.note("%s has exited", v.name())
-			time.Sleep(restartDelay)
-			if err := v.start(); err != nil {
-				s.note("%s does not start: %v", v.name(), err)
-			}
-		})
-		time.Sleep(rollGap)
-	}
+	return joined > maxJoined, nil
 }
 
 // joins says where events of two versions follow each other; empty if they do not.
@@ -175,16 +109,3 @@
 	}
 	return ""
 }
-
-// disorder says which event is missing or comes twice; empty if none is.
-func (s *stream) disorder() string {
-	for i, id := range s.ids {
-		if id != i+1 {
-			return fmt.Sprintf("event %d at place %d", id, i+1)
-		}
-	}
-	if s.complete && len(s.ids) != eventCount {
-		return fmt.Sprintf("complete after event %d of %d", len(s.ids), eventCount)
-	}
-	return ""
-}
--- a/review/stand3/vm.go
+++ b/review/stand3/vm.go
@@ -6,16 +6,25 @@
 	"os"
 	"os/exec"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
+const (
+	// grace is the time from SIGTERM to SIGKILL, restartDelay that before a process is started again.
+	grace        = 8 * time.Second
+	restartDelay = 300 * time.Millisecond
+)
+
 // vm is an entry VM: a process of the project's own program.
 type vm struct {
 	site     *site
 	number   int
 	settings string
 	process  *exec.Cmd
+	// misses counts the questions in a row to which the VM was not ready.
+	misses atomic.Int64
 }
 
 func (v *vm) name() string { return fmt.Sprintf("edge-%d", v.number) }
@@ -67,6 +76,18 @@
 	v.process = nil
 }
 
+// restart stops the process as planned work does, and starts it again.
+func (v *vm) restart() error {
+	v.site.note("%s gets SIGTERM", v.name())
+	_ = v.process.Process.Signal(syscall.SIGTERM)
+	kill := time.AfterFunc(grace, func() { _ = v.process.Process.Kill() })
+	_ = v.process.Wait()
+	kill.Stop()
+	v.site.note("%s has exited", v.name())
+	time.Sleep(restartDelay)
+	return v.start()
+}
+
 func (v *vm) ready() bool {
 	client := http.Client{Timeout: time.Second}
 	res, err := client.Get("http://" + v.address(readyPort) + "/ready")
