--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -12,8 +12,8 @@
 
 const (
 	clientDeadline = 15 * time.Second
-	// clientTries is how often a client asks for one stream.
-	clientTries = 4
+	// clientTries is how often a client asks for one stream: the sheet gives ink-query one retry.
+	clientTries = 2
 	// clientPause is the pause before a retry after a broken connection.
 	clientPause = 300 * time.Millisecond
 	// maxWaitPart of the time that is left is the longest Retry-After that a client honours.
