A response without a length that was reset during its request's upload is not whole

What callers saw: a replica answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The caller got the part as a complete response; a stream ended in the same way, and was not resumed.

Cause: a body without a length ends with its connection, and Linux reports a reset once. If the write of the upload takes the error, the read that follows returns an end of file, which net/http and the router take for the proper end of the body.

Evidence: TestResponseResetDuringUpload lets the write's error come first, the read's end of file come first, and the network decide (ten requests). TestEndOfFile shows what Linux reports to a write and a read.

--- a/io/back/conns.go
+++ b/io/back/conns.go
@@ -9,6 +9,8 @@
 
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
+
+	"gentianwell/io/strict"
 )
 
 // connTracker tracks the open connections to each backend server.
@@ -38,7 +40,7 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "connTracker.dial")
 	}
-	c := &conn{Conn: raw, address: to, dialed: time.Now(), onClose: s.untrack}
+	c := &conn{Conn: strict.New(raw), address: to, dialed: time.Now(), onClose: s.untrack}
 	s.track(c)
 	return c, nil
 }
--- a/io/kvs/gateway.go
+++ b/io/kvs/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"gentianwell/io/kvwire"
+	"gentianwell/io/strict"
 )
 
 // maxErrorBody limits how many bytes of an error response's body are read.
@@ -43,7 +44,7 @@
 			if err != nil {
 				return nil, errors.Trace(err)
 			}
-			return &countingConn{Conn: conn}, nil
+			return &countingConn{Conn: strict.New(conn)}, nil
 		},
 		MaxIdleConnsPerHost: maxIdleConnections,
 		DisableCompression:  true,
