A response with a status or a version that HTTP/1 does not know is not an answer

What callers saw: the answer of a replica with a status of 600 to 999 as it was, on routes that may run once; one of "HTTP/2.0" on an HTTP/1 connection as a sound one. The status 000 did not reach callers of gentianwell entry, where TestInvalidStatuses has covered it; the client that gentianwell serve uses took it for complete, also in a health check.

Cause: net/http hands any number of three bytes to the client as a status, and any version that looks like one. The router only refused statuses below 200.

Change: core/frame.ResponseScanner follows the framing of the responses in the bytes that a client reads, and io/strict fails the read at a status line that RFC 9112 does not allow or a status below 100 or above 599. What callers get is what a broken response has always got: another attempt where the route allows one, else 502. "Transfer-Encoding" in HTTP/1.0, which net/http ignores, is a fault of the same kind (RFC 9112, section 6.1).

TestResponseScannerAgainstNetHTTP and FuzzResponseScanner compare the ends of responses with those that net/http finds.

--- a/core/frame/doc.go
+++ b/core/frame/doc.go
@@ -1,5 +1,5 @@
-// Package frame follows the framing of the HTTP/1 requests in a byte stream: where each
-// header ends, how long its body is and where the next request begins. It finds the requests
+// Package frame follows the framing of the HTTP/1 messages in a byte stream: where each
+// header ends, how long its body is and where the next message begins. It finds the requests
 // whose length can be read in two ways, which makes request smuggling possible: bytes that
 // are part of a body to one reader are a request of their own to another.
 //
@@ -10,7 +10,10 @@
 // A Scanner takes what net/http takes and ends requests where net/http does. Where it cannot
 // follow a stream, all later requests have FaultNotUnderstood.
 //
-// The rules are those of RFC 9112, sections 6 and 7.
+// A client has the same trouble with responses: net/http takes statuses that RFC 9110 does
+// not allow. A ResponseScanner finds them in the bytes that the client reads.
+//
+// The rules are those of RFC 9112, sections 4, 6 and 7, and of RFC 9110, section 15.
 //
 // # Usage
 //
@@ -24,5 +27,13 @@
 //	…
 //	s.Next() // the response was sent
 //
-// A Scanner is not safe for concurrent use.
+// For responses:
+//
+//	var s frame.ResponseScanner
+//	n, err := conn.Read(p)
+//	if valid, fault := s.Scan(p[:n]); fault != frame.FaultNone {
+//		return valid, errors.New(string(fault)) // and close the connection
+//	}
+//
+// Scanners are not safe for concurrent use.
 package frame
--- a/core/frame/scanner.go
+++ b/core/frame/scanner.go
@@ -5,11 +5,12 @@
 	"strconv"
 )
 
-// state is the part of a request that a Scanner expects next.
+// state is the part of a request or response that a scanner expects next.
 type state string
 
 const (
-	// stateStart is between two requests. Empty lines are allowed there.
+	// stateStart is between two requests, where empty lines are allowed, or in the first line of a
+	// response.
 	stateStart       state = ""
 	stateRequestLine state = "requestLine"
 	stateHeader      state = "header"
@@ -19,6 +20,8 @@
 	// stateChunk is the data of a chunk and the line break after it.
 	stateChunk   state = "chunk"
 	stateTrailer state = "trailer"
+	// stateUnbounded is a body that ends with the connection.
+	stateUnbounded state = "unbounded"
 	// stateLost is for good: the connection has to be closed.
 	stateLost state = "lost"
 )
@@ -161,18 +164,24 @@
 // readChunkSize reads the line before a chunk. Of a line that was cut only a chunk extension
 // or spaces are missing, or it is not valid.
 func (s *Scanner) readChunkSize(line []byte) {
-	digits, _, _ := bytes.Cut(line, []byte(";"))
-	size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 62)
+	size, err := parseChunkSize(line)
 	switch {
 	case err != nil:
 		s.state = stateLost
 	case size == 0:
 		s.state = stateTrailer
 	default:
-		s.state, s.left = stateChunk, int64(size)+chunkLineBreak
+		s.state, s.left = stateChunk, size+chunkLineBreak
 	}
 }
 
+// parseChunkSize parses the line before a chunk without its line break.
+func parseChunkSize(line []byte) (int64, error) {
+	digits, _, _ := bytes.Cut(line, []byte(";"))
+	size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 62)
+	return int64(size), err
+}
+
 func (s *Scanner) endData() {
 	if s.state == stateBody {
 		s.state = stateStart
--- a/io/back/conn.go
+++ b/io/back/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"gentianwell/io/strict"
 )
 
 // errSealed is the error of a write on a connection that is being closed, because its
@@ -16,7 +18,7 @@
 
 // conn is a connection that counts its writes and records when it last made progress.
 type conn struct {
-	net.Conn
+	*strict.Conn
 	address netip.AddrPort
 	dialed  time.Time
 	// progress is when the last byte was read or written, as a duration since dialed.
@@ -44,7 +46,7 @@
 	if n > 0 {
 		c.recordProgress()
 	}
-	if err != nil && !errors.Is(err, net.ErrClosed) {
+	if err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, strict.ErrResponse) {
 		c.broken.Store(true)
 	}
 	return n, err
@@ -128,6 +130,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.user = a
+	c.SetMethod(a.request.Method)
 	if c.idleLimited && time.Since(c.lastProgress()) >= c.idleLimit {
 		c.sealed = true
 	}
--- a/io/back/handover_test.go
+++ b/io/back/handover_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"gentianwell/io/strict"
 )
 
 // net/http may hand a connection to the next attempt before the one before it has ended.
@@ -25,7 +27,7 @@
 			defer func() { _ = far.Close() }()
 			go func() { _, _ = io.Copy(io.Discard, far) }()
 			client := &Client{conns: newConnTracker(Config{DialTimeout: time.Second}.Defaults())}
-			c := &conn{Conn: near, dialed: time.Now(), onClose: client.conns.untrack}
+			c := &conn{Conn: strict.New(near), dialed: time.Now(), onClose: client.conns.untrack}
 			client.conns.track(c)
 			begin := func(reused bool) *attempt {
 				a := newAttempt(client, context.Background(), Target{}, Request{FirstByteTimeout: time.Hour, ProgressTimeout: time.Hour}, nil)
--- a/io/back/replay_test.go
+++ b/io/back/replay_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"gentianwell/io/fakes"
+	"gentianwell/io/strict"
 )
 
 // closingServer responds to the first request on each connection and closes the
@@ -146,7 +147,7 @@
 func TestBytesWrittenIsFinal(t *testing.T) {
 	near, far := net.Pipe()
 	defer func() { _ = far.Close() }()
-	c := &conn{Conn: near, dialed: time.Now(), onClose: func(*conn) {}}
+	c := &conn{Conn: strict.New(near), dialed: time.Now(), onClose: func(*conn) {}}
 	a := &attempt{client: &Client{conns: newConnTracker(Config{DialTimeout: time.Second}.Defaults())}, watchdog: newWatchdog(time.Hour, nil, func(error) {}), callerCtx: context.Background()}
 	a.gotConn(httptrace.GotConnInfo{Conn: c})
 	res := a.fail(context.Canceled)
@@ -159,7 +160,7 @@
 func TestBytesWrittenCountsWriteInProgress(t *testing.T) {
 	near, far := net.Pipe()
 	defer func() { _ = far.Close() }()
-	c := &conn{Conn: near, dialed: time.Now(), onClose: func(*conn) {}, address: netip.AddrPort{}}
+	c := &conn{Conn: strict.New(near), dialed: time.Now(), onClose: func(*conn) {}, address: netip.AddrPort{}}
 	started := make(chan struct{})
 	ended := make(chan struct{})
 	go func() {
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -69,7 +69,7 @@
 // Errors of a response that cannot be forwarded.
 const (
 	errUnsigned     = errors.ConstError("response lacks the backend server's signature")
-	errStatus       = errors.ConstError("response has a status that no final response has (allowed: 200 to 999)")
+	errStatus       = errors.ConstError("response has a status that no final response has (allowed: 200 to 599)")
 	errWrongID      = errors.ConstError("response has the id of another request or none")
 	errUnclaimed    = errors.ConstError("refusal without an id came on a reused connection and may belong to an earlier request")
 	errEncoded      = errors.ConstError("response body is encoded, but no encoding was requested")
--- a/io/strict/conn.go
+++ b/io/strict/conn.go
@@ -9,8 +9,13 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"gentianwell/core/frame"
 )
 
+// ErrResponse is the error of a read that found a response that is not valid.
+const ErrResponse = errors.ConstError("response is not valid HTTP/1")
+
 // Conn is a connection of an HTTP/1 client.
 type Conn struct {
 	net.Conn
@@ -19,13 +24,35 @@
 	writing sync.Mutex
 	// writeErr is the first error of a write, readErr that of a read.
 	writeErr, readErr error
+
+	mu        sync.Mutex
+	responses frame.ResponseScanner
+	fault     frame.Fault
 }
 
 // New returns a Conn that reads from and writes to c.
 func New(c net.Conn) *Conn { return &Conn{Conn: c} }
 
-// Write writes to the connection.
+// SetMethod sets the method of the request that is sent next. It is needed if requests may have
+// the method HEAD.
+func (c *Conn) SetMethod(method string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responses.SetMethod(method)
+}
+
+// Fault returns that of the last response; FaultNone if it was valid so far.
+func (c *Conn) Fault() frame.Fault {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fault
+}
+
+// Write writes to the connection. It returns net.ErrClosed after a response that is not valid.
 func (c *Conn) Write(p []byte) (int, error) {
+	if c.Fault() != frame.FaultNone {
+		return 0, net.ErrClosed
+	}
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
@@ -36,7 +63,7 @@
 }
 
 // Read reads from the connection. It returns io.EOF only if the other side has closed the
-// connection in order.
+// connection in order, and ErrResponse in place of the bytes from a fault on.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.readErr != nil {
 		return 0, c.readErr
@@ -47,12 +74,23 @@
 			err = lost
 		}
 	}
+	if valid, fault := c.scan(p[:n]); fault != frame.FaultNone {
+		n, err = valid, errors.Annotatef(ErrResponse, "fault %s", fault)
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.readErr = err
 	}
 	return n, err
 }
 
+func (c *Conn) scan(p []byte) (int, frame.Fault) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var valid int
+	valid, c.fault = c.responses.Scan(p)
+	return valid, c.fault
+}
+
 // lost returns the error with which the connection was lost before the other side had closed it;
 // nil at an end of file in order. It ends a write that is in progress: nobody reads the rest of a
 // request whose response has ended.
--- a/io/strict/conn_test.go
+++ b/io/strict/conn_test.go
@@ -10,6 +10,8 @@
 	"github.com/juju/errors"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
+
+	"gentianwell/core/frame"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -74,6 +76,28 @@
 	assert.Assert(t, <-ended != nil)
 }
 
+// A read ends before the first byte that is not valid. Nothing is written from then on.
+func TestInvalidResponse(t *testing.T) {
+	for text, test := range map[string]struct {
+		valid string
+		fault frame.Fault
+	}{
+		"HTTP/1.1 000 None\r\n\r\n": {"HTTP/1.1 000 None\r", frame.FaultStatus},
+	} {
+		client, server := connect(t)
+		_, err := client.Write([]byte("request"))
+		assert.NilError(t, err)
+		_, err = io.WriteString(server, text)
+		assert.NilError(t, err)
+		got, err := io.ReadAll(client)
+		assert.Assert(t, errors.Is(err, ErrResponse), "%v", err)
+		assert.Equal(t, string(got), test.valid)
+		assert.Equal(t, client.Fault(), test.fault)
+		_, err = client.Write([]byte("request"))
+		assert.Assert(t, errors.Is(err, net.ErrClosed), "%v", err)
+	}
+}
+
 func connect(t *testing.T) (*Conn, *net.TCPConn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
