A response whose header has a line that HTTP does not allow is not an answer

What callers saw: the response of a replica in trouble whose header had a field name with a space in it or before its colon, or a line that began with a space or a tab. They got it as an answer. If the name would have been Content-Length or Transfer-Encoding, its body ended elsewhere than the replica's; folded lines were passed on as a part of the field before them.

Cause: net/http takes names with spaces, as fields of another name, and joins lines that begin with a blank to the one before. It refuses other bytes that may not stand in a name and control bytes in values; those cases were sound and keep their tests.

Change: core/frame.ResponseScanner checks every byte of the lines in headers and trailers, and io/strict fails the read before the first one that is not allowed, so that net/http never sees the end of such a header. The connection is not used again.

TestBytesOfNames tries all 256 bytes at three places of a name.

--- a/core/frame/doc.go
+++ b/core/frame/doc.go
@@ -10,10 +10,11 @@
 // A Scanner takes what net/http takes and ends requests where net/http does. Where it cannot
 // follow a stream, all later requests have FaultNotUnderstood.
 //
-// A client has the same trouble with responses: net/http takes statuses that RFC 9110 does
-// not allow. A ResponseScanner finds them in the bytes that the client reads.
+// A client has the same trouble with responses: net/http takes statuses and header fields that
+// RFC 9110 and RFC 9112 do not allow, so that a length may be overlooked. A ResponseScanner finds
+// them in the bytes that the client reads.
 //
-// The rules are those of RFC 9112, sections 4, 6 and 7, and of RFC 9110, section 15.
+// The rules are those of RFC 9112, sections 4 to 7, and of RFC 9110, sections 5 and 15.
 //
 // # Usage
 //
--- a/core/frame/fault.go
+++ b/core/frame/fault.go
@@ -23,4 +23,12 @@
 	FaultStatusLine Fault = "statusLine"
 	// FaultStatus is that of a response with a status below 100 or above 599.
 	FaultStatus Fault = "status"
+	// FaultFieldName is that of a response with a line in its header or trailer that does not
+	// begin with a token and a colon.
+	FaultFieldName Fault = "fieldName"
+	// FaultFieldValue is that of a response with a control byte in the value of a field.
+	FaultFieldValue Fault = "fieldValue"
+	// FaultFolded is that of a response with a line in its header or trailer that begins with a
+	// space or a tab.
+	FaultFolded Fault = "foldedField"
 )
--- a/core/frame/response.go
+++ b/core/frame/response.go
@@ -95,10 +95,12 @@
 	switch {
 	case s.state == stateStart && s.lineBytes < len(versionPrefix) && b != versionPrefix[s.lineBytes]:
 		return FaultStatusLine
-	case inHeader:
-		if s.nameBytes < 0 && b == ':' {
-			s.nameBytes = s.lineBytes
-		}
+	case inHeader && s.lineBytes == 0 && (b == ' ' || b == '\t'):
+		return FaultFolded
+	case inHeader && s.nameBytes < 0 && b == ':' && s.lineBytes > 0:
+		s.nameBytes = s.lineBytes
+	case inHeader && s.nameBytes < 0 && !isTokenByte(b):
+		return FaultFieldName
 	case b != '\t' && (b < ' ' || b == 0x7f):
 		return s.lineFault()
 	}
@@ -107,10 +109,15 @@
 
 // lineFault returns the fault of a byte that the current line must not contain.
 func (s *ResponseScanner) lineFault() Fault {
-	if s.state == stateStart {
+	switch {
+	case s.state == stateStart:
 		return FaultStatusLine
+	case s.state == stateChunkSize:
+		return FaultNotUnderstood
+	case s.nameBytes < 0:
+		return FaultFieldName
 	}
-	return FaultNotUnderstood
+	return FaultFieldValue
 }
 
 // endLine reads a complete line, of which the end is missing if it was cut.
@@ -131,7 +138,10 @@
 			return s.endHeader()
 		}
 	}
-	if s.state == stateHeader && s.nameBytes >= 0 {
+	if s.nameBytes < 0 {
+		return FaultFieldName
+	}
+	if s.state == stateHeader {
 		return s.readField(line, cut)
 	}
 	return FaultNone
@@ -211,3 +221,8 @@
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+// isTokenByte reports whether a byte may be part of the name of a field.
+func isTokenByte(b byte) bool {
+	return isDigit(b) || 'a' <= b|0x20 && b|0x20 <= 'z' || b != 0 && bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), b) >= 0
+}
--- a/core/frame/response_test.go
+++ b/core/frame/response_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -48,6 +49,19 @@
 	{stream: "HTTP/1.1 600 Odd\r\n", want: FaultStatus},
 	{stream: "HTTP/1.1 999 Odd\r\n", want: FaultStatus},
 
+	{stream: ok + "Content-Length : 2\r\n", want: FaultFieldName},
+	{stream: ok + ": 2\r\n", want: FaultFieldName},
+	{stream: ok + "X\r\n", want: FaultFieldName},
+	{stream: ok + "X\r: y\r\n", want: FaultFieldName},
+	{stream: ok + "X: y\rz\r\n", want: FaultFieldValue},
+	{stream: ok + "X: y\x00\r\n", want: FaultFieldValue},
+	{stream: ok + "X: y\x7f\r\n", want: FaultFieldValue},
+	{stream: ok + " Content-Length: 2\r\n", want: FaultFolded},
+	{stream: ok + "X: y\r\n\tz\r\n", want: FaultFolded},
+	{stream: ok + "X: y\r\n \r\n", want: FaultFolded},
+	{stream: ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX : y\r\n", want: FaultFieldName},
+	{stream: ok + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: y\r\n z\r\n", want: FaultFolded},
+
 	{stream: ok + "Content-Length: 2\r\nContent-Length: 3\r\n", want: FaultBothLengths},
 	{stream: ok + "Content-Length: +2\r\n", want: FaultNotUnderstood},
 	{stream: ok + "Content-Length: 2, 2\r\n", want: FaultNotUnderstood},
@@ -84,6 +98,21 @@
 	}
 }
 
+// No other byte may be part of a name, at any place.
+func TestBytesOfNames(t *testing.T) {
+	const token = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+	for b := range 256 {
+		for _, format := range []string{"%sX: y\r\n", "X%sX: y\r\n", "X%s: y\r\n"} {
+			line := fmt.Sprintf(format, string([]byte{byte(b)}))
+			var s ResponseScanner
+			_, fault := s.Scan([]byte(ok + line))
+			// A colon ends the name, a line feed at the beginning the header.
+			valid := strings.IndexByte(token, byte(b)) >= 0 || b == ':' && line[0] != ':' || line[0] == '\n'
+			assert.Equal(t, fault == FaultNone, valid, "%q", line)
+		}
+	}
+}
+
 // checkResponsesAgainstNetHTTP compares the scanner with net/http: of a response that net/http reads whole, the
 // scanner finds the same end, or a fault.
 func checkResponsesAgainstNetHTTP(t assert.TestingT, stream []byte, method string) {
--- a/io/strict/conn_test.go
+++ b/io/strict/conn_test.go
@@ -82,7 +82,8 @@
 		valid string
 		fault frame.Fault
 	}{
-		"HTTP/1.1 000 None\r\n\r\n": {"HTTP/1.1 000 None\r", frame.FaultStatus},
+		"HTTP/1.1 000 None\r\n\r\n":                       {"HTTP/1.1 000 None\r", frame.FaultStatus},
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok": {"HTTP/1.1 200 OK\r\nContent-Length", frame.FaultFieldName},
 	} {
 		client, server := connect(t)
 		_, err := client.Write([]byte("request"))
--- a/io/strict/doc.go
+++ b/io/strict/doc.go
@@ -5,8 +5,8 @@
 // reset. Linux reports a reset once: if a write of the request takes the error, the read that
 // follows sees an end of file. A Conn asks its writes before it passes on an end of file.
 //
-// net/http takes statuses that HTTP does not allow. A Conn follows the responses that are read, and
-// fails the read that brings such a status, see frame.ResponseScanner.
+// net/http takes statuses and header fields that HTTP does not allow. A Conn follows the responses
+// that are read, and fails the read that brings such a status or field, see frame.ResponseScanner.
 //
 // # Usage
 //
