Bytes after a response are not the response to the next request

What callers saw: on gentianwell serve, the caller of a request got bytes that a backend server had sent after its response to the request before, if they looked like a response. gentianwell entry refuses them by their id, but the request then counted as lost.

Cause: net/http puts a connection back into its pool before it looks at what it has read beyond the response, and the next request may take the connection in between.

Change: frame.ResponseScanner knows whether a request was sent since the last response. Bytes that answer none are a fault, which is found in the read that brings them; from then on io/strict writes nothing to the connection, so that io/back sends the request on another one.

TestInvalidResponse shows the refused write.

--- a/core/frame/doc.go
+++ b/core/frame/doc.go
@@ -31,6 +31,7 @@
 // For responses:
 //
 //	var s frame.ResponseScanner
+//	s.Sent() // a request
 //	n, err := conn.Read(p)
 //	if valid, fault := s.Scan(p[:n]); fault != frame.FaultNone {
 //		return valid, errors.New(string(fault)) // and close the connection
--- a/core/frame/fault.go
+++ b/core/frame/fault.go
@@ -19,6 +19,8 @@
 
 // The faults of responses only.
 const (
+	// FaultUnexpected is that of bytes after a response that answer no request.
+	FaultUnexpected Fault = "unexpected"
 	// FaultStatusLine is that of a response whose first line is not a status line of HTTP/1.
 	FaultStatusLine Fault = "statusLine"
 	// FaultStatus is that of a response with a status below 100 or above 599.
--- a/core/frame/response.go
+++ b/core/frame/response.go
@@ -12,8 +12,10 @@
 type ResponseScanner struct {
 	state state
 	fault Fault
-	// method is that of the request that the current response answers.
-	method string
+	// method is that of the request that the current response answers; answered is true after its
+	// response.
+	method   string
+	answered bool
 	// line holds the first bytes of the current line, lineBytes counts all of them.
 	line      []byte
 	lineBytes int
@@ -31,6 +33,10 @@
 // response may have a body.
 func (s *ResponseScanner) SetMethod(method string) { s.method = method }
 
+// Sent records that a part of a request was sent. After the first response on the connection,
+// another one may only follow a request.
+func (s *ResponseScanner) Sent() { s.answered = false }
+
 // Scan reads the next bytes of the connection. It returns how many of them come before the first
 // fault, and the fault. After a fault, no further bytes are valid.
 func (s *ResponseScanner) Scan(data []byte) (int, Fault) {
@@ -59,15 +65,19 @@
 
 func (s *ResponseScanner) endData() {
 	if s.state == stateBody {
-		s.state = stateStart
+		s.endResponse()
 		return
 	}
 	s.state = stateChunkSize
 }
 
+func (s *ResponseScanner) endResponse() { s.state, s.answered = stateStart, true }
+
 // readByte reads a byte of a line.
 func (s *ResponseScanner) readByte(b byte) Fault {
 	switch {
+	case s.answered:
+		return FaultUnexpected
 	case b == '\n':
 		line, cut := s.line, s.lineBytes > len(s.line)
 		fault := s.endLine(line, cut)
@@ -130,7 +140,7 @@
 		return s.readChunkSize(line)
 	case stateTrailer:
 		if len(line) == 0 {
-			s.state = stateStart
+			s.endResponse()
 			return FaultNone
 		}
 	default:
@@ -194,13 +204,13 @@
 	case s.status < http.StatusOK:
 		s.state = stateStart
 	case s.status == http.StatusNoContent, s.status == http.StatusNotModified, s.method == http.MethodHead:
-		s.state = stateStart
+		s.endResponse()
 	case h.chunked:
 		s.state = stateChunkSize
 	case h.length > 0:
 		s.state, s.left = stateBody, h.length
 	case h.length == 0:
-		s.state = stateStart
+		s.endResponse()
 	default:
 		s.state = stateUnbounded
 	}
--- a/core/frame/response_test.go
+++ b/core/frame/response_test.go
@@ -38,6 +38,11 @@
 
 	{stream: "\r\n" + complete, want: FaultStatusLine},
 	{stream: complete + sent + "x", want: FaultStatusLine},
+	{stream: complete + "x", want: FaultUnexpected},
+	{stream: complete + complete, want: FaultUnexpected},
+	{stream: "HTTP/1.1 204 No Content\r\n\r\n" + complete, want: FaultUnexpected},
+	{stream: ok + "Content-Length: 0\r\n\r\n" + complete, want: FaultUnexpected},
+	{stream: ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + complete, want: FaultUnexpected},
 	{stream: "HTTP/2.0 200 OK\r\n", want: FaultStatusLine},
 	{stream: "HTTP/1.1  200 OK\r\n", want: FaultStatusLine},
 	{stream: "HTTP/1.1 2000 OK\r\n", want: FaultStatusLine},
@@ -81,6 +86,7 @@
 			fault, last := FaultNone, 0
 			for part := range strings.SplitSeq(test.stream, sent) {
 				assert.Equal(t, fault, FaultNone, "%q", test.stream)
+				s.Sent()
 				last = len(part)
 				for rest := []byte(part); len(rest) > 0 && fault == FaultNone; rest = rest[min(size, len(rest)):] {
 					var n int
@@ -91,6 +97,7 @@
 			assert.Equal(t, fault, test.want, "%q", test.stream)
 			assert.Equal(t, last > 0, fault != FaultNone, "%q", test.stream)
 			if fault != FaultNone {
+				s.Sent()
 				n, again := s.Scan([]byte(complete))
 				assert.Assert(t, n == 0 && again == fault)
 			}
@@ -127,6 +134,7 @@
 		}
 		_, err = io.Copy(io.Discard, res.Body)
 		end := counted.n - reader.Buffered()
+		s.Sent()
 		if _, fault := s.Scan(stream[start:end]); err != nil || fault != FaultNone {
 			return
 		}
--- a/io/back/attempt.go
+++ b/io/back/attempt.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"gentianwell/io/strict"
 )
 
 // drainTimeout limits the wait for the end of the body after a stream's last event.
@@ -115,11 +117,12 @@
 }
 
 // closedUnused reports whether this side had closed the idle connection that the request
-// was to be sent on, so that certainly no byte of it was sent. Another attempt closes
+// was to be sent on, or bytes that answer no request had arrived on it, so that certainly
+// no byte of the request was sent. Another attempt closes
 // connections if its response turns out to be incomplete at its end or its connection is
 // silent, when net/http may have handed them to this attempt already.
 func (a *attempt) closedUnused(err error) bool {
-	closed := errors.Is(err, net.ErrClosed) || errors.Is(err, errSealed)
+	closed := errors.Is(err, net.ErrClosed) || errors.Is(err, errSealed) || errors.Is(err, strict.ErrResponse)
 	return closed && a.ctx.Err() == nil && a.conn != nil && !a.mayHaveWritten()
 }
 
--- a/io/strict/conn.go
+++ b/io/strict/conn.go
@@ -50,7 +50,7 @@
 
 // Write writes to the connection. It returns net.ErrClosed after a response that is not valid.
 func (c *Conn) Write(p []byte) (int, error) {
-	if c.Fault() != frame.FaultNone {
+	if !c.sent() {
 		return 0, net.ErrClosed
 	}
 	c.writing.Lock()
@@ -62,6 +62,14 @@
 	return n, err
 }
 
+// sent records that a request is sent. It returns false after a response that is not valid.
+func (c *Conn) sent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responses.Sent()
+	return c.fault == frame.FaultNone
+}
+
 // Read reads from the connection. It returns io.EOF only if the other side has closed the
 // connection in order, and ErrResponse in place of the bytes from a fault on.
 func (c *Conn) Read(p []byte) (int, error) {
--- a/io/strict/conn_test.go
+++ b/io/strict/conn_test.go
@@ -82,8 +82,9 @@
 		valid string
 		fault frame.Fault
 	}{
-		"HTTP/1.1 000 None\r\n\r\n":                       {"HTTP/1.1 000 None\r", frame.FaultStatus},
-		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok": {"HTTP/1.1 200 OK\r\nContent-Length", frame.FaultFieldName},
+		"HTTP/1.1 000 None\r\n\r\n":                                  {"HTTP/1.1 000 None\r", frame.FaultStatus},
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok":            {"HTTP/1.1 200 OK\r\nContent-Length", frame.FaultFieldName},
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200": {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", frame.FaultUnexpected},
 	} {
 		client, server := connect(t)
 		_, err := client.Write([]byte("request"))
