Broken responses are logged with the request's id and the reason, and counted

The attempt line of gentianwell entry had net/http's error, which may name the part of a line that was left rather than the fault. It has the field "broken" now: the fault, or else how the attempt ended. gentianwell serve logs such a line, too. Both count in gentianwell_broken_responses_total by the same reason, load reports of serve included.

TestBrokenHeads and TestBrokenStatusLines check that each broken response has one line with the id of its request and the reason, and that the counter has their number.

--- a/io/back/attempt.go
+++ b/io/back/attempt.go
@@ -208,6 +208,12 @@
 	a.result.BytesWritten = a.mayHaveWritten()
 	a.result.Total = time.Since(a.started)
 	a.result.Ending = a.ending(err, silent)
+	if a.conn != nil {
+		a.result.Fault = a.conn.Fault()
+	}
+	if reason := a.result.Broken(); reason != "" && a.client.config.ResponseBroken != nil {
+		a.client.config.ResponseBroken(reason)
+	}
 	if a.conn != nil && a.conn.seal(a) {
 		a.client.conns.close(a.conn)
 	}
--- a/io/back/config.go
+++ b/io/back/config.go
@@ -41,6 +41,9 @@
 	Metrics MetricNames
 	// Log receives a line for each connection that goes silent or cannot be closed.
 	Log logrus.FieldLogger
+	// ResponseBroken is called with Result.Broken of each attempt for which it is not empty. It must
+	// return at once. It may be nil.
+	ResponseBroken func(reason string)
 }
 
 // The defaults of Config.
--- a/io/back/types.go
+++ b/io/back/types.go
@@ -1,11 +1,13 @@
 package back
 
 import (
+	"cmp"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"gentianwell/core/call"
+	"gentianwell/core/frame"
 )
 
 // Target is a replica and the address on which it listens.
@@ -76,6 +78,8 @@
 // Result is the outcome of an attempt.
 type Result struct {
 	Ending Ending
+	// Fault is why the response is not valid HTTP/1; empty if it is, and for other failures.
+	Fault frame.Fault
 	// BytesWritten is false only if it is certain that no byte of the request has
 	// reached a connection or will reach one.
 	BytesWritten bool
@@ -100,6 +104,16 @@
 // connection: the backend server may be healthy, and a new connection may work.
 func (r Result) SilentReused() bool { return r.Ending == EndingSilent && r.Reused }
 
+// Broken returns why a response, or its absence, is the fault of the backend server or its
+// connection: Fault, or else Ending. It is empty for other endings and for silence.
+func (r Result) Broken() string {
+	switch r.Ending {
+	case EndingCrashed, EndingTruncated, EndingMalformed:
+		return cmp.Or(string(r.Fault), string(r.Ending))
+	}
+	return ""
+}
+
 // Complete reports whether the response was complete; its status may still be an error.
 func (r Result) Complete() bool { return r.Ending == EndingComplete }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -168,7 +168,7 @@
 	if e.retry, err = retry.New(retry.Config{Rand: e.options.rand(randRetry), MinPerSecond: initialRetryRate, Burst: 1}); err != nil {
 		return errors.Trace(err)
 	}
-	e.client, err = back.New(back.Config{Dial: e.options.Dial, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdleConns: maxIdleConns, Log: e.log})
+	e.client, err = back.New(back.Config{Dial: e.options.Dial, DialTimeout: dialTimeout, IdleTimeout: idleTimeout, MaxIdleConns: maxIdleConns, Log: e.log, ResponseBroken: func(reason string) { e.metrics.observeBroken(reason) }})
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -35,7 +35,9 @@
 	// cut counts the answers that had begun and were not completed.
 	cut      *prometheus.CounterVec
 	lostRuns *prometheus.CounterVec
-	crashes  *prometheus.CounterVec
+	// broken counts the attempts without a valid, complete response.
+	broken  *prometheus.CounterVec
+	crashes *prometheus.CounterVec
 	// shares counts the decisions about shares of teams.
 	shares *prometheus.CounterVec
 	// takenUp counts the streams that callers took up again, streamRecords the records of streams.
@@ -73,6 +75,7 @@
 		onTime:        counter("on_time_total", "Requests answered within or after the target of their route.", "route", "met"),
 		cut:           counter("cut_total", "Answers that had begun and were not completed, by how the last attempt at a backend server ended.", "route", "reason", "ending"),
 		lostRuns:      counter("lost_runs_total", "Runs whose connection was lost, by whether the backend server then accepted no connection.", "crashed"),
+		broken:        counter("broken_responses_total", "Attempts whose response was not valid or not complete, by the reason.", "reason"),
 		crashes:       counter("crashes_total", "Crashes of backend servers under a request, by how the request was judged with it.", "reason"),
 		shares:        counter("team_share_decisions_total", "Requests of teams by whether the team's share of a short service admitted them.", "admitted", "reason"),
 		takenUp:       counter("taken_up_total", "Streams that callers took up again, by how the request ended.", "reason"),
@@ -87,7 +90,7 @@
 		total:        histogram("total_seconds", "Time to the end of the answer."),
 	}
 	registry.MustRegister(
-		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.requests, m.sends, m.onTime, m.cut, m.lostRuns, m.crashes, m.shares, m.takenUp, m.streamRecords, m.storeRestores, m.storeOutages, m.first, m.total,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.requests, m.sends, m.onTime, m.cut, m.lostRuns, m.broken, m.crashes, m.shares, m.takenUp, m.streamRecords, m.storeRestores, m.storeOutages, m.first, m.total,
 	)
 	gauge := func(name, help string, value func() float64) {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gentianwell_" + name, Help: help}, value))
@@ -242,6 +245,9 @@
 	m.lostRuns.WithLabelValues(strconv.FormatBool(crashed)).Inc()
 }
 
+// observeBroken records an attempt whose response was not valid or not complete.
+func (m *metrics) observeBroken(reason string) { m.broken.WithLabelValues(reason).Inc() }
+
 // observeCrash records a crash under a request and the verdict on the request.
 func (m *metrics) observeCrash(v poison.Verdict) {
 	m.crashes.WithLabelValues(string(v.Reason)).Inc()
--- a/io/metric/set.go
+++ b/io/metric/set.go
@@ -64,6 +64,7 @@
 	parts      *prometheus.CounterVec
 	wasted     *prometheus.CounterVec
 	refused    *prometheus.CounterVec
+	broken     *prometheus.CounterVec
 	waited     *prometheus.HistogramVec
 	firstToken *prometheus.HistogramVec
 	tokenGap   *prometheus.HistogramVec
@@ -87,12 +88,13 @@
 		parts:      counter("parts_total", "Parts of streams (tokens, where the engine sends each by itself).", "class"),
 		wasted:     counter("wasted_parts_total", "Parts that were discarded or generated again.", "class"),
 		refused:    counter("refused_total", "Requests refused, those that became no job included.", "reason"),
+		broken:     counter("broken_responses_total", "Attempts whose response was not valid or not complete, by the reason.", "reason"),
 		waited:     histogram("queue_seconds", "Time in the queue.", latencyBuckets),
 		firstToken: histogram("first_token_seconds", "Time from arrival to the first part of the answer.", latencyBuckets),
 		tokenGap:   histogram("token_gap_seconds", "Mean time between the parts of a stream.", tokenGapBuckets),
 	}
 	c.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	c.Registry.MustRegister(s.requests, s.refused, s.targets, s.good, s.parts, s.wasted, s.waited, s.firstToken, s.tokenGap)
+	c.Registry.MustRegister(s.requests, s.refused, s.targets, s.good, s.parts, s.wasted, s.broken, s.waited, s.firstToken, s.tokenGap)
 	gauge := func(name, help string, value func() float64) {
 		c.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gentianwell_" + name, Help: help}, value))
 	}
@@ -113,6 +115,10 @@
 // Refused counts a refused request by its code. The number of codes is fixed.
 func (s *Set) Refused(code string) { s.refused.WithLabelValues(code).Inc() }
 
+// ResponseBroken counts an attempt whose response was not valid or not complete. The number of
+// reasons is fixed.
+func (s *Set) ResponseBroken(reason string) { s.broken.WithLabelValues(reason).Inc() }
+
 // Observe records a job that has ended.
 func (s *Set) Observe(m runner.Measure) {
 	class, tier := s.classLabel(m.Call.Class), strconv.Itoa(int(m.Call.Tier))
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -168,7 +168,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if n.client, err = back.New(back.Config{Dial: o.Dial, Log: o.Log}); err != nil {
+	if n.client, err = back.New(back.Config{Dial: o.Dial, Log: o.Log, ResponseBroken: func(reason string) { n.metrics.ResponseBroken(reason) }}); err != nil {
 		return errors.Trace(err)
 	}
 	estimator, err := estim.New(estim.Defaults())
--- a/io/proxy/log.go
+++ b/io/proxy/log.go
@@ -128,6 +128,9 @@
 	if e.err != nil {
 		fields["error"] = e.err.Error()
 	}
+	if reason := result.Broken(); reason != "" {
+		fields["broken"] = reason
+	}
 	if ejected != "" {
 		fields["ejected"] = ejected
 	}
--- a/io/runner/attempt.go
+++ b/io/runner/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
 
 	"gentianwell/core/call"
 	"gentianwell/core/route"
@@ -71,6 +72,11 @@
 	end.notLoaded = n.job.Kind == KindEngine && end.result.Complete() && end.result.Status == http.StatusNotFound
 	n.checkAnswer(&end)
 	result := end.result
+	if reason := result.Broken(); reason != "" {
+		n.r.c.Log.WithFields(logrus.Fields{
+			"event": "attempt", "request": n.job.Call.ID, "replica": replica.ID, "broken": reason, "status": result.Status, "error": end.err,
+		}).Info("response is not valid or not complete")
+	}
 	n.markUnsent(result)
 	n.recordOutcome(result)
 	n.freshConn = n.freshConn || result.SilentReused()
