Tests of broken responses check the reason that is logged; interim responses

A row for a field name with a space in an interim response. The comment of Exchange.Read says when a response without a length ends.

--- a/core/frame/response_test.go
+++ b/core/frame/response_test.go
@@ -56,6 +56,7 @@
 
 	{stream: ok + "Content-Length : 2\r\n", want: FaultFieldName},
 	{stream: ok + ": 2\r\n", want: FaultFieldName},
+	{stream: "HTTP/1.1 103 Early Hints\r\nLink : </a>\r\n", want: FaultFieldName},
 	{stream: ok + "X\r\n", want: FaultFieldName},
 	{stream: ok + "X\r: y\r\n", want: FaultFieldName},
 	{stream: ok + "X: y\rz\r\n", want: FaultFieldValue},
--- a/io/back/exchange.go
+++ b/io/back/exchange.go
@@ -38,7 +38,8 @@
 }
 
 // Read reads from the response body. It returns io.EOF at the proper end of the body;
-// for a response without a length, that is the end of the connection.
+// for a response without a length, that is when the backend server has closed the connection
+// in order.
 func (x *Exchange) Read(p []byte) (int, error) { return x.res.Body.Read(p) }
 
 // HasDelimitedBody reports whether the end of the body can be distinguished from a lost
