Probe: log which VM probes, count the reads of the store's revision

The logs could not tell whether nobody compared the watches with the store while one VM stood still, whether the comparison was made and its result was not passed on, or whether the bundle was asked of the VM that stood still.

The line `prober` says which VM a VM relies on, and gentianwell_probes_total counts the reads.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -229,6 +229,7 @@
 		NoticeKind: kindReader, ReceiveNotice: func(now time.Time, item spread.Item) { e.readers.receive(now, item) },
 	})
 	e.probe = &probe{list: e.options.Source.Store.List, members: e.members, push: e.pushReplicas, grace: c.probeGrace(), log: e.log}
+	e.probe.observe = func(result probeResult) { e.metrics.probes.WithLabelValues(string(result)).Inc() }
 	// A record of crashes may be StableTime old before it has to be known: fewer calls of the store are
 	// enough for these.
 	e.probe.pauses = map[string]time.Duration{suspectPrefix: c.StableTime}
--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"gentianwell/core/call"
 	"gentianwell/io/kvs"
 	"gentianwell/io/mirror"
 )
@@ -31,6 +32,15 @@
 	isolatedAfter = 1500 * time.Millisecond
 )
 
+// probeResult is what came of a read of the store's revision.
+type probeResult string
+
+// The results of reads.
+const (
+	probeAnswered probeResult = "answered"
+	probeFailed   probeResult = "failed"
+)
+
 // probe compares the mirrors with the store, because a watch may stop delivering without an
 // error. One VM does so for all. Each mirror is compared by itself: its watch has a connection
 // of its own, and events on another one say nothing about it.
@@ -46,8 +56,12 @@
 	// recovered is called when the store answers again after an outage, with how long ago it
 	// was last known to be down. In an outage in which the store is silent, no watch fails.
 	recovered func(lastDown time.Duration)
+	// observe is called with the result of each read of the revision.
+	observe func(result probeResult)
 	// running is true while check runs.
 	running atomic.Bool
+	// prober is the VM that probes as of the last tick; only start uses it.
+	prober call.VMID
 	// outage is that of the checks.
 	outage mirror.Outage
 
@@ -64,6 +78,7 @@
 // start starts a check if this VM is the prober and none is running; it does not wait
 // for it.
 func (p *probe) start(now time.Time) {
+	p.logProber(now)
 	if !p.isProber(now) || !p.running.CompareAndSwap(false, true) {
 		return
 	}
@@ -95,6 +110,22 @@
 	return true
 }
 
+// logProber logs which VM probes for this one, if that has changed.
+func (p *probe) logProber(now time.Time) {
+	prober := p.members.self
+	if !p.isProber(now) {
+		for _, other := range p.members.others() {
+			if other.ID < prober && !other.storeLost && !p.members.isUnreachable(other.ID) {
+				prober = other.ID
+			}
+		}
+	}
+	if prober != p.prober {
+		p.log.WithFields(logrus.Fields{"event": "prober", "prober": prober, "before": p.prober}).Info("another VM compares the watches with the store")
+		p.prober = prober
+	}
+}
+
 // check reads the store's revision and compares the mirrors that have not reached it. It
 // reports whether the read got no response.
 func (p *probe) check() bool {
@@ -104,6 +135,7 @@
 	snap, err := p.list(ctx, probePrefix)
 	if err != nil {
 		p.outage.Failed(began, err)
+		p.observe(probeFailed)
 		p.log.WithFields(logrus.Fields{"event": "probe"}).WithError(err).Debug("reading the store's revision failed")
 		return errors.Is(err, context.DeadlineExceeded)
 	}
@@ -113,6 +145,7 @@
 	if failures, lastDown := p.outage.End(); failures >= outageProbes {
 		p.recovered(lastDown)
 	}
+	p.observe(probeAnswered)
 	for _, m := range p.mirrors {
 		if p.completeTo(m) < snap.Revision && p.mayCompare(m.Prefix(), began) {
 			go p.compare(m)
--- a/io/entry/probe_test.go
+++ b/io/entry/probe_test.go
@@ -38,7 +38,7 @@
 		defer cancel()
 		go func() { _ = m.Run(ctx) }()
 		synctest.Wait()
-		p := &probe{list: list, mirrors: []*mirror.Mirror{m}, grace: 250 * time.Millisecond, log: log}
+		p := &probe{list: list, mirrors: []*mirror.Mirror{m}, grace: 250 * time.Millisecond, log: log, observe: func(probeResult) {}}
 		lists = 0
 		for _, revision = range []kvs.Revision{9, 9, 9, 12, 12} {
 			p.check()
