A VM that stands still does not hold up the configuration that others offer

Cause: one bundle was fetched at a time, from the VM that had told of a newer configuration first. While that VM stood still, the call took two seconds, and what every other VM told meanwhile was ignored. A VM that starts, and that the store refuses, asked the first of the VMs that it knew, each time.

Evidence: with one fetch at a time, as before, TestBundlesOfOtherVMs fails in the rows in which VMs stand still: the second VM is not asked within 3 s.

The VM that told of it first is still asked at once. If it has not answered after 200 ms and its bundle is still wanted, the next one that has told of it is asked, too, three at most. A starting VM asks up to three VMs in a random order in this way. A sound VM answers in milliseconds, so that there are no further calls in calm.

--- a/io/entry/bundle.go
+++ b/io/entry/bundle.go
@@ -9,6 +9,7 @@
 
 	"gentianwell/core/call"
 	"gentianwell/io/kvs"
+	"gentianwell/io/peer"
 	"gentianwell/io/peerpb"
 )
 
@@ -46,13 +47,27 @@
 func (e *Entry) fetchNewer(vm call.VMID, version int64) {
 	for _, p := range e.members.peers() {
 		if p.ID == vm {
-			go e.fetchBundle(p.ID, p.Address, e.tables.version())
+			e.bundles.offer(p, func() bool { return e.tables.version() < version })
 			return
 		}
 	}
 	e.log.WithFields(logrus.Fields{"event": "behind", "peer": vm, "version": version}).Debug("address of the VM with a newer configuration is not known yet")
 }
 
+// fetchBundle fetches the bundle of a peer and adopts it. A process that is not ready needs the
+// replicas even if it has the configuration.
+func (e *Entry) fetchBundle(ctx context.Context, from peer.Peer) error {
+	have := e.tables.version()
+	if !e.Ready() {
+		have = noVersion
+	}
+	var raw []byte
+	if err := e.pool.Call(ctx, from.Address, settingsCall(have, &raw)); err != nil || len(raw) == 0 {
+		return errors.Trace(err)
+	}
+	return e.adopt(from.ID, raw)
+}
+
 // adopt applies a bundle of another VM.
 func (e *Entry) adopt(vm call.VMID, raw []byte) error {
 	var b bundle
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -14,7 +14,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -122,8 +121,7 @@
 	// requests is the context whose end ends the requests in progress.
 	requests       context.Context
 	cancelRequests context.CancelFunc
-	// fetching is true while the bundle of a peer is fetched.
-	fetching atomic.Bool
+	bundles        *bundleFetcher
 }
 
 // New returns a process that is not running yet; Run runs it.
@@ -228,6 +226,9 @@
 		ReceiveClock: e.clocks.heard, Usage: e.receiveUsage,
 		NoticeKind: kindReader, ReceiveNotice: func(now time.Time, item spread.Item) { e.readers.receive(now, item) },
 	})
+	e.bundles = &bundleFetcher{fetch: e.fetchBundle, failed: func(vm call.VMID, err error) {
+		e.log.WithFields(logrus.Fields{"event": "bundle", "peer": vm}).WithError(err).Warn("fetching the configuration from a VM failed")
+	}}
 	e.probe = &probe{list: e.options.Source.Store.List, members: e.members, push: e.pushReplicas, grace: c.probeGrace(), log: e.log}
 	e.probe.observe = func(result probeResult) { e.metrics.probes.WithLabelValues(string(result)).Inc() }
 	// A record of crashes may be StableTime old before it has to be known: fewer calls of the store are
@@ -400,7 +401,7 @@
 
 // contactSeeds begins an exchange with each seed that is not known yet. If the store has
 // not delivered the configuration and the list of replicas yet, it also fetches the
-// bundle of a peer, unless a stop has begun.
+// bundles of some peers, unless a stop has begun.
 func (e *Entry) contactSeeds(now time.Time) {
 	for _, seed := range e.members.unknownSeeds(e.config.Load().Seeds) {
 		e.gossip.ContactAddress(now, seed)
@@ -408,24 +409,11 @@
 	if e.Ready() || !e.drain.Ready() {
 		return
 	}
-	for _, p := range e.members.peers() {
-		go e.fetchBundle(p.ID, p.Address, noVersion)
-		return
-	}
-}
-
-// fetchBundle fetches the bundle of a peer and adopts it. Only one fetch runs at a time.
-func (e *Entry) fetchBundle(vm call.VMID, address netip.AddrPort, have int64) {
-	if !e.fetching.CompareAndSwap(false, true) {
-		return
-	}
-	defer e.fetching.Store(false)
-	var raw []byte
-	err := e.pool.Call(context.Background(), address, settingsCall(have, &raw))
-	if err == nil && len(raw) > 0 {
-		err = e.adopt(vm, raw)
-	}
-	if err != nil {
-		e.log.WithFields(logrus.Fields{"event": "bundle", "peer": vm}).WithError(err).Warn("fetching the configuration from a VM failed")
+	peers := e.members.peers()
+	e.rngMu.Lock()
+	e.rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	e.rngMu.Unlock()
+	for _, p := range peers[:min(maxFetches, len(peers))] {
+		e.bundles.offer(p, func() bool { return !e.Ready() })
 	}
 }
