A change is heard of in time while a VM stands still: three VMs may probe, and take over from each other

Cause: one VM, that with the lowest id, compares the watches with the store for all. The others took it for sound until an exchange with it had failed, 1 to 2 s after it had stopped. Their own watches had lost an answer and delivered nothing.

Evidence: the line `prober`: all eight VMs relied on the VM that stood still for 1.8 and 2.0 s; the one that then probed found its watch silent for 10.0 s and passed the change on at once.

Change: core/prober decides which three VMs may probe, in different zones where that is possible, and when. The first one does so in each interval and tells the other two of each read that was answered; they probe by themselves 250 and 500 ms after such a notice is missed. A VM that has taken over gives its watches no time to deliver. A list that was read is in force at once (mirror.Adopt), and only the watch is restarted (mirror.Rewatch). From 30 VMs on, these three are readers, one reader less than before in three zones. gentianwell_probes_total has the reason now, gentianwell_watch_restarts_total counts restarts.

--- /dev/null
+++ b/core/prober/prober_test.go
@@ -0,0 +1,81 @@
+package prober
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"gentianwell/core/call"
+)
+
+func TestSelect(t *testing.T) {
+	vm := func(id, zone string) VM { return VM{ID: call.VMID(id), Zone: call.Zone(zone), CanRead: true} }
+	lost, away := vm("a", "1"), vm("a", "1")
+	lost.CanRead, away.Unreachable = false, true
+	for name, test := range map[string]struct {
+		vms  []VM
+		want string
+	}{
+		"none":              {nil, ""},
+		"one":               {[]VM{vm("a", "1")}, "a"},
+		"one zone":          {[]VM{vm("d", "1"), vm("b", "1"), vm("a", "1"), vm("c", "1")}, "a b c"},
+		"two zones":         {[]VM{vm("a", "1"), vm("b", "1"), vm("c", "2"), vm("d", "2")}, "a c b"},
+		"three zones":       {[]VM{vm("a", "1"), vm("b", "1"), vm("c", "2"), vm("d", "3")}, "a c d"},
+		"store lost":        {[]VM{lost, vm("b", "1"), vm("c", "2")}, "b c"},
+		"cannot be reached": {[]VM{away, vm("b", "1"), vm("c", "2")}, "b c"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var got []string
+			for _, id := range Select(test.vms) {
+				got = append(got, string(id))
+			}
+			assert.Equal(t, strings.Join(got, " "), test.want)
+		})
+	}
+}
+
+func TestScheduleConfig(t *testing.T) {
+	_, err := New(Config{Self: "a", Interval: time.Second})
+	assert.Assert(t, errors.Is(err, errors.NotValid), "%v", err)
+}
+
+// Plays a schedule in steps of 50 ms and writes down when it is due.
+func TestSchedule(t *testing.T) {
+	three := []VM{{ID: "a", Zone: "1", CanRead: true}, {ID: "b", Zone: "2", CanRead: true}, {ID: "c", Zone: "3", CanRead: true}, {ID: "d", Zone: "1", CanRead: true}}
+	for name, test := range map[string]struct {
+		self call.VMID
+		// heardEvery is how often another VM tells of a read, until heardUntil.
+		heardEvery, heardUntil time.Duration
+		isolated               bool
+		want                   string
+	}{
+		"first":                       {self: "a", want: "first 0s, first 700ms, first 1.4s, first 2.1s, first 2.8s"},
+		"first, another one is ahead": {self: "a", heardEvery: 500 * time.Millisecond, heardUntil: 2 * time.Second, want: "first 2.7s"},
+		"second, all is well":         {self: "b", heardEvery: 700 * time.Millisecond, heardUntil: 3 * time.Second},
+		"second, the first stops":     {self: "b", heardEvery: 700 * time.Millisecond, heardUntil: time.Second, want: "takeover 1.65s, takeover 2.6s"},
+		"third, the first stops":      {self: "c", heardEvery: 700 * time.Millisecond, heardUntil: time.Second, want: "takeover 1.9s"},
+		"not among them":              {self: "d"},
+		"not among them, isolated":    {self: "d", isolated: true, want: "isolated 0s, isolated 700ms, isolated 1.4s, isolated 2.1s, isolated 2.8s"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, err := New(Config{Self: test.self, Interval: 700 * time.Millisecond, Step: 250 * time.Millisecond})
+			assert.NilError(t, err)
+			s.SetVMs(three)
+			start := time.Unix(1000, 0)
+			var got []string
+			for at := time.Duration(0); at < 3*time.Second; at += 50 * time.Millisecond {
+				if test.heardEvery > 0 && at%test.heardEvery == 0 && at <= test.heardUntil {
+					s.Heard(start.Add(at))
+				}
+				if reason, due := s.Due(start.Add(at), test.isolated); due {
+					got = append(got, fmt.Sprint(reason, " ", at))
+				}
+			}
+			assert.Equal(t, strings.Join(got, ", "), test.want)
+		})
+	}
+}
--- a/core/reader/fleet_test.go
+++ b/core/reader/fleet_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"gentianwell/core/call"
+	"gentianwell/core/prober"
 )
 
 // The times of the model. The bound is drainMs of the known platforms.
@@ -49,6 +51,9 @@
 	inbox               []modelMessage
 	lostSince           time.Time
 	wokeAt              time.Time
+	schedule            *prober.Schedule
+	// passOn is when this VM passes on a change that its watch has missed, if it then still has.
+	passOn time.Time
 }
 
 // model is a fleet without a network: messages take one tick, and so do calls of the store.
@@ -60,7 +65,6 @@
 	minVMs     int
 	// The calls, of which probes are all others of the list of replicas.
 	watches, lists, probes int
-	probed, missedSince    time.Time
 	// directory holds the VMs as known at directoryAt, and listeners those of each reader.
 	directory   []VM
 	directoryAt time.Time
@@ -74,6 +78,8 @@
 		w, err := NewWatch(Config{MaxAge: modelAge, MinVMs: minVMs})
 		assert.NilError(t, err)
 		vm := &modelVM{VM: VM{ID: call.VMID(fmt.Sprintf("vm-%03d", i)), Zone: call.Zone(fmt.Sprint(i % 3)), CanRead: true}, watch: w, watching: true, quietSince: m.now}
+		vm.schedule, err = prober.New(prober.Config{Self: vm.ID, Interval: modelProbe, Step: modelGrace})
+		assert.NilError(t, err)
 		m.vms = append(m.vms, vm)
 		m.lists++
 		m.watches++
@@ -111,11 +117,17 @@
 		seen.CanRead = vm.lostSince.IsZero() || m.now.Sub(vm.lostSince) < modelGossip
 		out = append(out, seen)
 	}
+	probers := prober.Select(probersOf(out))
 	for i := range out {
-		if out[i].CanRead {
-			out[i].Probes = true
-			break
-		}
+		out[i].Probes = slices.Contains(probers, out[i].ID)
+	}
+	return out
+}
+
+func probersOf(vms []VM) []prober.VM {
+	var out []prober.VM
+	for _, vm := range vms {
+		out = append(out, prober.VM{ID: vm.ID, Zone: vm.Zone, CanRead: vm.CanRead})
 	}
 	return out
 }
@@ -135,8 +147,8 @@
 				continue
 			}
 			m.step(vm)
+			m.probe(vm)
 		}
-		m.probe()
 		due := 0
 		for due < len(m.changes) && m.now.Sub(m.changes[due]) > modelBound {
 			due++
@@ -155,6 +167,9 @@
 		return
 	}
 	m.directory, m.directoryAt, m.listeners = m.known(), m.now, map[call.VMID][]*modelVM{}
+	for _, vm := range m.vms {
+		vm.schedule.SetVMs(probersOf(m.directory))
+	}
 	if len(m.directory) < m.minVMs {
 		return
 	}
@@ -237,37 +252,33 @@
 	}
 }
 
-// probe lets the VM that probes find changes that its own watch misses, and push them to all.
-func (m *model) probe() {
-	for i, vm := range m.directory {
-		if !vm.Probes {
-			continue
-		}
-		prober := m.vms[0]
-		for _, candidate := range m.vms {
-			if candidate.ID == m.directory[i].ID {
-				prober = candidate
-			}
-		}
-		if m.stands(prober) || m.noStore(prober) {
-			return
-		}
-		if m.now.Sub(m.probed) >= modelProbe {
-			m.probed = m.now
-			m.probes++
-			if prober.version < len(m.changes) && m.missedSince.IsZero() {
-				m.missedSince = m.now
+// probe lets a VM read the store's revision if that is due, and pass on what its own watch has missed.
+func (m *model) probe(vm *modelVM) {
+	if m.noStore(vm) {
+		return
+	}
+	if reason, due := vm.schedule.Due(m.now, false); due {
+		m.probes++
+		for _, other := range m.vms {
+			if other != vm && !m.noPeers(vm) && !m.noPeers(other) && !m.stands(other) {
+				other.schedule.Heard(m.now)
 			}
 		}
-		if !m.missedSince.IsZero() && m.now.Sub(m.missedSince) >= modelGrace {
-			m.missedSince = time.Time{}
-			if prober.version < len(m.changes) {
-				m.read(prober)
-				m.tell(prober, m.vms)
+		if vm.version < len(m.changes) && vm.passOn.IsZero() {
+			vm.passOn = m.now.Add(2 * modelGrace)
+			if reason == prober.ReasonTakeover {
+				vm.passOn = m.now
 			}
 		}
+	}
+	if vm.passOn.IsZero() || m.now.Before(vm.passOn) {
 		return
 	}
+	vm.passOn = time.Time{}
+	if vm.version < len(m.changes) {
+		m.read(vm)
+		m.tell(vm, m.vms)
+	}
 }
 
 // readersOf returns the readers at the start, of one zone or of all if it is empty.
@@ -289,23 +300,28 @@
 	for name, test := range map[string]struct {
 		fault fault
 		who   func(*model) []*modelVM
+		// still is how many of the VMs that probe stand still, too.
+		still int
 	}{
-		"none":                                 {fault{}, func(*model) []*modelVM { return nil }},
-		"a reader dies":                        {fault{dead: true}, func(m *model) []*modelVM { return m.readersOf("1")[:1] }},
-		"a reader stands still":                {fault{frozen: true}, func(m *model) []*modelVM { return m.readersOf("1")[:1] }},
-		"a reader is cut off from VMs":         {fault{noPeers: true}, func(m *model) []*modelVM { return m.readersOf("1")[:1] }},
-		"a reader is cut off from the store":   {fault{noStore: true}, func(m *model) []*modelVM { return m.readersOf("1")[:1] }},
-		"a reader's watch falls silent":        {fault{silent: true}, func(m *model) []*modelVM { return m.readersOf("1")[:1] }},
-		"the prober's watch falls silent":      {fault{silent: true}, func(m *model) []*modelVM { return m.vms[:1] }},
-		"all watches fall silent":              {fault{silent: true}, func(m *model) []*modelVM { return m.vms }},
-		"all readers of a zone die":            {fault{dead: true}, func(m *model) []*modelVM { return m.readersOf("1") }},
-		"all readers of a zone stand still":    {fault{frozen: true}, func(m *model) []*modelVM { return m.readersOf("1") }},
-		"all readers of a zone lose the store": {fault{noStore: true}, func(m *model) []*modelVM { return m.readersOf("1") }},
-		"the watches of a zone fall silent":    {fault{silent: true}, func(m *model) []*modelVM { return m.readersOf("1") }},
-		"all readers die":                      {fault{dead: true}, func(m *model) []*modelVM { return m.readersOf("") }},
-		"a zone loses the store":               {fault{noStore: true}, func(m *model) []*modelVM { return m.zone("2") }},
-		"another VM stands still":              {fault{frozen: true}, func(m *model) []*modelVM { return m.zone("2")[7:9] }},
-		"other VMs are cut off from VMs":       {fault{noPeers: true}, func(m *model) []*modelVM { return m.zone("2")[5:9] }},
+		"none":                                                  {fault: fault{}, who: func(*model) []*modelVM { return nil }},
+		"a reader dies":                                         {fault: fault{dead: true}, who: func(m *model) []*modelVM { return m.readersOf("1")[:1] }},
+		"a reader stands still":                                 {fault: fault{frozen: true}, who: func(m *model) []*modelVM { return m.readersOf("1")[:1] }},
+		"a reader is cut off from VMs":                          {fault: fault{noPeers: true}, who: func(m *model) []*modelVM { return m.readersOf("1")[:1] }},
+		"a reader is cut off from the store":                    {fault: fault{noStore: true}, who: func(m *model) []*modelVM { return m.readersOf("1")[:1] }},
+		"a reader's watch falls silent":                         {fault: fault{silent: true}, who: func(m *model) []*modelVM { return m.readersOf("1")[:1] }},
+		"the prober's watch falls silent":                       {fault: fault{silent: true}, who: func(m *model) []*modelVM { return m.vms[:1] }},
+		"all watches fall silent":                               {fault: fault{silent: true}, who: func(m *model) []*modelVM { return m.vms }},
+		"all readers of a zone die":                             {fault: fault{dead: true}, who: func(m *model) []*modelVM { return m.readersOf("1") }},
+		"all readers of a zone stand still":                     {fault: fault{frozen: true}, who: func(m *model) []*modelVM { return m.readersOf("1") }},
+		"all readers of a zone lose the store":                  {fault: fault{noStore: true}, who: func(m *model) []*modelVM { return m.readersOf("1") }},
+		"the watches of a zone fall silent":                     {fault: fault{silent: true}, who: func(m *model) []*modelVM { return m.readersOf("1") }},
+		"all readers die":                                       {fault: fault{dead: true}, who: func(m *model) []*modelVM { return m.readersOf("") }},
+		"a zone loses the store":                                {fault: fault{noStore: true}, who: func(m *model) []*modelVM { return m.zone("2") }},
+		"another VM stands still":                               {fault: fault{frozen: true}, who: func(m *model) []*modelVM { return m.zone("2")[7:9] }},
+		"other VMs are cut off from VMs":                        {fault: fault{noPeers: true}, who: func(m *model) []*modelVM { return m.zone("2")[5:9] }},
+		"all watches fall silent, the prober stands still":      {fault: fault{silent: true}, who: func(m *model) []*modelVM { return m.vms }, still: 1},
+		"all watches fall silent, two probers stand still":      {fault: fault{silent: true}, who: func(m *model) []*modelVM { return m.vms }, still: 2},
+		"a zone's watches fall silent, the prober stands still": {fault: fault{silent: true}, who: func(m *model) []*modelVM { return m.zone("1") }, still: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := newModel(t, 65, 0, 1300*time.Millisecond)
@@ -315,6 +331,13 @@
 				vm.fault = test.fault
 				vm.fault.from, vm.fault.until = 10*time.Second+2*modelTick, 19*time.Second
 			}
+			for _, id := range prober.Select(probersOf(m.known()))[:test.still] {
+				for _, vm := range m.vms {
+					if vm.ID == id {
+						vm.fault.frozen, vm.fault.from, vm.fault.until = true, 10*time.Second+2*modelTick, 19*time.Second
+					}
+				}
+			}
 			m.run(t, 9*time.Second)
 			// After the fault, the readers alone watch again.
 			m.run(t, 11*time.Second)
@@ -359,9 +382,9 @@
 				assert.Equal(t, with.watches+with.lists, without.watches+without.lists)
 				continue
 			}
-			// The seven readers watch all the time, the others until they have heard them for StableFor.
-			assert.Assert(t, with.watches+with.lists-start <= 7*(len(with.changes)+4)+n)
-			assert.Assert(t, with.watchers() <= 7)
+			// The six readers watch all the time, the others until they have heard them for StableFor.
+			assert.Assert(t, with.watches+with.lists-start <= 6*(len(with.changes)+4)+n)
+			assert.Assert(t, with.watchers() <= 6)
 		}
 	}
 }
--- a/core/reader/select.go
+++ b/core/reader/select.go
@@ -19,12 +19,12 @@
 	Zone call.Zone
 	// CanRead is false if the VM has said that it cannot read the store.
 	CanRead bool
-	// Probes is true for the VM that compares the watches with the store.
+	// Probes is true for the VMs that may compare the watches with the store.
 	Probes bool
 }
 
-// Select returns the readers in the order of their ids: of each zone the PerZone first VMs by a
-// rendezvous hash that can read the store, and the VM that probes.
+// Select returns the readers in the order of their ids: the VMs that may probe, and of each zone as
+// many further VMs that can read the store as make PerZone, the first ones by a rendezvous hash.
 func Select(vms []VM) []VM {
 	byZone := map[call.Zone][]VM{}
 	var out []VM
@@ -38,7 +38,7 @@
 	}
 	for _, zone := range byZone {
 		slices.SortFunc(zone, func(a, b VM) int {
-			return cmp.Or(cmp.Compare(weight(a.ID), weight(b.ID)), cmp.Compare(a.ID, b.ID))
+			return cmp.Or(compareProbes(a, b), cmp.Compare(weight(a.ID), weight(b.ID)), cmp.Compare(a.ID, b.ID))
 		})
 		out = append(out, zone[:min(PerZone, len(zone))]...)
 	}
@@ -46,6 +46,17 @@
 	return slices.CompactFunc(out, func(a, b VM) bool { return a.ID == b.ID })
 }
 
+// compareProbes orders VMs that may probe before the others.
+func compareProbes(a, b VM) int {
+	switch {
+	case a.Probes == b.Probes:
+		return 0
+	case a.Probes:
+		return -1
+	}
+	return 1
+}
+
 func weight(vm call.VMID) uint64 { return xxhash.Sum64String("reader/" + string(vm)) }
 
 // Listeners returns the VMs that a reader tells of changes: those of its own zone, those of zones
--- a/io/entry/bounds.go
+++ b/io/entry/bounds.go
@@ -18,6 +18,8 @@
 	// change that these take at most. The rest is for calls to the store and other VMs.
 	probeIntervalFraction = 0.35
 	probeGraceFraction    = 0.125
+	// probeTick is how often a VM checks whether it has to read the store's revision.
+	probeTick = 50 * time.Millisecond
 	// listAgeFraction is the fraction of the bound for a change by which a list that other VMs
 	// watch may be old. Reading it then takes another fraction at most.
 	listAgeFraction = 1.0 / 3
@@ -50,6 +52,9 @@
 	return min(maxProbeGrace, time.Duration(probeGraceFraction*float64(c.changeBound())))
 }
 
+// probeStep returns how much longer each VM that may probe waits for a read than the one before it.
+func (c *Config) probeStep() time.Duration { return c.probeGrace() }
+
 // fleetConfig returns the configuration of the list of replicas. A removal that follows an
 // outage counts from StableTime after the end of the outage on, whenever the VM notices that.
 func (c *Config) fleetConfig() fleet.Config {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -29,6 +29,7 @@
 	"gentianwell/core/fleet"
 	"gentianwell/core/origin"
 	"gentianwell/core/poison"
+	"gentianwell/core/prober"
 	"gentianwell/core/quota"
 	"gentianwell/core/retry"
 	"gentianwell/core/route"
@@ -224,13 +225,17 @@
 		Demands: demands{e.router}.message, ReceiveDemands: demands{e.router}.receive,
 		Teams: teamDemands{e.fair}.message, ReceiveTeams: teamDemands{e.fair}.receive,
 		ReceiveClock: e.clocks.heard, Usage: e.receiveUsage,
-		NoticeKind: kindReader, ReceiveNotice: func(now time.Time, item spread.Item) { e.readers.receive(now, item) },
+		Notices: map[spread.Kind]func(time.Time, spread.Item){
+			kindReader: func(now time.Time, item spread.Item) { e.readers.receive(now, item) },
+			kindProbe:  func(now time.Time, item spread.Item) { e.probe.receive(now, item) },
+		},
 	})
 	e.bundles = &bundleFetcher{fetch: e.fetchBundle, failed: func(vm call.VMID, err error) {
 		e.log.WithFields(logrus.Fields{"event": "bundle", "peer": vm}).WithError(err).Warn("fetching the configuration from a VM failed")
 	}}
-	e.probe = &probe{list: e.options.Source.Store.List, members: e.members, push: e.pushReplicas, grace: c.probeGrace(), log: e.log}
-	e.probe.observe = func(result probeResult) { e.metrics.probes.WithLabelValues(string(result)).Inc() }
+	if e.probe, err = e.newProbe(); err != nil {
+		return errors.Trace(err)
+	}
 	// A record of crashes may be StableTime old before it has to be known: fewer calls of the store are
 	// enough for these.
 	e.probe.pauses = map[string]time.Duration{suspectPrefix: c.StableTime}
@@ -257,6 +262,26 @@
 	return errors.Trace(err)
 }
 
+func (e *Entry) newProbe() (*probe, error) {
+	c := e.options.Config
+	schedule, err := prober.New(prober.Config{Self: c.VM, Interval: c.probeInterval(), Step: c.probeStep()})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &probe{
+		list: e.options.Source.Store.List, members: e.members, push: e.pushReplicas, notify: e.gossip.Notify, schedule: schedule,
+		grace: c.probeGrace(), log: e.log,
+		observe: func(reason prober.Reason, result probeResult) {
+			e.metrics.probes.WithLabelValues(string(reason), string(result)).Inc()
+		},
+		restarted: e.watchRestarted,
+	}, nil
+}
+
+func (e *Entry) watchRestarted(prefix string, noticed watchNotice) {
+	e.metrics.watchRestarts.WithLabelValues(prefix, string(noticed)).Inc()
+}
+
 func (e *Entry) newOrigins() (*origins, error) {
 	writer, err := newOriginWriter(originWriterConfig{
 		store: e.options.Source.Store, now: e.options.Now, log: e.log,
--- a/io/entry/members.go
+++ b/io/entry/members.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianwell/core/call"
+	"gentianwell/core/prober"
 	"gentianwell/core/spread"
 	"gentianwell/io/peer"
 )
@@ -98,6 +99,15 @@
 	return out
 }
 
+// probers returns all known VMs, this one included, for the choice of those that probe.
+func (m *members) probers() []prober.VM {
+	out := []prober.VM{{ID: m.self, Zone: m.zone, CanRead: m.storeUp()}}
+	for _, other := range m.others() {
+		out = append(out, prober.VM{ID: other.ID, Zone: other.zone, CanRead: !other.storeLost, Unreachable: m.isUnreachable(other.ID)})
+	}
+	return out
+}
+
 // count returns the number of known VMs, including this one.
 func (m *members) count() int { return len(m.peers()) + 1 }
 
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -48,8 +48,10 @@
 	// storeOutages counts the outages of the store whose end was noticed, by the prefix that was read.
 	storeOutages *prometheus.CounterVec
 
-	// probes counts the reads of the store's revision by their result.
-	probes *prometheus.CounterVec
+	// probes counts the reads of the store's revision, watchRestarts the watches that delivered
+	// nothing and were restarted.
+	probes        *prometheus.CounterVec
+	watchRestarts *prometheus.CounterVec
 	// ownWatch counts the changes of this VM's own watch of the list of replicas.
 	ownWatch *prometheus.CounterVec
 	// duty counts what happens to the lease of the duties, usageReports the reports of windows.
@@ -86,14 +88,15 @@
 		storeRestores: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gentianwell_store_restores_total", Help: "Times that the platform's store came back from an older copy.",
 		}),
-		probes:       counter("probes_total", "Reads of the store's revision, with which the watches are compared, by their result.", "result"),
-		duty:         counter("duty_total", "Changes of the lease of the duties on this VM.", "change"),
-		usageReports: counter("usage_reports_total", "Reports of usage to the platform by what happened to them.", "change"),
-		first:        histogram("first_seconds", "Time to the answer or to the first event of a stream."),
-		total:        histogram("total_seconds", "Time to the end of the answer."),
+		probes:        counter("probes_total", "Reads of the store's revision, with which the watches are compared, by the reason why this VM made them.", "reason", "result"),
+		watchRestarts: counter("watch_restarts_total", "Watches that delivered nothing and were restarted, by how that was noticed.", "prefix", "noticed"),
+		duty:          counter("duty_total", "Changes of the lease of the duties on this VM.", "change"),
+		usageReports:  counter("usage_reports_total", "Reports of usage to the platform by what happened to them.", "change"),
+		first:         histogram("first_seconds", "Time to the answer or to the first event of a stream."),
+		total:         histogram("total_seconds", "Time to the end of the answer."),
 	}
 	registry.MustRegister(
-		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.probes, m.requests, m.sends, m.onTime, m.cut, m.lostRuns, m.broken, m.crashes, m.shares, m.takenUp, m.streamRecords, m.storeRestores, m.storeOutages, m.first, m.total,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.probes, m.watchRestarts, m.requests, m.sends, m.onTime, m.cut, m.lostRuns, m.broken, m.crashes, m.shares, m.takenUp, m.streamRecords, m.storeRestores, m.storeOutages, m.first, m.total,
 	)
 	gauge := func(name, help string, value func() float64) {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gentianwell_" + name, Help: help}, value))
--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,8 +11,11 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianwell/core/call"
+	"gentianwell/core/prober"
+	"gentianwell/core/spread"
 	"gentianwell/io/kvs"
 	"gentianwell/io/mirror"
+	"gentianwell/io/peer"
 )
 
 const (
@@ -41,31 +45,50 @@
 	probeFailed   probeResult = "failed"
 )
 
+// watchNotice says how a watch that delivers nothing was noticed.
+type watchNotice string
+
+// The ways of noticing it.
+const noticedByProbe watchNotice = "probe"
+
+// kindProbe is the kind of the items with which a VM tells the others that may probe that it has
+// read the store's revision. They are not spread any further.
+const kindProbe spread.Kind = "probe"
+
 // probe compares the mirrors with the store, because a watch may stop delivering without an
-// error. One VM does so for all. Each mirror is compared by itself: its watch has a connection
-// of its own, and events on another one say nothing about it.
+// error. One VM does so for all, and others take over if it does not (core/prober). Each mirror is
+// compared by itself: its watch has a connection of its own, and events on another one say nothing
+// about it.
 type probe struct {
 	list    func(ctx context.Context, prefix string) (kvs.Snapshot, error)
 	members *members
 	mirrors []*mirror.Mirror
 	// push sends the other VMs the changes that are newer than a revision.
 	push func(after kvs.Revision)
+	// notify tells a VM of a read.
+	notify func(now time.Time, to peer.Peer, items spread.Items) error
 	// grace is how long the watches have to deliver a change themselves.
 	grace time.Duration
 	log   logrus.FieldLogger
 	// recovered is called when the store answers again after an outage, with how long ago it
 	// was last known to be down. In an outage in which the store is silent, no watch fails.
 	recovered func(lastDown time.Duration)
-	// observe is called with the result of each read of the revision.
-	observe func(result probeResult)
+	// observe is called with the reason and the result of each read of the revision, restarted with
+	// each watch that delivers nothing and how that was noticed.
+	observe   func(reason prober.Reason, result probeResult)
+	restarted func(prefix string, noticed watchNotice)
 	// running is true while check runs.
 	running atomic.Bool
-	// prober is the VM that probes as of the last tick; only start uses it.
-	prober call.VMID
 	// outage is that of the checks.
 	outage mirror.Outage
 
 	mu sync.Mutex
+	// schedule is up to date as of scheduledAt; first is the first VM in its order.
+	schedule    *prober.Schedule
+	scheduledAt time.Time
+	first       call.VMID
+	// telling holds the VMs to which a message is under way.
+	telling map[call.VMID]bool
 	// compared holds the greatest revision of the store as of which the copy of a prefix was found to
 	// be complete: until the store has a newer one, it need not be compared again.
 	compared map[string]kvs.Revision
@@ -75,67 +98,107 @@
 	startedAt map[string]time.Time
 }
 
-// start starts a check if this VM is the prober and none is running; it does not wait
-// for it.
-func (p *probe) start(now time.Time) {
-	p.logProber(now)
-	if !p.isProber(now) || !p.running.CompareAndSwap(false, true) {
+// tick starts a check if one is due and none is running; it does not wait for it.
+func (p *probe) tick(now time.Time) {
+	if p.running.Load() {
+		return
+	}
+	reason, due := p.due(now)
+	if !due || !p.running.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer p.running.Store(false)
 		for range maxSilentProbes {
-			if !p.check() {
+			// Where another VM's turn was missed, one read without a response says little.
+			if silent := p.check(reason); !silent || reason == prober.ReasonTakeover {
 				return
 			}
 		}
 	}()
 }
 
-// isProber reports whether this VM probes: of the VMs that answer and can read the
-// store, the one with the lowest id does. A VM that no other has answered recently
-// probes for itself.
+// due reports whether this VM has to probe now, and why.
+func (p *probe) due(now time.Time) (prober.Reason, bool) {
+	isolated := !p.members.contactedWithin(now, isolatedAfter)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.updateSchedule(now)
+	return p.schedule.Due(now, isolated)
+}
+
+// isProber reports whether this VM is among those that may probe. A VM that no other has answered
+// recently probes for itself.
 func (p *probe) isProber(now time.Time) bool {
 	if !p.members.contactedWithin(now, isolatedAfter) {
 		return true
 	}
-	if !p.members.storeUp() {
-		return false
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.updateSchedule(now)
+	return p.schedule.MayProbe()
+}
+
+// updateSchedule tells the schedule which VMs there are, if that is due; p.mu is held.
+func (p *probe) updateSchedule(now time.Time) {
+	if !p.scheduledAt.IsZero() && now.Sub(p.scheduledAt).Abs() < roleInterval {
+		return
 	}
-	for _, other := range p.members.others() {
-		if other.ID < p.members.self && !other.storeLost && !p.members.isUnreachable(other.ID) {
-			return false
-		}
+	p.scheduledAt = now
+	p.schedule.SetVMs(p.members.probers())
+	if first := p.schedule.First(); first != p.first {
+		p.log.WithFields(logrus.Fields{"event": "prober", "prober": first, "before": p.first, "others": p.schedule.Others()}).Info("another VM compares the watches with the store")
+		p.first = first
 	}
-	return true
 }
 
-// logProber logs which VM probes for this one, if that has changed.
-func (p *probe) logProber(now time.Time) {
-	prober := p.members.self
-	if !p.isProber(now) {
-		for _, other := range p.members.others() {
-			if other.ID < prober && !other.storeLost && !p.members.isUnreachable(other.ID) {
-				prober = other.ID
-			}
-		}
+// receive records that another VM has read the store's revision.
+func (p *probe) receive(now time.Time, item spread.Item) {
+	if item.Key == string(p.members.self) {
+		return
 	}
-	if prober != p.prober {
-		p.log.WithFields(logrus.Fields{"event": "prober", "prober": prober, "before": p.prober}).Info("another VM compares the watches with the store")
-		p.prober = prober
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.schedule.Heard(now)
+}
+
+// tell tells the other VMs that may probe of a read that began at a time. It does not wait for them,
+// and leaves out those that have not answered yet.
+func (p *probe) tell(began time.Time) {
+	item := spread.Item{ID: spread.ID{Kind: kindProbe, Key: string(p.members.self)}, Version: uint64(began.UnixMilli()), Expires: began.Add(probeTimeout)}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	others := p.schedule.Others()
+	for _, to := range p.members.peers() {
+		id := to.ID
+		if !slices.Contains(others, id) || p.telling[id] {
+			continue
+		}
+		if p.telling == nil {
+			p.telling = map[call.VMID]bool{}
+		}
+		p.telling[id] = true
+		go func() {
+			if err := p.notify(began, to, spread.Items{item}); err != nil {
+				p.log.WithFields(logrus.Fields{"event": "probe", "peer": id}).WithError(err).Debug("a VM was not told of a read of the store's revision")
+			}
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			delete(p.telling, id)
+		}()
 	}
 }
 
 // check reads the store's revision and compares the mirrors that have not reached it. It
 // reports whether the read got no response.
-func (p *probe) check() bool {
+func (p *probe) check(reason prober.Reason) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	began := time.Now()
 	snap, err := p.list(ctx, probePrefix)
 	if err != nil {
 		p.outage.Failed(began, err)
-		p.observe(probeFailed)
+		p.observe(reason, probeFailed)
 		p.log.WithFields(logrus.Fields{"event": "probe"}).WithError(err).Debug("reading the store's revision failed")
 		return errors.Is(err, context.DeadlineExceeded)
 	}
@@ -145,10 +208,11 @@
 	if failures, lastDown := p.outage.End(); failures >= outageProbes {
 		p.recovered(lastDown)
 	}
-	p.observe(probeAnswered)
+	p.observe(reason, probeAnswered)
+	p.tell(began)
 	for _, m := range p.mirrors {
 		if p.completeTo(m) < snap.Revision && p.mayCompare(m.Prefix(), began) {
-			go p.compare(m)
+			go p.compare(m, reason)
 		}
 	}
 	return false
@@ -186,10 +250,11 @@
 	p.compared[prefix] = max(p.compared[prefix], revision)
 }
 
-// compare reads the keys of a mirror, and calls refresh unless the mirror gets to know them
-// within two grace periods. Of the store's changes only those of other keys may be newer than
-// the mirror, so that its revision alone does not tell.
-func (p *probe) compare(m *mirror.Mirror) {
+// compare reads the keys of a mirror, and passes them on unless its watch delivers them within two
+// grace periods. Of the store's changes only those of other keys may be newer than the mirror, so
+// that its revision alone does not tell. A VM that has taken over gives the watch no time: the change
+// may have been made an interval earlier.
+func (p *probe) compare(m *mirror.Mirror, reason prober.Reason) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	began := time.Now()
@@ -198,25 +263,40 @@
 		p.log.WithFields(logrus.Fields{"event": "probe", "prefix": m.Prefix()}).WithError(err).Debug("reading the keys of a mirror failed")
 		return
 	}
-	for range probeGracePeriods {
+	graces := probeGracePeriods
+	if reason == prober.ReasonTakeover {
+		graces = 0
+	}
+	for range graces {
 		if !m.Lacks(list) {
-			m.Confirm(began)
-			p.setCompared(m.Prefix(), list.Revision)
-			return
+			break
 		}
 		time.Sleep(p.grace)
 	}
-	p.refresh(m, list)
+	if !m.Lacks(list) {
+		m.Confirm(began)
+		p.setCompared(m.Prefix(), list.Revision)
+		return
+	}
+	p.passOn(m, list, began)
 }
 
-// age returns how long ago the mirror of a prefix was last known to be complete, zero if there is
-// none or it has read nothing yet.
-func (p *probe) age(prefix string) time.Duration {
+// mirror returns the mirror of a prefix, nil if there is none.
+func (p *probe) mirror(prefix string) *mirror.Mirror {
 	for _, m := range p.mirrors {
 		if m.Prefix() == prefix {
-			return m.Age()
+			return m
 		}
 	}
+	return nil
+}
+
+// age returns how long ago the mirror of a prefix was last known to be complete, zero if there is
+// none or it has read nothing yet.
+func (p *probe) age(prefix string) time.Duration {
+	if m := p.mirror(prefix); m != nil {
+		return m.Age()
+	}
 	return 0
 }
 
@@ -224,19 +304,22 @@
 // has just delivered one pauses for longer than one of them.
 const probeGracePeriods = 2
 
-// rereadTime is about as long as reading everything again takes.
-const rereadTime = 150 * time.Millisecond
-
-// refresh makes a mirror read everything again, and pushes the changes to the other VMs, unless
-// its watch has delivered what a list has.
-func (p *probe) refresh(m *mirror.Mirror, list kvs.Snapshot) {
-	if !m.Lacks(list) {
-		return
-	}
+// passOn applies a list that a mirror lacks, tells the other VMs of the changes in it, and restarts
+// the watch that has not delivered them.
+func (p *probe) passOn(m *mirror.Mirror, list kvs.Snapshot, readAt time.Time) {
 	known := m.Revision()
 	p.log.WithFields(logrus.Fields{
 		"event": "probe", "prefix": m.Prefix(), "revision": list.Revision, "known": known, "age": m.Age().String(),
-	}).Warn("a watch has missed a change, its keys are read again")
-	m.Reread()
-	time.AfterFunc(rereadTime, func() { p.push(known) })
+	}).Warn("a watch has missed a change, the keys that were read are in force")
+	p.restarted(m.Prefix(), noticedByProbe)
+	if !m.Adopt(list, readAt) {
+		m.Reread()
+		time.AfterFunc(rereadTime, func() { p.push(known) })
+		return
+	}
+	p.push(known)
+	m.Rewatch()
 }
+
+// rereadTime is about as long as reading everything again takes.
+const rereadTime = 150 * time.Millisecond
--- a/io/entry/probe_test.go
+++ b/io/entry/probe_test.go
@@ -10,6 +10,8 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 
+	"gentianwell/core/prober"
+	"gentianwell/core/spread"
 	"gentianwell/io/kvs"
 	"gentianwell/io/mirror"
 )
@@ -38,17 +40,19 @@
 		defer cancel()
 		go func() { _ = m.Run(ctx) }()
 		synctest.Wait()
-		p := &probe{list: list, mirrors: []*mirror.Mirror{m}, grace: 250 * time.Millisecond, log: log, observe: func(probeResult) {}}
+		schedule, err := prober.New(prober.Config{Self: "vm-0", Interval: time.Second, Step: time.Second})
+		assert.NilError(t, err)
+		p := &probe{list: list, mirrors: []*mirror.Mirror{m}, grace: 250 * time.Millisecond, log: log, observe: func(prober.Reason, probeResult) {}, members: &members{items: spread.New(spread.Config{Self: "vm-0", Rand: rand.New(rand.NewPCG(1, 2))}), now: time.Now}, schedule: schedule}
 		lists = 0
 		for _, revision = range []kvs.Revision{9, 9, 9, 12, 12} {
-			p.check()
+			p.check(prober.ReasonFirst)
 			synctest.Wait()
 		}
 		assert.Equal(t, lists, 2, "once for each of two revisions")
 		p.pauses = map[string]time.Duration{"r/": 3 * time.Second}
 		for range 10 {
 			revision++
-			p.check()
+			p.check(prober.ReasonFirst)
 			time.Sleep(time.Second)
 		}
 		assert.Equal(t, lists, 2+4, "every 3 s")
--- a/io/entry/readers.go
+++ b/io/entry/readers.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"gentianwell/core/call"
+	"gentianwell/core/prober"
 	"gentianwell/core/reader"
 	"gentianwell/core/spread"
 	"gentianwell/io/mirror"
@@ -203,21 +205,21 @@
 	}
 }
 
-// choose sets isReader and returns this VM's listeners; r.mu is held. The VM that probes is known
-// by its id, except for this VM, which may also probe because it is isolated.
+// choose sets isReader and returns this VM's listeners; r.mu is held. The VMs that may probe are known
+// by what all VMs say of themselves, except for this VM, which may also probe since it cannot reach
+// others.
 func (r *readers) choose(now time.Time, others []member) map[call.VMID]bool {
 	vms := []reader.VM{{ID: r.self, Zone: r.zone, CanRead: r.storeUp()}}
 	for _, other := range others {
 		vms = append(vms, reader.VM{ID: other.ID, Zone: other.zone, CanRead: !other.storeLost})
 	}
-	lowest := -1
-	for i, vm := range vms {
-		if vm.CanRead && (lowest < 0 || vm.ID < vms[lowest].ID) {
-			lowest = i
-		}
+	candidates := make([]prober.VM, 0, len(vms))
+	for _, vm := range vms {
+		candidates = append(candidates, prober.VM{ID: vm.ID, Zone: vm.Zone, CanRead: vm.CanRead})
 	}
-	if lowest >= 0 {
-		vms[lowest].Probes = true
+	probers := prober.Select(candidates)
+	for i, vm := range vms {
+		vms[i].Probes = slices.Contains(probers, vm.ID)
 	}
 	vms[0].Probes = vms[0].Probes || r.isProber(now)
 	for _, vm := range reader.Select(vms) {
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -18,6 +18,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -104,11 +105,21 @@
 	return nil
 }
 
+// errRewatch is the cause of the end of a watch after Rewatch.
+var errRewatch = errors.New("Rewatch was called")
+
 // Mirror is a copy of the keys with a prefix.
 type Mirror struct {
-	config   Config
+	config Config
+	// mu guards entries, revision, adopted, adoptedAt and currentAt, and orders the calls of Changed.
+	mu       sync.Mutex
 	entries  map[string]kvs.Entry
 	revision kvs.Revision
+	// adopted is the revision of the last list that Adopt has applied, adoptedAt when it was read.
+	adopted   kvs.Revision
+	adoptedAt time.Time
+	// delivered is the revision that Delivered returns.
+	delivered atomic.Int64
 	// shared is the copy as other goroutines may read it; nil before the first read.
 	shared atomic.Pointer[kvs.Snapshot]
 	// confirmedAt is the Unix time in nanoseconds of the latest Confirm.
@@ -118,9 +129,9 @@
 	outage Outage
 	// currentAt is when the copy was last known to be complete.
 	currentAt time.Time
-	// rereadNow gets a value when Reread, Pause or Resume is called.
-	rereadNow chan struct{}
-	pause     pause
+	// rereadNow gets a value when Reread, Pause or Resume is called, rewatchNow when Rewatch is.
+	rereadNow, rewatchNow chan struct{}
+	pause                 pause
 }
 
 // New returns a mirror that is empty until Run has read the keys.
@@ -131,7 +142,7 @@
 	if err := c.Validate(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &Mirror{config: c, rereadNow: make(chan struct{}, 1)}, nil
+	return &Mirror{config: c, rereadNow: make(chan struct{}, 1), rewatchNow: make(chan struct{}, 1)}, nil
 }
 
 // Reread ends the watch, so that all keys are read again at once. It is for callers
@@ -185,13 +196,13 @@
 		}
 	}()
 	m.pause.watching.Store(true)
-	err := m.config.Service.Watch(watchCtx, m.config.Prefix, m.revision+1, m.apply)
+	err := m.watch(watchCtx)
 	m.pause.watching.Store(false)
 	if m.pause.paused.Load() {
 		return nil
 	}
 	if watchCtx.Err() != nil || errors.Is(err, kvs.ErrCompacted) || errors.Is(err, context.DeadlineExceeded) {
-		m.config.Log.WithFields(logrus.Fields{"event": "mirrorEnd", "prefix": m.config.Prefix, "revision": m.revision, "cause": err}).Info("watch ended, reading all keys again")
+		m.config.Log.WithFields(logrus.Fields{"event": "mirrorEnd", "prefix": m.config.Prefix, "revision": m.Revision(), "cause": err}).Info("watch ended, reading all keys again")
 		if errors.Is(err, kvs.ErrCompacted) && time.Since(readAt) < m.config.Backoff {
 			m.backOff(ctx)
 		}
@@ -200,6 +211,36 @@
 	return errors.Annotate(err, "Mirror.readAndWatch")
 }
 
+// watch follows the changes of the keys until ctx ends or a watch fails. Rewatch makes it begin another
+// watch where the one before ended.
+func (m *Mirror) watch(ctx context.Context) error {
+	for {
+		watchCtx, cancel := context.WithCancelCause(ctx)
+		select {
+		case <-m.rewatchNow:
+		default:
+		}
+		go func() {
+			select {
+			case <-m.rewatchNow:
+				cancel(errRewatch)
+			case <-watchCtx.Done():
+			}
+		}()
+		m.mu.Lock()
+		from := m.revision + 1
+		m.delivered.Store(int64(m.revision))
+		m.mu.Unlock()
+		err := m.config.Service.Watch(watchCtx, m.config.Prefix, from, m.apply)
+		again := context.Cause(watchCtx) == errRewatch && ctx.Err() == nil
+		cancel(nil)
+		if !again {
+			return err
+		}
+		m.config.Log.WithFields(logrus.Fields{"event": "mirrorRewatch", "prefix": m.config.Prefix, "revision": from - 1}).Info("watch delivers nothing, another one goes on")
+	}
+}
+
 func (m *Mirror) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, m.config.Timeout)
 	defer cancel()
@@ -213,14 +254,16 @@
 	if failures, lastDown := m.outage.End(); failures > 0 {
 		m.config.OutageEnded(lastDown)
 	}
-	m.entries = make(map[string]kvs.Entry, len(snap.Entries))
-	for _, e := range snap.Entries {
-		m.entries[e.Key] = e
-	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.revision != 0 && snap.Revision.Era() > m.revision.Era() {
 		m.config.Restored(m.revision, snap.Revision)
 	}
-	m.revision = snap.Revision
+	// A list that was adopted meanwhile may be newer.
+	if newer := m.adoptedAt.After(began) && m.revision > snap.Revision && m.revision.Era() == snap.Revision.Era(); !newer {
+		m.replace(snap)
+		m.adopted = 0
+	}
 	m.config.Log.WithFields(logrus.Fields{"event": "mirrorRead", "prefix": m.config.Prefix, "revision": m.revision, "entries": len(snap.Entries)}).Info("read all keys")
 	since := m.currentAt
 	if confirmed := time.Unix(0, m.confirmedAt.Load()); confirmed.After(since) && !since.IsZero() {
@@ -233,7 +276,13 @@
 }
 
 func (m *Mirror) apply(b kvs.Batch) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	for _, e := range b.Events {
+		// The list that was adopted has this change, and maybe later ones of the same key.
+		if m.adopted != 0 && e.Entry.ModRevision <= m.adopted {
+			continue
+		}
 		if e.Kind == kvs.EventDelete {
 			delete(m.entries, e.Entry.Key)
 		} else {
@@ -241,6 +290,7 @@
 		}
 	}
 	m.revision = max(m.revision, b.Revision)
+	m.delivered.Store(max(m.delivered.Load(), int64(b.Revision)))
 	m.currentAt = time.Now()
 	m.Confirm(m.currentAt)
 	if len(b.Events) > 0 {
--- a/io/peer/gossip.go
+++ b/io/peer/gossip.go
@@ -78,10 +78,9 @@
 	// Usage takes a peer's counts of requests. It is optional: without it, the method is not
 	// implemented.
 	Usage func(ctx context.Context, req *peerpb.UsageRequest) (*peerpb.UsageReply, error)
-	// ReceiveNotice is called with each item of NoticeKind, after ItemsChanged. Such items are
-	// neither kept nor spread. Both are optional.
-	NoticeKind    spread.Kind
-	ReceiveNotice func(now time.Time, item spread.Item)
+	// Notices holds what is called with each item of some kinds, after ItemsChanged. Such items are
+	// neither kept nor spread. It is optional.
+	Notices map[spread.Kind]func(now time.Time, item spread.Item)
 }
 
 // Gossip exchanges items with neighbours and serves their calls.
@@ -210,7 +209,7 @@
 		g.config.ItemsChanged(now, changed)
 	}
 	for _, notice := range notices {
-		g.config.ReceiveNotice(now, notice)
+		g.config.Notices[notice.Kind](now, notice)
 	}
 	if version > g.config.SettingsVersion() {
 		g.config.NewerSettings(from, version)
--- a/io/peer/notice.go
+++ b/io/peer/notice.go
@@ -12,7 +12,7 @@
 	"gentianwell/io/peerpb"
 )
 
-// Notify sends a peer items, among them one of NoticeKind, and nothing else; its answer has no items
+// Notify sends a peer items, among them one of a kind of Notices, and nothing else; its answer has no items
 // either. It is for frequent messages, which would be large with all that an exchange has.
 //
 // Errors: the peer did not answer in time, or another VM did.
@@ -44,7 +44,7 @@
 
 // isNotice reports whether a request came from Notify.
 func (g *Gossip) isNotice(req *peerpb.ExchangeRequest) bool {
-	return g.config.ReceiveNotice != nil && slices.ContainsFunc(req.Items, func(it *peerpb.Item) bool { return it.Kind == string(g.config.NoticeKind) })
+	return slices.ContainsFunc(req.Items, func(it *peerpb.Item) bool { return g.config.Notices[spread.Kind(it.Kind)] != nil })
 }
 
 func (g *Gossip) noticeReply() *peerpb.ExchangeReply {
@@ -53,10 +53,10 @@
 	}
 }
 
-// splitNotices returns the items to keep and those of NoticeKind.
+// splitNotices returns the items to keep and those of the kinds of Notices.
 func (g *Gossip) splitNotices(items spread.Items) (kept, notices spread.Items) {
 	for _, item := range items {
-		if g.config.ReceiveNotice != nil && item.Kind == g.config.NoticeKind {
+		if g.config.Notices[item.Kind] != nil {
 			notices = append(notices, item)
 		} else {
 			kept = append(kept, item)
