A VM restarts its own watch if that misses what other VMs tell of

After the store had lost answers to watches, all VMs but the one that probed heard of changes from others only, for up to 18 s.

Cause: a watch whose answer was lost waits until its call is over. A VM that had heard of a change from another VM did not ask itself why its own watch had not delivered it.

Change: watchChecks. If another VM tells of a version of the configuration, or of a change of the replicas, and the own watch has not delivered it after half of the bound for a change (1 s), the watch is restarted where it had ended, which costs one call. If the restart is fruitless, as while the store is deaf to all watches, the next ones wait two and four times as long.

Why it works: a watch loses an answer only when there is one, and of a change at least the VM that probes hears. Every VM in touch with others thus learns that its watch is dead, within the time after which it counts as in touch.

--- a/io/entry/bundle.go
+++ b/io/entry/bundle.go
@@ -9,6 +9,7 @@
 
 	"gentianwell/core/call"
 	"gentianwell/io/kvs"
+	"gentianwell/io/mirror"
 	"gentianwell/io/peer"
 	"gentianwell/io/peerpb"
 )
@@ -68,13 +69,28 @@
 	return e.adopt(from.ID, raw)
 }
 
+// heardConfiguration notices that another VM has told of a version of the configuration.
+func (e *Entry) heardConfiguration(version int64) {
+	if m := e.probe.mirror(e.options.Source.ConfigKey); m != nil {
+		e.watchChecks.heard(m, func(*mirror.Mirror) bool { return e.tables.stored.Load() >= version })
+	}
+}
+
+// heardReplicas notices that another VM has told of a change of the replicas, with its revision.
+func (e *Entry) heardReplicas(revision kvs.Revision) {
+	if m := e.probe.mirror(e.options.Source.ReplicaPrefix); m != nil && revision != 0 {
+		e.watchChecks.heard(m, func(m *mirror.Mirror) bool { return m.Delivered() >= revision })
+	}
+}
+
 // adopt applies a bundle of another VM.
 func (e *Entry) adopt(vm call.VMID, raw []byte) error {
 	var b bundle
 	if err := json.Unmarshal(raw, &b); err != nil {
 		return errors.Annotatef(err, "bundle of VM %q", vm)
 	}
-	e.tables.adopt(b.Configuration, "peer "+string(vm))
+	version := e.tables.adopt(b.Configuration, "peer "+string(vm))
+	e.heardConfiguration(version)
 	entries := make([]kvs.Entry, 0, len(b.Replicas))
 	for _, entry := range b.Replicas {
 		entries = append(entries, kvs.Entry{Key: entry.Key, Value: entry.Value, ModRevision: kvs.Revision(entry.Revision)})
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -101,6 +101,7 @@
 	crashes     *crashes
 	origins     *origins
 	probe       *probe
+	watchChecks *watchChecks
 	readers     *readers
 	// duties is nil if there are none, autoscaler if this VM orders no replicas.
 	duties     *duties
@@ -233,6 +234,7 @@
 	e.bundles = &bundleFetcher{fetch: e.fetchBundle, failed: func(vm call.VMID, err error) {
 		e.log.WithFields(logrus.Fields{"event": "bundle", "peer": vm}).WithError(err).Warn("fetching the configuration from a VM failed")
 	}}
+	e.watchChecks = newWatchChecks(c.watchLimit(), e.watchRestarted, e.log)
 	if e.probe, err = e.newProbe(); err != nil {
 		return errors.Trace(err)
 	}
@@ -395,10 +397,13 @@
 // applyItems applies the changes and ends of replicas, the records of crashes and the limits
 // among the gossip items that changed.
 func (e *Entry) applyItems(now time.Time, changed spread.Items) {
+	var newest kvs.Revision
+	defer func() { e.heardReplicas(newest) }()
 	for _, item := range changed {
 		switch item.Kind {
 		case kindReplica:
 			e.replicas.applyItem(item)
+			newest = max(newest, kvs.Revision(item.Version))
 		case kindCrash, kindPartCrash:
 			e.crashes.apply(now, item.Key, item.Value)
 		case kindReplicaEnd:
--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -45,12 +45,6 @@
 	probeFailed   probeResult = "failed"
 )
 
-// watchNotice says how a watch that delivers nothing was noticed.
-type watchNotice string
-
-// The ways of noticing it.
-const noticedByProbe watchNotice = "probe"
-
 // kindProbe is the kind of the items with which a VM tells the others that may probe that it has
 // read the store's revision. They are not spread any further.
 const kindProbe spread.Kind = "probe"
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -241,7 +241,7 @@
 	return e.mirror(e.options.Source.ConfigKey, randConfigMirror, func(snap kvs.Snapshot) {
 		for _, entry := range snap.Entries {
 			if entry.Key == e.options.Source.ConfigKey {
-				e.tables.adopt(entry.Value, "store")
+				e.tables.adopt(entry.Value, sourceStore)
 			}
 		}
 	})
--- a/io/entry/tables.go
+++ b/io/entry/tables.go
@@ -15,13 +15,18 @@
 	log   logrus.FieldLogger
 
 	current atomic.Pointer[table.Table]
-	mu      sync.Mutex
-	raw     []byte
+	// stored is the newest version that this VM's own copy of the store has had.
+	stored atomic.Int64
+	mu     sync.Mutex
+	raw    []byte
 }
 
 // Current returns the current table, or nil if there is none yet.
 func (t *tables) Current() *table.Table { return t.current.Load() }
 
+// sourceStore is the source of configurations of this VM's own copy of the store.
+const sourceStore = "store"
+
 // noVersion stands for the version of a VM without a table. Every version is newer.
 const noVersion = -1
 
@@ -33,16 +38,16 @@
 	return t.Current().Version()
 }
 
-// adopt makes a configuration the current one if it is newer. One that is not valid is
-// logged and ignored.
-func (t *tables) adopt(raw []byte, source string) {
+// adopt makes a configuration the current one if it is newer, and returns its version. One that is
+// not valid is logged and ignored; it counts as noVersion.
+func (t *tables) adopt(raw []byte, source string) int64 {
 	if len(raw) == 0 {
-		return
+		return noVersion
 	}
 	document, err := t.parse(raw)
 	if err != nil {
 		t.logInvalid(source, err)
-		return
+		return noVersion
 	}
 	for _, err := range document.CloseInvalid() {
 		t.log.WithFields(logrus.Fields{"event": "routeBad", "source": source, "version": document.Version}).WithError(err).Error("route is not valid, its requests are refused")
@@ -53,13 +58,16 @@
 	next, err := table.New(document)
 	if err != nil {
 		t.logInvalid(source, err)
-		return
+		return noVersion
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if source == sourceStore {
+		t.stored.Store(max(t.stored.Load(), next.Version()))
+	}
 	before := t.current.Load()
 	if !next.Newer(before) {
-		return
+		return next.Version()
 	}
 	t.raw = raw
 	t.current.Store(next)
@@ -67,6 +75,7 @@
 		"event": "configuration", "source": source, "version": next.Version(), "before": before.Version(), "bytes": len(raw),
 		"routes": len(document.Routes), "teams": len(document.Teams),
 	}).Info("configuration in force")
+	return next.Version()
 }
 
 func (t *tables) logInvalid(source string, err error) {
