Bundles: a newer offer is followed at once while nothing is being fetched

By reading the diff: an offer that waited for 200 ms took one of three places, so that a newer configuration that was offered meanwhile waited behind it although no VM was being asked. Offers wait in a list now, and are looked at again when a fetch ends and 200 ms after the last one began. The three new rows of TestBundlesOfOtherVMs fail before.

--- a/io/entry/fetch.go
+++ b/io/entry/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,8 +17,8 @@
 	fetchHedge = 200 * time.Millisecond
 )
 
-// bundleFetcher fetches bundles of other VMs. While a VM does not answer, others that offer the same
-// are asked, too: the first one may stand still.
+// bundleFetcher fetches bundles of other VMs, of one at a time while it answers. Others that offer one
+// are asked, too, if it does not: it may stand still.
 type bundleFetcher struct {
 	// fetch fetches and adopts the bundle of a VM.
 	fetch func(ctx context.Context, from peer.Peer) error
@@ -25,9 +26,19 @@
 	failed func(vm call.VMID, err error)
 
 	mu sync.Mutex
-	// asked holds the VMs that are being asked, or are next; nextAt is when the next one may be.
-	asked  map[call.VMID]bool
-	nextAt time.Time
+	// asked holds the VMs that are being asked; askedAt is when the last of them was.
+	asked   map[call.VMID]bool
+	askedAt time.Time
+	// waiting holds the offers that are not followed yet, one of each VM. With timed set, a timer
+	// looks at them again.
+	waiting []bundleOffer
+	timed   bool
+}
+
+// bundleOffer is that of a VM, as long as it is wanted.
+type bundleOffer struct {
+	from   peer.Peer
+	wanted func() bool
 }
 
 // offer asks a VM for its bundle: at once if no other VM is being asked, else once these have had time
@@ -35,30 +46,53 @@
 func (f *bundleFetcher) offer(from peer.Peer, wanted func() bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.asked[from.ID] || len(f.asked) >= maxFetches {
-		return
-	}
-	if f.asked == nil {
-		f.asked = map[call.VMID]bool{}
-	}
-	now := time.Now()
-	at := now
-	if len(f.asked) > 0 && f.nextAt.After(now) {
-		at = f.nextAt
-	}
-	f.asked[from.ID] = true
-	f.nextAt = at.Add(fetchHedge)
-	time.AfterFunc(at.Sub(now), func() {
-		defer func() {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			delete(f.asked, from.ID)
-		}()
-		if !wanted() {
+	f.waiting = slices.DeleteFunc(f.waiting, func(o bundleOffer) bool { return o.from.ID == from.ID })
+	f.waiting = append(f.waiting, bundleOffer{from, wanted})
+	f.advance()
+}
+
+// advance follows the offers that are due; f.mu is held.
+func (f *bundleFetcher) advance() {
+	f.waiting = slices.DeleteFunc(f.waiting, func(o bundleOffer) bool { return !o.wanted() })
+	for len(f.asked) < maxFetches {
+		next := slices.IndexFunc(f.waiting, func(o bundleOffer) bool { return !f.asked[o.from.ID] })
+		if next < 0 {
+			return
+		}
+		if wait := time.Until(f.askedAt.Add(fetchHedge)); len(f.asked) > 0 && wait > 0 {
+			f.advanceIn(wait)
 			return
 		}
-		if err := f.fetch(context.Background(), from); err != nil {
-			f.failed(from.ID, err)
+		from := f.waiting[next].from
+		f.waiting = slices.Delete(f.waiting, next, next+1)
+		if f.asked == nil {
+			f.asked = map[call.VMID]bool{}
 		}
+		f.asked[from.ID], f.askedAt = true, time.Now()
+		go f.ask(from)
+	}
+}
+
+// advanceIn calls advance after a time, unless that is going to happen; f.mu is held.
+func (f *bundleFetcher) advanceIn(wait time.Duration) {
+	if f.timed {
+		return
+	}
+	f.timed = true
+	time.AfterFunc(wait, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.timed = false
+		f.advance()
 	})
 }
+
+func (f *bundleFetcher) ask(from peer.Peer) {
+	if err := f.fetch(context.Background(), from); err != nil {
+		f.failed(from.ID, err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.asked, from.ID)
+	f.advance()
+}
--- a/io/entry/fetch_test.go
+++ b/io/entry/fetch_test.go
@@ -20,15 +20,19 @@
 // fetched for two seconds. The VMs in still do not answer, the others do after 50 ms.
 func TestBundlesOfOtherVMs(t *testing.T) {
 	for name, test := range map[string]struct {
-		offers, still string
-		want          string
+		// then are offers of a newer bundle after 60 ms.
+		offers, still, then string
+		want                string
 	}{
 		"one":                           {offers: "a", want: "a 0s"},
 		"the first answers":             {offers: "a b c", want: "a 0s"},
 		"the first stands still":        {offers: "a b c", still: "a", want: "a 0s, b 200ms"},
 		"two stand still":               {offers: "a b c d", still: "a b", want: "a 0s, b 200ms, c 400ms"},
-		"not more than three at a time": {offers: "a b c d", still: "a b c", want: "a 0s, b 200ms, c 400ms"},
-		"the same one again":            {offers: "a a a", still: "a", want: "a 0s"},
+		"not more than three at a time": {offers: "a b c d", still: "a b c", want: "a 0s, b 200ms, c 400ms, d 2s"},
+		"the same one again":            {offers: "a a a", still: "a", want: "a 0s, a 2s"},
+		"a newer one":                   {offers: "a b c", then: "b", want: "a 0s, b 60ms"},
+		"a newer one of the same VM":    {offers: "a b", then: "a", want: "a 0s, a 60ms"},
+		"a newer one, one stands still": {offers: "b", still: "b", then: "c", want: "b 0s, c 200ms"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -52,7 +56,12 @@
 				for _, id := range strings.Fields(test.offers) {
 					f.offer(peer.Peer{ID: call.VMID(id)}, wanted.Load)
 				}
-				time.Sleep(3 * time.Second)
+				time.Sleep(60 * time.Millisecond)
+				for _, id := range strings.Fields(test.then) {
+					wanted.Store(true)
+					f.offer(peer.Peer{ID: call.VMID(id)}, wanted.Load)
+				}
+				time.Sleep(10 * time.Second)
 				mu.Lock()
 				defer mu.Unlock()
 				assert.Equal(t, strings.Join(asked, ", "), test.want)
