Probe: a notice that was long under way tells of an old read

By reading the diff: the VMs that may take over counted from the arrival of a notice. One that was held up by a lossy link before its sender stood still would have delayed the next read. A notice has the time of its read, and the receiver corrects it by the offset of the sender's clock, as for the claims of readers.

--- a/core/prober/doc.go
+++ b/core/prober/doc.go
@@ -12,7 +12,7 @@
 //
 //	schedule, err := prober.New(prober.Config{Self: "vm-2", Interval: 700 * time.Millisecond, Step: 250 * time.Millisecond})
 //	schedule.SetVMs(vms)                          // whenever they may have changed
-//	schedule.Heard(now)                           // another VM has told of a read
+//	schedule.Heard(at)                            // another VM has told of a read that it began at a time
 //	if reason, due := schedule.Due(now, false); due {
 //		…                                     // read, then tell schedule.Others()
 //	}
--- a/core/prober/schedule.go
+++ b/core/prober/schedule.go
@@ -86,10 +86,10 @@
 	return slices.DeleteFunc(slices.Clone(s.order), func(id call.VMID) bool { return id == s.config.Self })
 }
 
-// Heard records that another VM has told of a read.
-func (s *Schedule) Heard(now time.Time) {
-	if now.After(s.last) {
-		s.last = now
+// Heard records that another VM has told of a read that it began at a time.
+func (s *Schedule) Heard(at time.Time) {
+	if at.After(s.last) {
+		s.last = at
 	}
 }
 
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -271,7 +271,7 @@
 		return nil, errors.Trace(err)
 	}
 	return &probe{
-		list: e.options.Source.Store.List, members: e.members, push: e.pushReplicas, notify: e.gossip.Notify, schedule: schedule,
+		list: e.options.Source.Store.List, members: e.members, push: e.pushReplicas, notify: e.gossip.Notify, ahead: e.clocks.ahead, schedule: schedule,
 		grace: c.probeGrace(), log: e.log,
 		observe: func(reason prober.Reason, result probeResult) {
 			e.metrics.probes.WithLabelValues(string(reason), string(result)).Inc()
@@ -398,7 +398,6 @@
 // among the gossip items that changed.
 func (e *Entry) applyItems(now time.Time, changed spread.Items) {
 	var newest kvs.Revision
-	defer func() { e.heardReplicas(newest) }()
 	for _, item := range changed {
 		switch item.Kind {
 		case kindReplica:
@@ -414,6 +413,7 @@
 			e.duties.apply(now, item)
 		}
 	}
+	e.heardReplicas(newest)
 }
 
 // pushReplicas sends all VMs the changes of replicas that are newer than a revision.
--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -61,6 +61,8 @@
 	push func(after kvs.Revision)
 	// notify tells a VM of a read.
 	notify func(now time.Time, to peer.Peer, items spread.Items) error
+	// ahead returns how far the clock of a VM is ahead of this VM's.
+	ahead func(call.VMID) time.Duration
 	// grace is how long the watches have to deliver a change themselves.
 	grace time.Duration
 	log   logrus.FieldLogger
@@ -146,20 +148,24 @@
 	}
 }
 
-// receive records that another VM has read the store's revision.
+// receive records that another VM has read the store's revision. A message that was long under way
+// tells of an old read.
 func (p *probe) receive(now time.Time, item spread.Item) {
-	if item.Key == string(p.members.self) {
+	id := call.VMID(item.Key)
+	if id == p.members.self {
 		return
 	}
+	age := max(0, now.Sub(time.UnixMilli(int64(item.Version)).Add(-p.ahead(id))))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.schedule.Heard(now)
+	p.schedule.Heard(now.Add(-age))
 }
 
-// tell tells the other VMs that may probe of a read that began at a time. It does not wait for them,
-// and leaves out those that have not answered yet.
+// tell tells the other VMs that may probe of a read that began at a time of this VM's clock. It does not
+// wait for them, and leaves out those that have not answered yet.
 func (p *probe) tell(began time.Time) {
-	item := spread.Item{ID: spread.ID{Kind: kindProbe, Key: string(p.members.self)}, Version: uint64(began.UnixMilli()), Expires: began.Add(probeTimeout)}
+	now := p.members.now()
+	item := spread.Item{ID: spread.ID{Kind: kindProbe, Key: string(p.members.self)}, Version: uint64(began.UnixMilli()), Expires: now.Add(probeTimeout)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	others := p.schedule.Others()
@@ -173,7 +179,7 @@
 		}
 		p.telling[id] = true
 		go func() {
-			if err := p.notify(began, to, spread.Items{item}); err != nil {
+			if err := p.notify(now, to, spread.Items{item}); err != nil {
 				p.log.WithFields(logrus.Fields{"event": "probe", "peer": id}).WithError(err).Debug("a VM was not told of a read of the store's revision")
 			}
 			p.mu.Lock()
@@ -188,7 +194,7 @@
 func (p *probe) check(reason prober.Reason) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	began := time.Now()
+	began, clock := time.Now(), p.members.now()
 	snap, err := p.list(ctx, probePrefix)
 	if err != nil {
 		p.outage.Failed(began, err)
@@ -203,7 +209,7 @@
 		p.recovered(lastDown)
 	}
 	p.observe(reason, probeAnswered)
-	p.tell(began)
+	p.tell(clock)
 	for _, m := range p.mirrors {
 		if p.completeTo(m) < snap.Revision && p.mayCompare(m.Prefix(), began) {
 			go p.compare(m, reason)
