--- a/core/reader/fleet_test.go
+++ b/core/reader/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"gentianwell/core/call"
+	"gentianwell/core/gwtest"
 	"gentianwell/core/prober"
 )
 
@@ -346,6 +348,43 @@
 	}
 }
 
+// Guards against the same in random weather: watches of a part of the VMs or of all fall silent, as when
+// the store loses answers, while up to two VMs stand still or die, those that read or probe more often
+// than others.
+func TestChangesReachAllVMsInWeather(t *testing.T) {
+	for i := range 20 {
+		seed := gwtest.Seed() + uint64(i)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 5))
+			m := newModel(t, 65, 0, 1300*time.Millisecond)
+			m.run(t, 10*time.Second)
+			for round := range 12 {
+				now := m.now.Sub(m.began)
+				lasting := func(least, spread int) time.Duration {
+					return now + time.Duration(least+rng.IntN(spread))*time.Millisecond
+				}
+				share := []float64{0, 0.35, 1}[round%3]
+				for _, vm := range m.vms {
+					vm.fault = fault{silent: rng.Float64() < share, from: now, until: lasting(4500, 1000)}
+				}
+				probers := prober.Select(probersOf(m.known()))
+				for range rng.IntN(3) {
+					vm := m.vms[rng.IntN(len(m.vms))]
+					switch readers := m.readersOf(""); rng.IntN(3) {
+					case 0:
+						vm = readers[rng.IntN(len(readers))]
+					case 1:
+						vm = m.vms[slices.IndexFunc(m.vms, func(vm *modelVM) bool { return vm.ID == probers[0] })]
+					}
+					dead := rng.IntN(3) == 0
+					vm.fault = fault{dead: dead, frozen: !dead, silent: vm.fault.silent, from: lasting(100, 1000), until: lasting(1500, 3000)}
+				}
+				m.run(t, 6*time.Second)
+			}
+		})
+	}
+}
+
 func (m *model) zone(zone call.Zone) []*modelVM {
 	var out []*modelVM
 	for _, vm := range m.vms {
