Fewer calls of the store: no probe at the start, 2 s for a watch that misses what others tell of

Each VM probed at its start, before it had heard of others.

A schedule takes its first call for a read, and a watch has the whole bound for a change (2 s) before it is restarted, and twice as long while restarts are fruitless. The content of the change comes from other VMs before that, so that no bound depends on it.

--- a/core/prober/schedule.go
+++ b/core/prober/schedule.go
@@ -94,7 +94,8 @@
 }
 
 // Due reports whether this VM has to read the store's revision now, and why. If so, the read counts
-// as begun. An isolated VM reads whether it is among those that may probe or not.
+// as begun. An isolated VM reads whether it is among those that may probe or not. The first call
+// counts as a read: a VM that has just started reads everything, and may not have heard of others yet.
 func (s *Schedule) Due(now time.Time, isolated bool) (Reason, bool) {
 	reason, wait := ReasonFirst, s.config.Interval
 	switch {
@@ -106,7 +107,10 @@
 		reason = ReasonTakeover
 		wait += time.Duration(s.rank) * s.config.Step
 	}
-	if !s.last.IsZero() && now.Sub(s.last).Abs() < wait {
+	if s.last.IsZero() {
+		s.last = now
+	}
+	if now.Sub(s.last).Abs() < wait {
 		return "", false
 	}
 	s.last = now
--- a/io/entry/bounds.go
+++ b/io/entry/bounds.go
@@ -20,9 +20,6 @@
 	probeGraceFraction    = 0.125
 	// probeTick is how often a VM checks whether it has to read the store's revision.
 	probeTick = 50 * time.Millisecond
-	// watchLimitFraction is the fraction of the bound for a change that a watch has to deliver one that
-	// another VM has told of: longer than a call of a slow store and the pause between two calls take.
-	watchLimitFraction = 0.5
 	// listAgeFraction is the fraction of the bound for a change by which a list that other VMs
 	// watch may be old. Reading it then takes another fraction at most.
 	listAgeFraction = 1.0 / 3
@@ -58,10 +55,9 @@
 // probeStep returns how much longer each VM that may probe waits for a read than the one before it.
 func (c *Config) probeStep() time.Duration { return c.probeGrace() }
 
-// watchLimit returns how long a watch has to deliver a change that another VM has told of.
-func (c *Config) watchLimit() time.Duration {
-	return time.Duration(watchLimitFraction * float64(c.changeBound()))
-}
+// watchLimit returns how long a watch has to deliver a change that another VM has told of. While the
+// store is deaf to all watches for a short time, a shorter one would restart them in vain.
+func (c *Config) watchLimit() time.Duration { return c.changeBound() }
 
 // fleetConfig returns the configuration of the list of replicas. A removal that follows an
 // outage counts from StableTime after the end of the outage on, whenever the VM notices that.
--- a/io/entry/watch_checks.go
+++ b/io/entry/watch_checks.go
@@ -21,7 +21,7 @@
 
 // maxFruitlessRestarts limits the doublings of watchChecks.limit: where restarts are of no use, the
 // store delivers nothing to any watch.
-const maxFruitlessRestarts = 2
+const maxFruitlessRestarts = 1
 
 // watchChecks restarts this VM's watches that have not delivered what other VMs have told of. Without
 // that, such a watch would deliver nothing until its time is over, and this VM would depend on the
