The start line and the version command name the build

The start line of entry and serve and `gentianwell version` now name the version, commit, state of the tree, Go version, architecture, the settings of the build that change the program, and when the program's file was written, which tells a program that was left from an earlier build also where the go command stamps no commit (-buildvcs=false, as on this machine: both are "unknown" here).

Measured: TestVersionNamesTheBuild and TestInfo; the former did not hold before, as `version` printed one line.

--- a/cmd/gentianwell/entry.go
+++ b/cmd/gentianwell/entry.go
@@ -93,7 +93,7 @@
 	e, err := entry.New(entry.Options{
 		Cloud: cloud.API(), StoreEra: store.Era,
 		Config: config, Source: platform.Source(store.Service()), Headers: platform.Wire(), Log: log,
-		Now: time.Now, Seed: newSeed(),
+		Now: time.Now, Seed: newSeed(), Build: buildFields(),
 	})
 	if err != nil {
 		return cli.Exit("gentianwell: settings: "+err.Error(), exitUsage)
--- a/cmd/gentianwell/main.go
+++ b/cmd/gentianwell/main.go
@@ -8,9 +8,9 @@
 	"os"
 
 	"github.com/urfave/cli/v3"
-)
 
-const version = "0.1.0"
+	"gentianwell/core/build"
+)
 
 func main() {
 	if err := newCommand().Run(context.Background(), os.Args); err != nil {
@@ -23,7 +23,7 @@
 	return &cli.Command{
 		Name:                  "gentianwell",
 		Usage:                 "route language-model requests according to service levels and priorities",
-		Version:               version,
+		Version:               build.Version,
 		EnableShellCompletion: true,
 		Commands:              []*cli.Command{serveCommand(), entryCommand(), statusCommand(), drainCommand(), settingsCommand(), versionCommand()},
 		Action:                rootAction,
@@ -38,13 +38,3 @@
 	}
 	return cli.ShowAppHelp(cmd)
 }
-
-func versionCommand() *cli.Command {
-	return &cli.Command{
-		Name: "version", Usage: "print the version",
-		Action: func(_ context.Context, cmd *cli.Command) error {
-			_, err := fmt.Fprintln(cmd.Root().Writer, "gentianwell", version)
-			return err
-		},
-	}
-}
--- a/cmd/gentianwell/main_test.go
+++ b/cmd/gentianwell/main_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -15,6 +16,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"gentianwell/core/build"
 )
 
 // runProgramEnv is the environment variable that makes the test binary run the
@@ -51,6 +54,19 @@
 	return path
 }
 
+// A log and the program that wrote it can be told from those of another build.
+func TestVersionNamesTheBuild(t *testing.T) {
+	out, err := programCommand(t.Context(), "version").Output()
+	assert.NilError(t, err)
+	for _, want := range []string{"gentianwell " + build.Version + "\n", "\ncommit ", "\ntree ", "\ngo " + runtime.Version() + "\n", "\nplatform " + runtime.GOOS + "/" + runtime.GOARCH + "\n", "\nfile written 20"} {
+		assert.Assert(t, strings.Contains(string(out), want), "%q is missing in %s", want, out)
+	}
+	fields := buildFields()
+	for _, name := range []string{"version", "commit", "tree", "go", "platform", "buildSettings", "fileWritten"} {
+		assert.Assert(t, fields[name] != nil, name)
+	}
+}
+
 // Each error is reported in one line with the right exit code, before anything
 // starts.
 func TestErrorMessagesAndExitCodes(t *testing.T) {
--- a/cmd/gentianwell/serve.go
+++ b/cmd/gentianwell/serve.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return cli.Exit("gentianwell: start-up settings: "+errors.Cause(err).Error(), exitUsage)
 	}
-	n, err := node.New(node.Options{Config: config, Log: newLog(config.LogLevel), Now: time.Now, Seed: newSeed()})
+	n, err := node.New(node.Options{Config: config, Log: newLog(config.LogLevel), Now: time.Now, Seed: newSeed(), Build: buildFields()})
 	if err != nil {
 		return cli.Exit("gentianwell: start-up settings: "+errors.Cause(err).Error(), exitUsage)
 	}
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -156,6 +156,8 @@
 	Headers proxy.HeaderCodec
 	Log     logrus.FieldLogger
 	Now     func() time.Time
+	// Build describes the program in the log line with which the process starts. It is optional.
+	Build logrus.Fields
 	// Seed seeds all random choices.
 	Seed uint64
 	// Dial opens the connections to peers and backend servers. It is optional and dials TCP by
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -93,7 +93,7 @@
 	e.startDuties(add)
 	add("timers", e.timers.Run)
 	c := e.options.Config
-	e.log.WithFields(logrus.Fields{
+	e.log.WithFields(e.options.Build).WithFields(logrus.Fields{
 		"event": "start", "vm": c.VM, "zone": c.Zone, "callers": c.CallerAddress, "ready": c.ReadinessAddress, "peers": c.PeerAddress, "store": c.StoreAddress,
 		"seeds": len(c.Seeds), "stopLimit": c.StopLimit.String(),
 	}).Info("entry VM started")
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -58,6 +58,8 @@
 	Config Config
 	Log    logrus.FieldLogger
 	Now    func() time.Time
+	// Build describes the program in the log line with which the process starts. It is optional.
+	Build logrus.Fields
 	// Seed seeds all random choices.
 	Seed uint64
 	// Dial opens connections to peers, backend servers and the platform; nil means TCP
@@ -74,6 +76,7 @@
 	log    logrus.FieldLogger
 	now    func() time.Time
 	seed   uint64
+	build  logrus.Fields
 	timers *timer.Service
 	drain  *drain.Machine
 	// requestCtx is the parent context of all callers' requests; cancelRequests
@@ -112,7 +115,7 @@
 		return nil, errors.Trace(err)
 	}
 	o.defaultDial()
-	n := &Node{c: o.Config, log: o.Log, now: o.Now, seed: o.Seed}
+	n := &Node{c: o.Config, log: o.Log, now: o.Now, seed: o.Seed, build: o.Build}
 	n.requestCtx, n.cancelRequests = context.WithCancelCause(context.Background())
 	n.timers = timer.New(timer.Config{Now: o.Now})
 	n.drain = drain.New(drain.Config{Notice: time.Duration(o.Config.Notice)})
--- a/io/node/run.go
+++ b/io/node/run.go
@@ -61,7 +61,7 @@
 	callers.BaseContext = func(net.Listener) context.Context { return n.requestCtx }
 	addHTTP(&g, callers, listeners.callers, n.c.CallersTLS)
 	addHTTP(&g, n.operatorsHTTP(), listeners.operators, nil)
-	n.log.WithFields(logrus.Fields{
+	n.log.WithFields(n.build).WithFields(logrus.Fields{
 		"event": "started", "vm": n.c.ID, "zone": n.c.Zone, "callers": listeners.callers.Addr(),
 		"peers": listeners.peers.Addr(), "operators": listeners.operators.Addr(),
 	}).Info("entry VM started")
