Mirror: ages of copies do not follow the wall clock

A copy's age was computed from the wall clock's time of its last confirmation, so that a step of the clock made it older or younger than it is. Changed tells the newest change that a copy has, by which another VM can tell whether its own copy lacks one, and Answered which source brought a copy up to date.

Measured: go test ./io/mirror; TestAdopt has the value of Changed in each row and a removal that only a list shows. A step of the wall clock itself is not played: the test's clock has none.

--- a/io/mirror/behind.go
+++ b/io/mirror/behind.go
@@ -20,6 +20,7 @@
 		return true
 	}
 	delay := m.Age()
+	m.config.Answered(SourceAdopted)
 	m.replace(list)
 	m.adopted, m.adoptedAt = list.Revision, readAt
 	m.Confirm(readAt)
@@ -42,9 +43,18 @@
 
 // replace replaces the copy; m.mu is held.
 func (m *Mirror) replace(list kvs.Snapshot) {
+	before := m.entries
 	m.entries = make(map[string]kvs.Entry, len(list.Entries))
+	kept := 0
 	for _, e := range list.Entries {
 		m.entries[e.Key] = e
+		m.noteChange(e.ModRevision)
+		if _, ok := before[e.Key]; ok {
+			kept++
+		}
+	}
+	if m.revision != 0 && kept < len(before) {
+		m.noteChange(m.revision + 1)
 	}
 	m.revision = list.Revision
 }
--- a/io/mirror/behind_test.go
+++ b/io/mirror/behind_test.go
@@ -33,13 +33,16 @@
 		// then is what the watch delivers after that.
 		then kvs.Batch
 		want string
+		// changed is what Changed then returns.
+		changed kvs.Revision
 	}{
-		"newer":               {list: kvs.Snapshot{Revision: 9, Entries: kvs.Entries{entry("p/b", 8)}}, adopted: true, want: "p/b@8"},
-		"older":               {list: kvs.Snapshot{Revision: 4, Entries: kvs.Entries{entry("p/b", 4)}}, adopted: true, want: "p/a@5"},
-		"another era":         {list: kvs.Snapshot{Revision: nextEra, Entries: kvs.Entries{entry("p/b", nextEra)}}, want: "p/a@5"},
-		"removed, then put":   {list: kvs.Snapshot{Revision: 9}, adopted: true, then: kvs.Batch{Revision: 9, Events: []kvs.Event{put("p/a", 7), remove("p/a", 8)}}, want: ""},
-		"an old change after": {list: kvs.Snapshot{Revision: 9, Entries: kvs.Entries{entry("p/a", 9)}}, adopted: true, then: kvs.Batch{Revision: 7, Events: []kvs.Event{put("p/a", 7)}}, want: "p/a@9"},
-		"a new change after":  {list: kvs.Snapshot{Revision: 9}, adopted: true, then: kvs.Batch{Revision: 11, Events: []kvs.Event{put("p/a", 8), put("p/c", 11)}}, want: "p/c@11"},
+		"newer":               {list: kvs.Snapshot{Revision: 9, Entries: kvs.Entries{entry("p/b", 8)}}, adopted: true, want: "p/b@8", changed: 8},
+		"older":               {list: kvs.Snapshot{Revision: 4, Entries: kvs.Entries{entry("p/b", 4)}}, adopted: true, want: "p/a@5", changed: 5},
+		"another era":         {list: kvs.Snapshot{Revision: nextEra, Entries: kvs.Entries{entry("p/b", nextEra)}}, want: "p/a@5", changed: 5},
+		"removed, then put":   {list: kvs.Snapshot{Revision: 9}, adopted: true, then: kvs.Batch{Revision: 9, Events: []kvs.Event{put("p/a", 7), remove("p/a", 8)}}, want: "", changed: 8},
+		"an old change after": {list: kvs.Snapshot{Revision: 9, Entries: kvs.Entries{entry("p/a", 9)}}, adopted: true, then: kvs.Batch{Revision: 7, Events: []kvs.Event{put("p/a", 7)}}, want: "p/a@9", changed: 9},
+		"a new change after":  {list: kvs.Snapshot{Revision: 9}, adopted: true, then: kvs.Batch{Revision: 11, Events: []kvs.Event{put("p/a", 8), put("p/c", 11)}}, want: "p/c@11", changed: 11},
+		"removed":             {list: kvs.Snapshot{Revision: 9}, adopted: true, want: "", changed: 6},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -65,6 +68,7 @@
 					keys = append(keys, fmt.Sprintf("%s@%d", e.Key, e.ModRevision))
 				}
 				assert.Equal(t, strings.Join(keys, " "), test.want)
+				assert.Equal(t, m.Changed(), test.changed)
 			})
 		})
 	}
--- a/io/mirror/mirror.go
+++ b/io/mirror/mirror.go
@@ -51,6 +51,9 @@
 	// that fail are no sign of an outage: their connections fail, too. By default, nothing is
 	// called.
 	OutageEnded func(lastDown time.Duration)
+	// Answered is called before Changed with each answer that brought the copy up to date, also with
+	// those without a change. By default, nothing is called.
+	Answered func(Source)
 	// Restored is called when all keys were read for the first time after the service was
 	// restored from an older copy, before Changed, with the revision of the copy before and
 	// the new one. By default, it is logged.
@@ -74,11 +77,27 @@
 	if c.OutageEnded == nil {
 		c.OutageEnded = func(time.Duration) {}
 	}
+	if c.Answered == nil {
+		c.Answered = func(Source) {}
+	}
 	if c.Restored == nil {
 		c.Restored = c.logRestored
 	}
 }
 
+// Source says what brought a copy up to date.
+type Source string
+
+// The sources.
+const (
+	// SourceWatch is an answer of the watch.
+	SourceWatch Source = "watch"
+	// SourceKeys is reading all keys, at the start, after the end of a watch and at intervals.
+	SourceKeys Source = "keys"
+	// SourceAdopted is a list that was passed to Adopt.
+	SourceAdopted Source = "adopted"
+)
+
 func (c *Config) logRestored(before, after kvs.Revision) {
 	c.Log.WithFields(logrus.Fields{
 		"event": "mirrorRestored", "prefix": c.Prefix, "oldEra": before.Era(), "newEra": after.Era(), "before": before.Number(), "after": after.Number(),
@@ -122,8 +141,12 @@
 	delivered atomic.Int64
 	// shared is the copy as other goroutines may read it; nil before the first read.
 	shared atomic.Pointer[kvs.Snapshot]
-	// confirmedAt is the Unix time in nanoseconds of the latest Confirm.
+	// began is when the mirror was made; confirmedAt is the time of the latest Confirm, in nanoseconds
+	// after that, so that a step of the wall clock does not change ages. It is zero before the first.
+	began       time.Time
 	confirmedAt atomic.Int64
+	// changed is the revision that Changed returns.
+	changed atomic.Int64
 	// down is true while reads or watches fail.
 	down   bool
 	outage Outage
@@ -142,7 +165,7 @@
 	if err := c.Validate(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &Mirror{config: c, rereadNow: make(chan struct{}, 1), rewatchNow: make(chan struct{}, 1)}, nil
+	return &Mirror{config: c, began: time.Now(), rereadNow: make(chan struct{}, 1), rewatchNow: make(chan struct{}, 1)}, nil
 }
 
 // Reread ends the watch, so that all keys are read again at once. It is for callers
@@ -264,9 +287,10 @@
 		m.replace(snap)
 		m.adopted = 0
 	}
+	m.config.Answered(SourceKeys)
 	m.config.Log.WithFields(logrus.Fields{"event": "mirrorRead", "prefix": m.config.Prefix, "revision": m.revision, "entries": len(snap.Entries)}).Info("read all keys")
 	since := m.currentAt
-	if confirmed := time.Unix(0, m.confirmedAt.Load()); confirmed.After(since) && !since.IsZero() {
+	if confirmed := m.CompleteAt(); confirmed.After(since) && !since.IsZero() {
 		since = confirmed
 	}
 	m.currentAt = began
@@ -278,7 +302,9 @@
 func (m *Mirror) apply(b kvs.Batch) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.config.Answered(SourceWatch)
 	for _, e := range b.Events {
+		m.noteChange(e.Entry.ModRevision)
 		// The list that was adopted has this change, and maybe later ones of the same key.
 		if m.adopted != 0 && e.Entry.ModRevision <= m.adopted {
 			continue
@@ -333,23 +359,43 @@
 // Confirm records that the copy was complete at a time, for callers that have compared it with
 // a list that began to be read then. It may be called from any goroutine.
 func (m *Mirror) Confirm(at time.Time) {
+	after := max(1, int64(at.Sub(m.began)))
 	for {
 		known := m.confirmedAt.Load()
-		if at.UnixNano() <= known || m.confirmedAt.CompareAndSwap(known, at.UnixNano()) {
+		if after <= known || m.confirmedAt.CompareAndSwap(known, after) {
 			return
 		}
 	}
 }
 
+// CompleteAt returns when the copy was last known to be complete, the zero time before the first read.
+// It may be called from any goroutine.
+func (m *Mirror) CompleteAt() time.Time {
+	if after := m.confirmedAt.Load(); after != 0 {
+		return m.began.Add(time.Duration(after))
+	}
+	return time.Time{}
+}
+
 // Age returns how long ago the copy was last known to be complete, zero before the first read.
 // It may be called from any goroutine.
 func (m *Mirror) Age() time.Duration {
-	if at := m.confirmedAt.Load(); at != 0 {
-		return time.Since(time.Unix(0, at))
+	if at := m.CompleteAt(); !at.IsZero() {
+		return time.Since(at)
 	}
 	return 0
 }
 
+// Changed returns a revision up to which a copy has to reach to have all changes that this copy has:
+// that of the newest one as far as it is known. A deletion that a list has shown, and not the watch, lies
+// between two revisions, of which it returns the older one plus one. It may be called from any goroutine.
+func (m *Mirror) Changed() kvs.Revision { return kvs.Revision(m.changed.Load()) }
+
+// noteChange records the revision of a change; m.mu is held.
+func (m *Mirror) noteChange(revision kvs.Revision) {
+	m.changed.Store(max(m.changed.Load(), int64(revision)))
+}
+
 // publish passes the copy to Changed.
 func (m *Mirror) publish(delay time.Duration) {
 	snap := kvs.Snapshot{Revision: m.revision, Delay: delay, Entries: make(kvs.Entries, 0, len(m.entries))}
