Each VM hears of each read of the store, and reads by itself if it hears of none

What callers saw: a key that the operator had withdrawn was served for more than two seconds after the store's acknowledgement (CONFIG), or until an attempt at a VM failed, where the three VMs that compare the watches with the store stood still together, or where a VM with a dead watch could not fetch the configuration or was left out of gossip.

Cause: what a VM had to hear in time came from three chosen VMs. Nobody else read the store, and a VM did not know how old its own copy was.

Change: each read is told to all VMs, by a tree of notices (core/prober Children) and by gossip, with the newest change of each prefix that it has confirmed. So each VM knows how old the last read is, by any VM, that confirms its copy (io/entry/reads.go). Past Config.MaxAge, 1.45 to 1.7 s with the platform's bound of 2 s, it reads by itself; the read of one keeps the others from it. The age is carried as what is left of an item's time and not as the wall clock's time. A watch is restarted if another VM's read shows a change that it has not delivered, for the records of crashes, too. A read that does not come in its VM's usual turn gives its watch no time of grace. The log tells by which path a VM heard of a version, what the other paths did and how old the copy was (io/entry/hearing.go).

Measured: the model with any set of VMs but one standing still, 40 runs each of 2, 3, 4, 9 and 30 VMs: no late change (TestChangesReachVMsInTouch); with only three VMs that may read it has some (TestModelSeesThreeProbers). A request that waits at a VM that stands still itself is answered by the old version when it goes on, before and now.

--- a/core/prober/model_test.go
+++ b/core/prober/model_test.go
@@ -25,6 +25,7 @@
 	modelGossip   = 400 * time.Millisecond  // between two exchanges that a VM begins
 	modelTimeout  = 2 * time.Second         // of an exchange
 	modelRead     = time.Second             // of a read
+	modelIsolated = 1500 * time.Millisecond // without an answer of another VM
 	modelRoles    = 500 * time.Millisecond  // between two choices of the VMs that probe
 	modelLimit    = bound                   // that a watch has for a change that another VM has told of
 	modelChange   = 5600 * time.Millisecond // between two changes in calm
@@ -34,6 +35,13 @@
 	stretched     = bound + 5*time.Second
 )
 
+// readNotice tells of a read: which VM began it when, and how many changes it knew after it.
+type readNotice struct {
+	reader  call.VMID
+	at      time.Time
+	changes int
+}
+
 // modelVM is a VM of the model.
 type modelVM struct {
 	VM
@@ -57,6 +65,10 @@
 	fruitless int
 	// answers counts those to the watch while every third one is lost.
 	answers int
+	// completeAt is when the copy was last known to be complete, told the newest read that it has heard of,
+	// contactAt when another VM last answered.
+	completeAt, contactAt time.Time
+	told                  readNotice
 	// scheduledAt is when the schedule was last told of the VMs.
 	scheduledAt time.Time
 	// unreachable holds the VMs that have not answered, failing when the call of each fails.
@@ -70,14 +82,15 @@
 	now     time.Time
 	began   time.Time
 	vms     []*modelVM
+	ids     []call.VMID
 	changes []time.Time
 	// lossy is true while the store loses answers: a share of 0.35 of all, or with third set every third
 	// one to the watch of each VM. calmSince is the end of the last loss.
 	lossy, third bool
 	calmSince    time.Time
 	// single makes the VM with the lowest id probe alone, until the others find that it does not
-	// answer, and leaves watches that deliver nothing alone.
-	single                 bool
+	// answer, and leaves watches that deliver nothing alone. ordered lets only the VMs in the order probe.
+	single, ordered        bool
 	watches, lists, probes int
 }
 
@@ -87,7 +100,7 @@
 	for i := range n {
 		vm := &modelVM{VM: VM{ID: call.VMID(fmt.Sprintf("vm-%03d", i)), Zone: call.Zone(fmt.Sprint(i % 3)), CanRead: true}, runsSince: m.began.Add(-time.Hour)}
 		m.start(t, vm)
-		m.vms = append(m.vms, vm)
+		m.vms, m.ids = append(m.vms, vm), append(m.ids, vm.ID)
 	}
 	return m
 }
@@ -99,6 +112,7 @@
 	assert.NilError(t, err)
 	vm.unreachable, vm.failing, vm.inbox = map[call.VMID]bool{}, map[call.VMID]time.Time{}, nil
 	vm.known, vm.delivered = len(m.changes), len(m.changes)
+	vm.completeAt, vm.contactAt, vm.told = m.now, m.now, readNotice{}
 	vm.passOn, vm.readUntil, vm.suspectAt, vm.fruitless, vm.nextCall, vm.scheduledAt = time.Time{}, time.Time{}, time.Time{}, 0, time.Time{}, time.Time{}
 	m.lists++
 	m.call(vm)
@@ -155,6 +169,7 @@
 	case m.now.Before(vm.nextCall):
 	case vm.dead && waited >= modelWait:
 		m.lists++
+		vm.completeAt = m.now
 		vm.known, vm.delivered = len(m.changes), len(m.changes)
 		m.call(vm)
 	case vm.dead:
@@ -166,7 +181,7 @@
 		if vm.delivered < len(m.changes) {
 			vm.nextCall = m.now.Add(modelPause)
 		}
-		vm.known, vm.delivered = len(m.changes), len(m.changes)
+		vm.known, vm.delivered, vm.completeAt = len(m.changes), len(m.changes), m.now
 		m.call(vm)
 	}
 }
@@ -177,8 +192,15 @@
 		vm.scheduledAt = m.now
 		vm.schedule.SetVMs(m.seenBy(vm))
 	}
-	reason, due := vm.schedule.Due(m.now, false)
-	return reason, due && (!m.single || reason == ReasonFirst)
+	if m.single {
+		reason, due := vm.schedule.Due(m.now, State{})
+		return reason, due && reason == ReasonFirst
+	}
+	if m.ordered {
+		reason, due := vm.schedule.Due(m.now, State{Isolated: m.now.Sub(vm.contactAt) >= modelIsolated})
+		return reason, due && reason != ReasonLate
+	}
+	return vm.schedule.Due(m.now, State{Isolated: m.now.Sub(vm.contactAt) >= modelIsolated, Age: m.now.Sub(vm.completeAt)})
 }
 
 // seenBy returns the VMs as one of them knows them.
@@ -200,25 +222,29 @@
 		m.probes++
 		if m.loses() {
 			vm.readUntil = m.now.Add(modelRead)
+			vm.schedule.Answered(false)
 			return
 		}
-		if !m.single {
-			for _, id := range vm.schedule.Others() {
-				m.send(vm, id, func(to *modelVM) { to.schedule.Heard(m.now) })
-			}
-		}
-		if vm.known < len(m.changes) && vm.passOn.IsZero() {
+		vm.schedule.Answered(true)
+		switch {
+		case vm.known == len(m.changes):
+			vm.completeAt = m.now
+		case vm.passOn.IsZero():
 			m.lists++
 			vm.passOn = m.now
-			if reason != ReasonTakeover {
+			if reason == ReasonFirst && m.now.Sub(vm.completeAt) < vm.schedule.config.MaxAge() {
 				vm.passOn = m.now.Add(modelGrace)
 			}
 		}
+		if !m.single {
+			m.tell(vm)
+		}
 	}
 	if vm.passOn.IsZero() || m.now.Before(vm.passOn) {
 		return
 	}
 	vm.passOn = time.Time{}
+	vm.completeAt = m.now
 	if vm.known == len(m.changes) {
 		return
 	}
@@ -234,11 +260,44 @@
 	}
 }
 
+// tell tells the other VMs of a read that has just been answered.
+func (m *model) tell(vm *modelVM) {
+	vm.told = readNotice{vm.ID, m.now, vm.known}
+	if vm.completeAt.Before(m.now) {
+		vm.told.changes = len(m.changes) // the copy lacks a change, and so confirms none that does
+	}
+	m.passOn(vm)
+}
+
+// passOn tells a VM's children in the tree of the newest read that it knows.
+func (m *model) passOn(vm *modelVM) {
+	notice, known := vm.told, vm.known
+	for _, id := range Children(m.ids, notice.reader, vm.ID, uint64(notice.at.UnixMilli())) {
+		m.send(vm, id, func(to *modelVM) { m.hear(to, notice, known) })
+	}
+}
+
+// hear takes what another VM tells of a read, and passes it on if it is news. known is what the sender
+// knows: the configuration is fetched from it if it is newer.
+func (m *model) hear(vm *modelVM, notice readNotice, known int) {
+	vm.known = max(vm.known, known)
+	if !notice.at.After(vm.told.at) {
+		return
+	}
+	vm.told = notice
+	vm.schedule.Heard(notice.at)
+	if vm.known >= notice.changes && notice.at.After(vm.completeAt) {
+		vm.completeAt = notice.at
+	}
+	m.passOn(vm)
+}
+
 // send delivers a message in the next tick, or when the VM goes on. One that is not answered marks the
 // VM as unreachable.
 func (m *model) send(from *modelVM, id call.VMID, apply func(to *modelVM)) {
 	to := m.find(id)
 	if !m.stands(to) {
+		from.contactAt = m.now
 		delete(from.unreachable, id)
 		delete(from.failing, id)
 	} else if _, waiting := from.failing[id]; !waiting {
@@ -262,6 +321,10 @@
 	m.send(vm, to.ID, func(to *modelVM) {
 		to.known = max(to.known, vm.known)
 		vm.known = to.known
+		if !m.single {
+			m.hear(to, vm.told, vm.known)
+			m.hear(vm, to.told, to.known)
+		}
 	})
 }
 
@@ -328,10 +391,10 @@
 }
 
 // weather returns the events of a run: changes, alone and in storms, times in which the store loses
-// answers, and VMs that stand still, are killed or are started again, two at a time at most and those
-// that probe more often than the others. After a loss, the first of these may stand still right before
-// a change.
-func (m *model) weather() func() {
+// answers, and VMs that stand still, are killed or are started again, some at a time at most and those
+// that probe first more often than the others. After a loss, some of these, or of all, may stand still
+// together right before a change: the first one, or with any set any of them but one.
+func (m *model) weather(most int, any bool) func() {
 	nextChange, nextLoss, nextHalt := m.now.Add(time.Second), m.now.Add(2*time.Second), m.now.Add(2*time.Second)
 	var lossEnds, aimAt time.Time
 	order := Select(candidates(m.vms))
@@ -363,7 +426,23 @@
 		}
 		if !aimAt.IsZero() && !m.now.Before(aimAt) {
 			aimAt = time.Time{}
-			m.halt(m.find(order[0]), 4*time.Second, false)
+			chosen := order[:1]
+			if most := len(m.vms) - 1; any {
+				// Those that probe first, or others.
+				chosen = append(slices.Clone(order), m.ids...)
+				if m.rng.IntN(2) == 0 {
+					m.rng.Shuffle(len(chosen), func(i, j int) { chosen[i], chosen[j] = chosen[j], chosen[i] })
+				}
+				chosen = chosen[:1+m.rng.IntN(most)]
+				// The last answers to all watches were lost, or to most.
+				sound := m.rng.IntN(2)
+				for _, vm := range m.vms {
+					vm.dead = vm.dead || m.rng.IntN(4) >= sound
+				}
+			}
+			for _, id := range chosen {
+				m.halt(m.find(id), 4*time.Second, false)
+			}
 		}
 		if m.now.Before(nextHalt) {
 			return
@@ -379,7 +458,7 @@
 		if m.rng.IntN(2) == 0 {
 			vm = m.find(order[m.rng.IntN(len(order))])
 		}
-		if halted < min(2, len(m.vms)-1) && !m.stands(vm) {
+		if halted < most && !m.stands(vm) {
 			m.halt(vm, between(100, 4000), m.rng.IntN(3) == 0)
 		}
 	}
@@ -394,12 +473,13 @@
 }
 
 // Guards against VMs that hear of changes only through one VM, which may stand still: random losses of
-// answers, storms of changes, and VMs that stand still, are killed or restarted.
+// answers, storms of changes, and any VMs but one that stand still, are killed or restarted.
 func TestChangesReachVMsInTouch(t *testing.T) {
 	for _, n := range []int{2, 3, 4, 9, 30} {
 		for i := range 40 {
 			m := newModel(t, gwtest.Seed()+uint64(i), n, false)
-			assert.NilError(t, m.run(t, 60*time.Second, m.weather()), "%d VMs, seed %d", n, gwtest.Seed()+uint64(i))
+			most := 1 + i%(n-1)
+			assert.NilError(t, m.run(t, 60*time.Second, m.weather(most, true)), "%d VMs, %d still, seed %d", n, most, gwtest.Seed()+uint64(i))
 		}
 	}
 }
@@ -409,13 +489,27 @@
 	late := 0
 	for i := range 40 {
 		m := newModel(t, gwtest.Seed()+uint64(i), 9, true)
-		if m.run(t, 60*time.Second, m.weather()) != nil {
+		if m.run(t, 60*time.Second, m.weather(2, false)) != nil {
 			late++
 		}
 	}
 	assert.Assert(t, late > 20, "changes were late in %d of 40 runs", late)
 }
 
+// Guards against a model that would not see what three VMs do that stand still together, while only they
+// may probe.
+func TestModelSeesThreeProbers(t *testing.T) {
+	late := 0
+	for i := range 120 {
+		m := newModel(t, gwtest.Seed()+uint64(i), 9, false)
+		m.ordered = true
+		if m.run(t, 60*time.Second, m.weather(8, true)) != nil {
+			late++
+		}
+	}
+	assert.Assert(t, late > 3, "changes were late in %d of 120 runs", late)
+}
+
 // Counts the calls of the store by VM and minute, with a single VM that probes and with several that
 // may, in calm and while answers are lost. Guards against a cost that grows with the fleet, and against
 // restarts of watches that cost more than the watches would have if no answer had been lost.
--- a/core/prober/schedule.go
+++ b/core/prober/schedule.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"gentianwell/core/call"
@@ -14,8 +15,8 @@
 	Self call.VMID
 	// Interval is the time between two reads of the first VM in the order.
 	Interval time.Duration
-	// Step is how much longer each VM waits than the one before it. It has to cover the time that a
-	// read and a message take.
+	// Step is how much longer each VM in the order waits than the one before it. It has to cover the time
+	// that a read and a message take.
 	Step time.Duration
 }
 
@@ -29,6 +30,14 @@
 	return nil
 }
 
+// MaxAge returns the age of the last read from which a VM reads whether it is in the order or not: after
+// all VMs in the order had their turn. The VMs differ by up to one step, so that the read of one keeps
+// the others from reading.
+func (c *Config) MaxAge() time.Duration {
+	part := float64(xxhash.Sum64String(string(c.Self))>>11) / (1 << 53)
+	return c.Interval + MaxProbers*c.Step + time.Duration(part*float64(c.Step))
+}
+
 // Reason says why a VM probes.
 type Reason string
 
@@ -38,18 +47,33 @@
 	ReasonFirst Reason = "first"
 	// ReasonTakeover: the VMs before it have told of no read in time.
 	ReasonTakeover Reason = "takeover"
+	// ReasonLate: it has heard of no read for Config.MaxAge, or none that confirms its copy.
+	ReasonLate Reason = "late"
 	// ReasonIsolated: no other VM has answered it for some time.
 	ReasonIsolated Reason = "isolated"
 )
 
+// maxLateDoublings limits how often the wait between two late reads is doubled while they fail.
+const maxLateDoublings = 3
+
+// State is what a VM knows when it decides whether to read.
+type State struct {
+	// Isolated is true if no other VM has answered for some time.
+	Isolated bool
+	// Age is how old the last read is that confirms this VM's copy, zero if that does not matter now.
+	Age time.Duration
+}
+
 // Schedule decides when a VM probes. It is not safe for concurrent use.
 type Schedule struct {
 	config Config
-	// order holds the VMs that may probe; rank is the place of this one, or -1.
+	// order holds the VMs that probe first; rank is the place of this one, or -1.
 	order []call.VMID
 	rank  int
-	// last is when this VM last began a read or heard of one.
-	last time.Time
+	// last is when this VM last began a read or heard of one, own when it last began one.
+	last, own time.Time
+	// failed is how many late reads in a row have failed.
+	failed int
 }
 
 // New returns the schedule of a VM that knows no others.
@@ -70,8 +94,8 @@
 	s.rank = slices.Index(s.order, s.config.Self)
 }
 
-// MayProbe reports whether this VM is among those that may probe.
-func (s *Schedule) MayProbe() bool { return s.rank >= 0 }
+// InOrder reports whether this VM is among those that probe first.
+func (s *Schedule) InOrder() bool { return s.rank >= 0 }
 
 // First returns the VM that probes while all is well, empty if there is none.
 func (s *Schedule) First() call.VMID {
@@ -81,7 +105,7 @@
 	return s.order[0]
 }
 
-// Others returns the other VMs that may probe.
+// Others returns the other VMs that probe first.
 func (s *Schedule) Others() []call.VMID {
 	return slices.DeleteFunc(slices.Clone(s.order), func(id call.VMID) bool { return id == s.config.Self })
 }
@@ -93,26 +117,45 @@
 	}
 }
 
+// HeardAt returns when the last read began that this VM made or heard of, the zero time before the first.
+func (s *Schedule) HeardAt() time.Time { return s.last }
+
+// Answered records whether a read of this VM was answered.
+func (s *Schedule) Answered(ok bool) {
+	if ok {
+		s.failed = 0
+	} else {
+		s.failed = min(s.failed+1, maxLateDoublings)
+	}
+}
+
 // Due reports whether this VM has to read the store's revision now, and why. If so, the read counts
-// as begun. An isolated VM reads whether it is among those that may probe or not. The first call
-// counts as a read: a VM that has just started reads everything, and may not have heard of others yet.
-func (s *Schedule) Due(now time.Time, isolated bool) (Reason, bool) {
+// as begun. The first call counts as a read: a VM that has just started reads everything, and may not
+// have heard of others yet.
+func (s *Schedule) Due(now time.Time, state State) (Reason, bool) {
+	if s.last.IsZero() {
+		s.last = now
+	}
+	if s.own.IsZero() {
+		s.own = now
+	}
+	late := s.config.MaxAge() << s.failed
 	reason, wait := ReasonFirst, s.config.Interval
 	switch {
-	case isolated:
+	case state.Isolated:
 		reason = ReasonIsolated
 	case s.rank < 0:
-		return "", false
+		reason, wait = ReasonLate, late
 	case s.rank > 0:
 		reason = ReasonTakeover
 		wait += time.Duration(s.rank) * s.config.Step
 	}
-	if s.last.IsZero() {
-		s.last = now
-	}
 	if now.Sub(s.last).Abs() < wait {
-		return "", false
+		if state.Age < late || now.Sub(s.own).Abs() < late {
+			return "", false
+		}
+		reason = ReasonLate
 	}
-	s.last = now
+	s.last, s.own = now, now
 	return reason, true
 }
--- a/core/prober/select.go
+++ b/core/prober/select.go
@@ -7,7 +7,8 @@
 	"gentianwell/core/call"
 )
 
-// MaxProbers is how many VMs may probe: two of them can be lost at a time.
+// MaxProbers is how many VMs probe before all others may: two of them can be lost at a time at the cost
+// of one step each.
 const MaxProbers = 3
 
 // VM is a VM as far as it matters for the choice of those that probe.
@@ -19,7 +20,7 @@
 	CanRead, Unreachable bool
 }
 
-// Select returns the VMs that may probe, in their order: of those that can read the store and can be
+// Select returns the VMs that probe first, in their order: of those that can read the store and can be
 // reached the one with the lowest id, and then the next ones, of zones without one first.
 func Select(vms []VM) []call.VMID {
 	able := slices.DeleteFunc(slices.Clone(vms), func(vm VM) bool { return !vm.CanRead || vm.Unreachable })
--- a/core/reader/fleet_test.go
+++ b/core/reader/fleet_test.go
@@ -259,7 +259,7 @@
 	if m.noStore(vm) {
 		return
 	}
-	if reason, due := vm.schedule.Due(m.now, false); due {
+	if reason, due := vm.schedule.Due(m.now, prober.State{}); due {
 		m.probes++
 		for _, other := range m.vms {
 			if other != vm && !m.noPeers(vm) && !m.noPeers(other) && !m.stands(other) {
@@ -268,7 +268,7 @@
 		}
 		if vm.version < len(m.changes) && vm.passOn.IsZero() {
 			vm.passOn = m.now.Add(2 * modelGrace)
-			if reason == prober.ReasonTakeover {
+			if reason != prober.ReasonFirst {
 				vm.passOn = m.now
 			}
 		}
--- a/io/entry/bundle.go
+++ b/io/entry/bundle.go
@@ -45,7 +45,8 @@
 }
 
 // fetchNewer starts to fetch the bundle of a VM that has a newer configuration.
-func (e *Entry) fetchNewer(vm call.VMID, version int64) {
+func (e *Entry) fetchNewer(vm call.VMID, version int64, message peer.MessageKind) {
+	e.hearing.told(e.options.Now(), vm, version, message)
 	for _, p := range e.members.peers() {
 		if p.ID == vm {
 			e.bundles.offer(p, func() bool { return e.tables.version() < version })
@@ -89,6 +90,7 @@
 	if err := json.Unmarshal(raw, &b); err != nil {
 		return errors.Annotatef(err, "bundle of VM %q", vm)
 	}
+	e.hearing.answered(pathFetch)
 	version := e.tables.adopt(b.Configuration, "peer "+string(vm))
 	e.heardConfiguration(version)
 	entries := make([]kvs.Entry, 0, len(b.Replicas))
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -38,6 +38,7 @@
 	"gentianwell/io/back"
 	"gentianwell/io/dial"
 	"gentianwell/io/kvs"
+	"gentianwell/io/mirror"
 	"gentianwell/io/peer"
 	"gentianwell/io/proxy"
 )
@@ -88,7 +89,9 @@
 	client *back.Client
 	pool   *peer.Pool
 	gossip *peer.Gossip
-	items  *spread.Store
+	// gossipRound begins a round of gossip.
+	gossipRound func(now time.Time)
+	items       *spread.Store
 
 	tables      *tables
 	replicas    *replicas
@@ -101,6 +104,8 @@
 	crashes     *crashes
 	origins     *origins
 	probe       *probe
+	reads       *reads
+	hearing     *hearing
 	watchChecks *watchChecks
 	readers     *readers
 	// duties is nil if there are none, autoscaler if this VM orders no replicas.
@@ -118,6 +123,8 @@
 	// budgetVMs is the number of VMs that the retry budget is divided by; zero while it is
 	// not known.
 	budgetVMs atomic.Int64
+	// configRestarts counts the restarts of the watch of the configuration.
+	configRestarts atomic.Int64
 	// stopped is closed at the end of a planned stop.
 	stopped chan struct{}
 	// requests is the context whose end ends the requests in progress.
@@ -173,7 +180,11 @@
 		return errors.Trace(err)
 	}
 	e.items = spread.New(spread.Config{Self: c.VM, Rand: e.options.rand(randGossip)})
-	e.tables = &tables{parse: e.options.Source.ParseConfig, log: e.log}
+	e.hearing = &hearing{
+		now: e.options.Now, age: func() time.Duration { return e.probe.age(e.options.Source.ConfigKey) },
+		heard: func(now time.Time) string { return e.reads.lastHeard(now) }, restarts: e.configRestarts.Load,
+	}
+	e.tables = &tables{parse: e.options.Source.ParseConfig, hearing: e.hearing.fields, log: e.log}
 	e.loads, e.notices = &loads{router: e.router}, &notices{router: e.router, log: e.log}
 	e.limits.items, e.limits.changed = e.items, e.router.LimitsChanged
 	e.replicas = &replicas{
@@ -228,9 +239,22 @@
 		ReceiveClock: e.clocks.heard, Usage: e.receiveUsage,
 		Notices: map[spread.Kind]func(time.Time, spread.Item){
 			kindReader: func(now time.Time, item spread.Item) { e.readers.receive(now, item) },
-			kindProbe:  func(now time.Time, item spread.Item) { e.probe.receive(now, item) },
+			kindProbe:  func(now time.Time, item spread.Item) { e.reads.receiveProbe(now, item) },
+		},
+		Received: func(now time.Time, from call.VMID, sent time.Time, items spread.Items) spread.Items {
+			return e.reads.received(now, from, sent, items)
 		},
 	})
+	e.gossipRound = e.gossip.Round
+	e.reads = newReads(readsConfig{
+		self: c.VM, peers: e.members.peers, items: e.items, notify: e.gossip.Notify, ahead: e.clocks.ahead,
+		version: e.tables.version, configPrefix: e.options.Source.ConfigKey, mirror: func(prefix string) *mirror.Mirror { return e.probe.mirror(prefix) },
+		heard: func(at time.Time) { e.probe.heardRead(at) },
+		missing: func(m *mirror.Mirror, changed kvs.Revision) {
+			e.watchChecks.heard(m, func(m *mirror.Mirror) bool { return m.Delivered() >= changed })
+		},
+		now: e.options.Now, log: e.log,
+	})
 	e.bundles = &bundleFetcher{fetch: e.fetchBundle, failed: func(vm call.VMID, err error) {
 		e.log.WithFields(logrus.Fields{"event": "bundle", "peer": vm}).WithError(err).Warn("fetching the configuration from a VM failed")
 	}}
@@ -271,8 +295,8 @@
 		return nil, errors.Trace(err)
 	}
 	return &probe{
-		list: e.options.Source.Store.List, members: e.members, push: e.pushReplicas, notify: e.gossip.Notify, ahead: e.clocks.ahead, schedule: schedule,
-		grace: c.probeGrace(), log: e.log,
+		list: e.options.Source.Store.List, members: e.members, push: e.pushReplicas, reads: e.reads, schedule: schedule,
+		grace: c.probeGrace(), interval: c.probeInterval(), log: e.log,
 		observe: func(reason prober.Reason, result probeResult) {
 			e.metrics.probes.WithLabelValues(string(reason), string(result)).Inc()
 		},
@@ -281,6 +305,9 @@
 }
 
 func (e *Entry) watchRestarted(prefix string, noticed watchNotice) {
+	if prefix == e.options.Source.ConfigKey {
+		e.configRestarts.Add(1)
+	}
 	e.metrics.watchRestarts.WithLabelValues(prefix, string(noticed)).Inc()
 }
 
@@ -411,6 +438,8 @@
 			e.limits.apply(now, item)
 		case kindDuty:
 			e.duties.apply(now, item)
+		case kindRead:
+			e.reads.apply(now, item)
 		}
 	}
 	e.heardReplicas(newest)
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -151,6 +151,9 @@
 	} {
 		gauge(name+"_age_seconds", "Time since the copy of the "+name+" was last known to be complete.", func() float64 { return e.probe.age(prefix).Seconds() })
 	}
+	gauge("read_age_seconds", "Time since the last read of the store's revision that this VM made or heard of; 0 before the first.", func() float64 {
+		return e.reads.age(e.options.Now()).Seconds()
+	})
 	if e.options.Config.PeerAddress.IsValid() {
 		m.addReaders(e)
 	}
--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,10 +11,8 @@
 
 	"gentianwell/core/call"
 	"gentianwell/core/prober"
-	"gentianwell/core/spread"
 	"gentianwell/io/kvs"
 	"gentianwell/io/mirror"
-	"gentianwell/io/peer"
 )
 
 const (
@@ -45,27 +42,22 @@
 	probeFailed   probeResult = "failed"
 )
 
-// kindProbe is the kind of the items with which a VM tells the others that may probe that it has
-// read the store's revision. They are not spread any further.
-const kindProbe spread.Kind = "probe"
-
 // probe compares the mirrors with the store, because a watch may stop delivering without an
 // error. One VM does so for all, and others take over if it does not (core/prober). Each mirror is
 // compared by itself: its watch has a connection of its own, and events on another one say nothing
-// about it.
+// about it. All VMs hear of each read (reads).
 type probe struct {
 	list    func(ctx context.Context, prefix string) (kvs.Snapshot, error)
 	members *members
 	mirrors []*mirror.Mirror
 	// push sends the other VMs the changes that are newer than a revision.
 	push func(after kvs.Revision)
-	// notify tells a VM of a read.
-	notify func(now time.Time, to peer.Peer, items spread.Items) error
-	// ahead returns how far the clock of a VM is ahead of this VM's.
-	ahead func(call.VMID) time.Duration
-	// grace is how long the watches have to deliver a change themselves.
-	grace time.Duration
-	log   logrus.FieldLogger
+	// reads tells the other VMs of each read.
+	reads *reads
+	// grace is how long the watches have to deliver a change themselves, interval the time between two
+	// reads.
+	grace, interval time.Duration
+	log             logrus.FieldLogger
 	// recovered is called when the store answers again after an outage, with how long ago it
 	// was last known to be down. In an outage in which the store is silent, no watch fails.
 	recovered func(lastDown time.Duration)
@@ -83,8 +75,6 @@
 	schedule    *prober.Schedule
 	scheduledAt time.Time
 	first       call.VMID
-	// telling holds the VMs to which a message is under way.
-	telling map[call.VMID]bool
 	// compared holds the greatest revision of the store as of which the copy of a prefix was found to
 	// be complete: until the store has a newer one, it need not be compared again.
 	compared map[string]kvs.Revision
@@ -107,7 +97,7 @@
 		defer p.running.Store(false)
 		for range maxSilentProbes {
 			// Where another VM's turn was missed, one read without a response says little.
-			if silent := p.check(reason); !silent || reason == prober.ReasonTakeover {
+			if silent := p.check(reason); !silent || reason == prober.ReasonTakeover || reason == prober.ReasonLate {
 				return
 			}
 		}
@@ -116,14 +106,30 @@
 
 // due reports whether this VM has to probe now, and why.
 func (p *probe) due(now time.Time) (prober.Reason, bool) {
-	isolated := !p.members.contactedWithin(now, isolatedAfter)
+	state := prober.State{Isolated: !p.members.contactedWithin(now, isolatedAfter), Age: p.oldest()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.updateSchedule(now)
-	return p.schedule.Due(now, isolated)
+	reason, due := p.schedule.Due(now, state)
+	if due && reason == prober.ReasonLate {
+		p.log.WithFields(logrus.Fields{"event": "lateRead", "age": state.Age.String(), "heard": p.reads.lastHeard(now)}).Info("no read of the store by another VM confirms this VM's copy, it reads by itself")
+	}
+	return reason, due
+}
+
+// oldest returns the age of the oldest of the copies that this VM watches by itself, except for those
+// that are compared at longer intervals; zero if there is none.
+func (p *probe) oldest() time.Duration {
+	var age time.Duration
+	for _, m := range p.mirrors {
+		if m.Watching() && p.pauses[m.Prefix()] == 0 {
+			age = max(age, m.Age())
+		}
+	}
+	return age
 }
 
-// isProber reports whether this VM is among those that may probe. A VM that no other has answered
+// isProber reports whether this VM is among those that probe first. A VM that no other has answered
 // recently probes for itself.
 func (p *probe) isProber(now time.Time) bool {
 	if !p.members.contactedWithin(now, isolatedAfter) {
@@ -132,7 +138,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.updateSchedule(now)
-	return p.schedule.MayProbe()
+	return p.schedule.InOrder()
 }
 
 // updateSchedule tells the schedule which VMs there are, if that is due; p.mu is held.
@@ -148,45 +154,11 @@
 	}
 }
 
-// receive records that another VM has read the store's revision. A message that was long under way
-// tells of an old read.
-func (p *probe) receive(now time.Time, item spread.Item) {
-	id := call.VMID(item.Key)
-	if id == p.members.self {
-		return
-	}
-	age := max(0, now.Sub(time.UnixMilli(int64(item.Version)).Add(-p.ahead(id))))
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.schedule.Heard(now.Add(-age))
-}
-
-// tell tells the other VMs that may probe of a read that began at a time of this VM's clock. It does not
-// wait for them, and leaves out those that have not answered yet.
-func (p *probe) tell(began time.Time) {
-	now := p.members.now()
-	item := spread.Item{ID: spread.ID{Kind: kindProbe, Key: string(p.members.self)}, Version: uint64(began.UnixMilli()), Expires: now.Add(probeTimeout)}
+// heardRead records that another VM has begun a read at a time.
+func (p *probe) heardRead(at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	others := p.schedule.Others()
-	for _, to := range p.members.peers() {
-		id := to.ID
-		if !slices.Contains(others, id) || p.telling[id] {
-			continue
-		}
-		if p.telling == nil {
-			p.telling = map[call.VMID]bool{}
-		}
-		p.telling[id] = true
-		go func() {
-			if err := p.notify(now, to, spread.Items{item}); err != nil {
-				p.log.WithFields(logrus.Fields{"event": "probe", "peer": id}).WithError(err).Debug("a VM was not told of a read of the store's revision")
-			}
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			delete(p.telling, id)
-		}()
-	}
+	p.schedule.Heard(at)
 }
 
 // check reads the store's revision and compares the mirrors that have not reached it. It
@@ -194,8 +166,11 @@
 func (p *probe) check(reason prober.Reason) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	began, clock := time.Now(), p.members.now()
+	began := time.Now()
 	snap, err := p.list(ctx, probePrefix)
+	p.mu.Lock()
+	p.schedule.Answered(err == nil)
+	p.mu.Unlock()
 	if err != nil {
 		p.outage.Failed(began, err)
 		p.observe(reason, probeFailed)
@@ -209,13 +184,45 @@
 		p.recovered(lastDown)
 	}
 	p.observe(reason, probeAnswered)
-	p.tell(clock)
+	p.compareAll(snap.Revision, began, reason)
+	return false
+}
+
+// tellAfter is how long after a read the comparisons may take of which the other VMs are told together
+// with it.
+const tellAfter = 100 * time.Millisecond
+
+// compareAll compares the mirrors that have not reached a revision that was read, and tells the other VMs
+// of the read: once the comparisons are done or tellAfter is over, and again after one that took longer.
+func (p *probe) compareAll(revision kvs.Revision, began time.Time, reason prober.Reason) {
+	var comparisons sync.WaitGroup
+	var told atomic.Bool
 	for _, m := range p.mirrors {
-		if p.completeTo(m) < snap.Revision && p.mayCompare(m.Prefix(), began) {
-			go p.compare(m, reason)
+		if p.completeTo(m) >= revision {
+			m.Confirm(began)
+			continue
+		}
+		if !p.mayCompare(m.Prefix(), began) {
+			continue
 		}
+		comparisons.Go(func() {
+			p.compare(m, reason)
+			if told.Load() {
+				p.reads.tell(began, p.mirrors)
+			}
+		})
 	}
-	return false
+	done := make(chan struct{})
+	go func() {
+		comparisons.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(tellAfter):
+	}
+	told.Store(true)
+	p.reads.tell(began, p.mirrors)
 }
 
 // mayCompare reports whether a comparison of a prefix may begin now, and records that it does.
@@ -252,8 +259,8 @@
 
 // compare reads the keys of a mirror, and passes them on unless its watch delivers them within two
 // grace periods. Of the store's changes only those of other keys may be newer than the mirror, so
-// that its revision alone does not tell. A VM that has taken over gives the watch no time: the change
-// may have been made an interval earlier.
+// that its revision alone does not tell. A VM that does not read in its usual turn gives the watch no
+// time: the change may have been made an interval earlier, or more.
 func (p *probe) compare(m *mirror.Mirror, reason prober.Reason) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
@@ -264,7 +271,7 @@
 		return
 	}
 	graces := probeGracePeriods
-	if reason == prober.ReasonTakeover {
+	if (reason != prober.ReasonFirst && reason != prober.ReasonIsolated) || m.Age() > 2*p.interval {
 		graces = 0
 	}
 	for range graces {
@@ -278,7 +285,7 @@
 		p.setCompared(m.Prefix(), list.Revision)
 		return
 	}
-	p.passOn(m, list, began)
+	p.passOn(m, list, began, reason)
 }
 
 // mirror returns the mirror of a prefix, nil if there is none.
@@ -306,10 +313,10 @@
 
 // passOn applies a list that a mirror lacks, tells the other VMs of the changes in it, and restarts
 // the watch that has not delivered them.
-func (p *probe) passOn(m *mirror.Mirror, list kvs.Snapshot, readAt time.Time) {
+func (p *probe) passOn(m *mirror.Mirror, list kvs.Snapshot, readAt time.Time, reason prober.Reason) {
 	known := m.Revision()
 	p.log.WithFields(logrus.Fields{
-		"event": "probe", "prefix": m.Prefix(), "revision": list.Revision, "known": known, "age": m.Age().String(),
+		"event": "probe", "prefix": m.Prefix(), "revision": list.Revision, "known": known, "age": m.Age().String(), "reason": reason,
 	}).Warn("a watch has missed a change, the keys that were read are in force")
 	p.restarted(m.Prefix(), noticedByProbe)
 	if !m.Adopt(list, readAt) {
--- a/io/entry/probe_test.go
+++ b/io/entry/probe_test.go
@@ -14,6 +14,7 @@
 	"gentianwell/core/spread"
 	"gentianwell/io/kvs"
 	"gentianwell/io/mirror"
+	"gentianwell/io/peer"
 )
 
 // A change of one key made the probe list the keys of every other prefix in each check, until their
@@ -42,7 +43,9 @@
 		synctest.Wait()
 		schedule, err := prober.New(prober.Config{Self: "vm-0", Interval: time.Second, Step: time.Second})
 		assert.NilError(t, err)
-		p := &probe{list: list, mirrors: []*mirror.Mirror{m}, grace: 250 * time.Millisecond, log: log, observe: func(prober.Reason, probeResult) {}, members: &members{items: spread.New(spread.Config{Self: "vm-0", Rand: rand.New(rand.NewPCG(1, 2))}), now: time.Now}, schedule: schedule}
+		items := spread.New(spread.Config{Self: "vm-0", Rand: rand.New(rand.NewPCG(1, 2))})
+		told := newReads(readsConfig{self: "vm-0", items: items, peers: func() []peer.Peer { return nil }, version: func() int64 { return 1 }, now: time.Now, log: log})
+		p := &probe{reads: told, interval: time.Second, list: list, mirrors: []*mirror.Mirror{m}, grace: 250 * time.Millisecond, log: log, observe: func(prober.Reason, probeResult) {}, members: &members{items: items, now: time.Now}, schedule: schedule}
 		lists = 0
 		for _, revision = range []kvs.Revision{9, 9, 9, 12, 12} {
 			p.check(prober.ReasonFirst)
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -132,7 +132,7 @@
 	e.members.announce(e.options.Now())
 	e.timers.Every("alive", announceInterval, e.members.announce)
 	e.timers.Every("greet", seedInterval, e.contactSeeds)
-	e.timers.Every("gossip", gossipInterval, e.gossip.Round)
+	e.timers.Every("gossip", gossipInterval, e.gossipRound)
 	e.timers.Every("readers", readerInterval, e.readers.tick)
 	e.contactSeeds(e.options.Now())
 }
@@ -238,7 +238,7 @@
 }
 
 func (e *Entry) configMirror() (*mirror.Mirror, error) {
-	return e.mirror(e.options.Source.ConfigKey, randConfigMirror, func(snap kvs.Snapshot) {
+	return e.mirrorWith(e.options.Source.ConfigKey, randConfigMirror, func(source mirror.Source) { e.hearing.answered(pathOf(source)) }, func(snap kvs.Snapshot) {
 		for _, entry := range snap.Entries {
 			if entry.Key == e.options.Source.ConfigKey {
 				e.tables.adopt(entry.Value, sourceStore)
@@ -256,8 +256,12 @@
 }
 
 func (e *Entry) mirror(prefix string, stream uint64, changed func(kvs.Snapshot)) (*mirror.Mirror, error) {
+	return e.mirrorWith(prefix, stream, nil, changed)
+}
+
+func (e *Entry) mirrorWith(prefix string, stream uint64, answered func(mirror.Source), changed func(kvs.Snapshot)) (*mirror.Mirror, error) {
 	m, err := mirror.New(mirror.Config{
-		Service: e.options.Source.Store, Prefix: prefix, Changed: changed, Rand: e.options.rand(stream), Log: e.log,
+		Service: e.options.Source.Store, Prefix: prefix, Answered: answered, Changed: changed, Rand: e.options.rand(stream), Log: e.log,
 		RereadInterval: mirrorReread, Backoff: mirrorBackoff,
 		DownChanged: func(down bool, cause error) { e.storeStatus.set(prefix, down, cause) },
 		OutageEnded: func(lastDown time.Duration) {
--- a/io/entry/tables.go
+++ b/io/entry/tables.go
@@ -12,7 +12,9 @@
 // tables holds the current routing table and the bytes it was parsed from.
 type tables struct {
 	parse func([]byte) (table.Document, error)
-	log   logrus.FieldLogger
+	// hearing returns the fields that say how this VM heard of a version.
+	hearing func(version int64) logrus.Fields
+	log     logrus.FieldLogger
 
 	current atomic.Pointer[table.Table]
 	// stored is the newest version that this VM's own copy of the store has had.
@@ -71,7 +73,7 @@
 	}
 	t.raw = raw
 	t.current.Store(next)
-	t.log.WithFields(logrus.Fields{
+	t.log.WithFields(t.hearing(next.Version())).WithFields(logrus.Fields{
 		"event": "configuration", "source": source, "version": next.Version(), "before": before.Version(), "bytes": len(raw),
 		"routes": len(document.Routes), "teams": len(document.Teams),
 	}).Info("configuration in force")
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -253,7 +253,7 @@
 		SettingsVersion: n.settingsVersion,
 		ItemsChanged:    n.applyItems,
 		ExchangeDone:    n.members.contacted,
-		NewerSettings:   n.follower.ReportPeerVersion,
+		NewerSettings:   func(vm call.VMID, version int64, _ peer.MessageKind) { n.follower.ReportPeerVersion(vm, version) },
 		Settings:        n.follower.NewerDocument,
 		Shares: func(ctx context.Context, req *peerpb.SharesRequest) (*peerpb.SharesReply, error) {
 			return n.limits.serveShares(ctx, req)
--- a/io/peer/gossip.go
+++ b/io/peer/gossip.go
@@ -54,8 +54,8 @@
 	// ExchangeDone is called after each exchange that this VM began.
 	ExchangeDone func(now time.Time, result ExchangeResult)
 	// NewerSettings is called when a peer has newer settings, whichever side began the
-	// exchange.
-	NewerSettings func(vm call.VMID, version int64)
+	// exchange, with the kind of the message that told of them.
+	NewerSettings func(vm call.VMID, version int64, message MessageKind)
 	// Loads returns the load reports to send in each exchange, and ReceiveLoads is called
 	// with those of a peer. Both are optional.
 	Loads        func(now time.Time) []*peerpb.Load
@@ -78,11 +78,24 @@
 	// Usage takes a peer's counts of requests. It is optional: without it, the method is not
 	// implemented.
 	Usage func(ctx context.Context, req *peerpb.UsageRequest) (*peerpb.UsageReply, error)
+	// Received returns the items of a message as they are to be merged, by when the message was sent by
+	// the sender's clock. It is optional: without it, they are merged as they are.
+	Received func(now time.Time, from call.VMID, sent time.Time, items spread.Items) spread.Items
 	// Notices holds what is called with each item of some kinds, after ItemsChanged. Such items are
 	// neither kept nor spread. It is optional.
 	Notices map[spread.Kind]func(now time.Time, item spread.Item)
 }
 
+// MessageKind is the kind of a message of another VM.
+type MessageKind string
+
+// The kinds of messages. A peer's exchange is one of its rounds or a push.
+const (
+	MessageExchange MessageKind = "exchange"
+	MessageReply    MessageKind = "reply"
+	MessageNotice   MessageKind = "notice"
+)
+
 // Gossip exchanges items with neighbours and serves their calls.
 type Gossip struct {
 	config GossipConfig
@@ -90,6 +103,9 @@
 
 // NewGossip returns a Gossip; the caller has to call Round periodically.
 func NewGossip(c GossipConfig) *Gossip {
+	if c.Received == nil {
+		c.Received = func(_ time.Time, _ call.VMID, _ time.Time, items spread.Items) spread.Items { return items }
+	}
 	if c.Loads == nil {
 		c.Loads = func(time.Time) []*peerpb.Load { return nil }
 	}
@@ -188,31 +204,38 @@
 		return false
 	}
 	g.config.ExchangeDone(now, ExchangeResult{Peer: to, SettingsVersion: reply.SettingsVersion})
-	g.receiveClock(now, call.VMID(reply.Vm), reply.ClockNanoseconds)
-	g.receive(now, call.VMID(reply.Vm), reply.SettingsVersion, reply.Items)
+	g.receive(now, received{MessageReply, call.VMID(reply.Vm), reply.SettingsVersion, reply.ClockNanoseconds, reply.Items})
 	g.config.ReceiveLoads(now, reply.Loads)
 	g.config.ReceiveDemands(now, reply.Demands)
 	g.config.ReceiveTeams(now, reply.Teams)
 	return true
 }
 
-// receiveClock passes on the clock of another VM; it is zero if the VM does not send it.
-func (g *Gossip) receiveClock(now time.Time, vm call.VMID, nanoseconds int64) {
-	if nanoseconds != 0 {
-		g.config.ReceiveClock(now, vm, time.Unix(0, nanoseconds))
-	}
+// received is what each message of another VM has. The time of the sender's clock is zero if the VM does
+// not send it.
+type received struct {
+	kind             MessageKind
+	from             call.VMID
+	version          int64
+	clockNanoseconds int64
+	items            []*peerpb.Item
 }
 
-func (g *Gossip) receive(now time.Time, from call.VMID, version int64, items []*peerpb.Item) {
-	kept, notices := g.splitNotices(fromProto(items, now))
+func (g *Gossip) receive(now time.Time, m received) {
+	kept, notices := g.splitNotices(fromProto(m.items, now))
+	if m.clockNanoseconds != 0 {
+		sent := time.Unix(0, m.clockNanoseconds)
+		g.config.ReceiveClock(now, m.from, sent)
+		kept = g.config.Received(now, m.from, sent, kept)
+	}
 	if changed := g.config.Store.Merge(now, kept); len(changed) > 0 {
 		g.config.ItemsChanged(now, changed)
 	}
 	for _, notice := range notices {
 		g.config.Notices[notice.Kind](now, notice)
 	}
-	if version > g.config.SettingsVersion() {
-		g.config.NewerSettings(from, version)
+	if m.version > g.config.SettingsVersion() {
+		g.config.NewerSettings(m.from, m.version, m.kind)
 	}
 }
 
@@ -220,8 +243,7 @@
 func (g *Gossip) Exchange(_ context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
 	now := g.config.Now()
 	if g.isNotice(req) {
-		g.receiveClock(now, call.VMID(req.Vm), req.ClockNanoseconds)
-		g.receive(now, call.VMID(req.Vm), req.SettingsVersion, req.Items)
+		g.receive(now, received{MessageNotice, call.VMID(req.Vm), req.SettingsVersion, req.ClockNanoseconds, req.Items})
 		return g.noticeReply(), nil
 	}
 	reply := &peerpb.ExchangeReply{
@@ -229,8 +251,7 @@
 		Items: toProto(g.config.Store.Batch(now, len(g.config.Peers())+1), now),
 		Loads: g.config.Loads(now), Demands: g.config.Demands(now), Teams: g.config.Teams(now), ClockNanoseconds: g.config.Now().UnixNano(),
 	}
-	g.receiveClock(now, call.VMID(req.Vm), req.ClockNanoseconds)
-	g.receive(now, call.VMID(req.Vm), req.SettingsVersion, req.Items)
+	g.receive(now, received{MessageExchange, call.VMID(req.Vm), req.SettingsVersion, req.ClockNanoseconds, req.Items})
 	g.config.ReceiveLoads(now, req.Loads)
 	g.config.ReceiveDemands(now, req.Demands)
 	g.config.ReceiveTeams(now, req.Teams)
--- a/io/peer/gossip_test.go
+++ b/io/peer/gossip_test.go
@@ -42,7 +42,7 @@
 		Peers: peers, Now: time.Now, SettingsVersion: n.version.Load,
 		ItemsChanged:  func(time.Time, spread.Items) {},
 		ExchangeDone:  func(_ time.Time, r ExchangeResult) { n.results <- r },
-		NewerSettings: func(call.VMID, int64) {},
+		NewerSettings: func(call.VMID, int64, MessageKind) {},
 	})
 	srv, err := NewServer(ServerConfig{Handler: n.Gossip})
 	assert.NilError(t, err)
--- a/io/peer/notice.go
+++ b/io/peer/notice.go
@@ -37,8 +37,7 @@
 		return err
 	}
 	g.config.ExchangeDone(now, ExchangeResult{Peer: to, SettingsVersion: reply.SettingsVersion})
-	g.receiveClock(now, call.VMID(reply.Vm), reply.ClockNanoseconds)
-	g.receive(now, call.VMID(reply.Vm), reply.SettingsVersion, reply.Items)
+	g.receive(now, received{MessageReply, call.VMID(reply.Vm), reply.SettingsVersion, reply.ClockNanoseconds, reply.Items})
 	return nil
 }
 
