Requests wait for a read of the store if a VM has stood still or its copies are too old

What callers saw: a VM that had stood still, or all VMs of a machine that had, answered the requests that were waiting by the configuration from before, though the store had acknowledged another one more than two seconds earlier; a withdrawn key was served.

Cause: a VM that goes on serves at once, and reads the store in its next turn.

Change: a VM notices that its timers were not called for a second, or that no read has confirmed its copies for 0.95 of the bound. Then requests wait for a read of the store, once and for 250 ms at most: while the store is out of reach, what is known stays in force (io/entry/hold.go). The line `hold` and gentianwell_holds_total tell of it.

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -34,6 +34,7 @@
 	"gentianwell/core/retry"
 	"gentianwell/core/route"
 	"gentianwell/core/spread"
+	"gentianwell/core/table"
 	"gentianwell/core/timer"
 	"gentianwell/io/back"
 	"gentianwell/io/dial"
@@ -105,6 +106,7 @@
 	origins     *origins
 	probe       *probe
 	reads       *reads
+	holds       *holds
 	hearing     *hearing
 	watchChecks *watchChecks
 	readers     *readers
@@ -262,6 +264,9 @@
 	if e.probe, err = e.newProbe(); err != nil {
 		return errors.Trace(err)
 	}
+	e.holds = newHolds(time.Duration(holdFraction * float64(c.changeBound())))
+	e.holds.age, e.holds.read, e.holds.storeUp, e.holds.log = e.probe.oldest, e.probe.readNow, e.storeStatus.up, e.log
+	e.holds.observe = func(reason holdReason) { e.metrics.holds.WithLabelValues(string(reason)).Inc() }
 	// A record of crashes may be StableTime old before it has to be known: fewer calls of the store are
 	// enough for these.
 	e.probe.pauses = map[string]time.Duration{suspectPrefix: c.StableTime}
@@ -339,7 +344,7 @@
 
 func (e *Entry) commonProxyConfig() proxy.Config {
 	return proxy.Config{
-		Headers: e.options.Headers, Zone: e.options.Config.Zone, Table: e.tables.Current, TableIsCurrent: e.tableIsCurrent,
+		Headers: e.options.Headers, Zone: e.options.Config.Zone, Table: e.currentTable, TableIsCurrent: e.tableIsCurrent,
 		Router: e.router, Retry: e.retry, Open: e.client.Open,
 		Admit: func() bool { return e.drain.Admit(e.options.Now()) }, Finish: e.drain.Finish,
 		Stopping: func() bool { return !e.drain.Ready() }, Ended: e.requests,
@@ -415,6 +420,13 @@
 	return e.members.contactedWithin(now, isolatedAfter) && !slices.ContainsFunc(others, func(m member) bool { return !m.storeLost })
 }
 
+// currentTable returns the routing table for a request, after a read of the store if the table may be too
+// old.
+func (e *Entry) currentTable() *table.Table {
+	e.holds.wait()
+	return e.tables.Current()
+}
+
 // tableIsCurrent reports whether the routing table is known to be the newest: the store
 // can be read, or a peer has answered recently.
 func (e *Entry) tableIsCurrent() bool {
--- a/io/entry/metrics.go
+++ b/io/entry/metrics.go
@@ -52,6 +52,8 @@
 	// nothing and were restarted.
 	probes        *prometheus.CounterVec
 	watchRestarts *prometheus.CounterVec
+	// holds counts the times that requests waited for a read of the store.
+	holds *prometheus.CounterVec
 	// ownWatch counts the changes of this VM's own watch of the list of replicas.
 	ownWatch *prometheus.CounterVec
 	// duty counts what happens to the lease of the duties, usageReports the reports of windows.
@@ -90,13 +92,14 @@
 		}),
 		probes:        counter("probes_total", "Reads of the store's revision, with which the watches are compared, by the reason why this VM made them.", "reason", "result"),
 		watchRestarts: counter("watch_restarts_total", "Watches that delivered nothing and were restarted, by how that was noticed.", "prefix", "noticed"),
+		holds:         counter("holds_total", "Times that requests waited for a read of the store, as this VM's copies might have been too old.", "reason"),
 		duty:          counter("duty_total", "Changes of the lease of the duties on this VM.", "change"),
 		usageReports:  counter("usage_reports_total", "Reports of usage to the platform by what happened to them.", "change"),
 		first:         histogram("first_seconds", "Time to the answer or to the first event of a stream."),
 		total:         histogram("total_seconds", "Time to the end of the answer."),
 	}
 	registry.MustRegister(
-		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.probes, m.watchRestarts, m.requests, m.sends, m.onTime, m.cut, m.lostRuns, m.broken, m.crashes, m.shares, m.takenUp, m.streamRecords, m.storeRestores, m.storeOutages, m.first, m.total,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), m.probes, m.watchRestarts, m.holds, m.requests, m.sends, m.onTime, m.cut, m.lostRuns, m.broken, m.crashes, m.shares, m.takenUp, m.streamRecords, m.storeRestores, m.storeOutages, m.first, m.total,
 	)
 	gauge := func(name, help string, value func() float64) {
 		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gentianwell_" + name, Help: help}, value))
--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -104,6 +104,19 @@
 	}()
 }
 
+// readNow reads the store's revision, after a check that is running, and returns when it was answered or
+// failed.
+func (p *probe) readNow() {
+	for !p.running.CompareAndSwap(false, true) {
+		time.Sleep(readNowPause)
+	}
+	defer p.running.Store(false)
+	p.check(prober.ReasonLate)
+}
+
+// readNowPause is how often readNow looks whether a check has ended.
+const readNowPause = 5 * time.Millisecond
+
 // due reports whether this VM has to probe now, and why.
 func (p *probe) due(now time.Time) (prober.Reason, bool) {
 	state := prober.State{Isolated: !p.members.contactedWithin(now, isolatedAfter), Age: p.oldest()}
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -120,6 +120,7 @@
 	e.timers.Every("replicas", refreshInterval, e.replicas.refresh)
 	e.timers.Every("budget", budgetInterval, func(time.Time) { e.setBudget() })
 	e.setBudget()
+	e.timers.Every("hold", probeTick, e.holds.tick)
 	e.timers.Every("probe", probeTick, e.probe.tick)
 	e.timers.Every("origins", originWriteInterval, e.origins.tick)
 	e.timers.Every("crashes", crashWriteInterval, e.crashes.writePending)
