A VM whose late reads failed waits no longer once it hears of a read

The wait between late reads is doubled up to eight times while they fail, and was reset only by the VM's own next read: after an outage of the store it could have made that 13 s late. Hearing of another VM's read, which the store has answered, resets it, too.

Measured: a row of TestSchedule, in which the VM would have read at 10.8 s and reads at 6.55 s, after it heard of a read at 5 s.

--- a/core/prober/prober_test.go
+++ b/core/prober/prober_test.go
@@ -51,6 +51,8 @@
 		self call.VMID
 		// heardEvery is how often another VM tells of a read, until heardUntil.
 		heardEvery, heardUntil time.Duration
+		// heardAt is when another VM tells of a single read.
+		heardAt time.Duration
 		// until is the end, three seconds if it is zero; fails makes all reads fail, aged makes the last one
 		// that confirms the copy an hour old.
 		until                 time.Duration
@@ -65,6 +67,7 @@
 		"not among them, all is well": {self: "d", heardEvery: 700 * time.Millisecond, heardUntil: 3 * time.Second},
 		"not among them, none reads":  {self: "d", heardEvery: 700 * time.Millisecond, heardUntil: 700 * time.Millisecond, want: "late 2.25s"},
 		"its reads fail":              {self: "d", fails: true, until: 12 * time.Second, want: "late 1.55s, late 4.65s, late 10.8s"},
+		"its reads fail, then others": {self: "d", fails: true, until: 12 * time.Second, heardAt: 5 * time.Second, want: "late 1.55s, late 4.65s, late 6.55s, late 9.65s"},
 		"no read confirms its copy":   {self: "d", heardEvery: 700 * time.Millisecond, heardUntil: 3 * time.Second, aged: true, want: "late 1.55s"},
 		"first, nor does its own":     {self: "a", aged: true, want: "first 700ms, first 1.4s, first 2.1s, first 2.8s"},
 		"not among them, isolated":    {self: "d", isolated: true, want: "isolated 700ms, isolated 1.4s, isolated 2.1s, isolated 2.8s"},
@@ -80,6 +83,9 @@
 				state.Age = time.Hour
 			}
 			for at := time.Duration(0); at < cmp.Or(test.until, 3*time.Second); at += 50 * time.Millisecond {
+				if test.heardAt > 0 && at == test.heardAt {
+					s.Heard(start.Add(at))
+				}
 				if test.heardEvery > 0 && at%test.heardEvery == 0 && at <= test.heardUntil {
 					s.Heard(start.Add(at))
 				}
--- a/core/prober/schedule.go
+++ b/core/prober/schedule.go
@@ -110,10 +110,10 @@
 	return slices.DeleteFunc(slices.Clone(s.order), func(id call.VMID) bool { return id == s.config.Self })
 }
 
-// Heard records that another VM has told of a read that it began at a time.
+// Heard records that another VM has told of a read that it began at a time. The store has answered it.
 func (s *Schedule) Heard(at time.Time) {
 	if at.After(s.last) {
-		s.last = at
+		s.last, s.failed = at, 0
 	}
 }
 
