Late reads leave lists alone that other VMs keep up to date

From 30 VMs on most of them do not watch the list of replicas, and their mirror of it is paused: a late read would have listed all replicas, restarted a watch that is not there, and, worse, told the other VMs that the paused mirror's newest change was the newest of all, as the readers' claims confirm that mirror, too. Such mirrors are neither compared nor told of.

Measured: TestProbeComparesOncePerRevision, whose last part fails before this with a list in place of none. Found by reading.

--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -211,6 +211,10 @@
 	var comparisons sync.WaitGroup
 	var told atomic.Bool
 	for _, m := range p.mirrors {
+		// A copy that other VMs keep up to date is compared by them.
+		if m.Paused() {
+			continue
+		}
 		if p.completeTo(m) >= revision {
 			m.Confirm(began)
 			continue
--- a/io/entry/probe_test.go
+++ b/io/entry/probe_test.go
@@ -44,8 +44,8 @@
 		schedule, err := prober.New(prober.Config{Self: "vm-0", Interval: time.Second, Step: time.Second})
 		assert.NilError(t, err)
 		items := spread.New(spread.Config{Self: "vm-0", Rand: rand.New(rand.NewPCG(1, 2))})
-		told := newReads(readsConfig{self: "vm-0", items: items, peers: func() []peer.Peer { return nil }, version: func() int64 { return 1 }, now: time.Now, log: log})
-		p := &probe{reads: told, interval: time.Second, list: list, mirrors: []*mirror.Mirror{m}, grace: 250 * time.Millisecond, log: log, observe: func(prober.Reason, probeResult) {}, members: &members{items: items, now: time.Now}, schedule: schedule}
+		reads := newReads(readsConfig{self: "vm-0", items: items, peers: func() []peer.Peer { return nil }, version: func() int64 { return 1 }, now: time.Now, log: log})
+		p := &probe{reads: reads, interval: time.Second, list: list, mirrors: []*mirror.Mirror{m}, grace: 250 * time.Millisecond, log: log, observe: func(prober.Reason, probeResult) {}, members: &members{items: items, now: time.Now}, schedule: schedule}
 		lists = 0
 		for _, revision = range []kvs.Revision{9, 9, 9, 12, 12} {
 			p.check(prober.ReasonFirst)
@@ -59,5 +59,23 @@
 			time.Sleep(time.Second)
 		}
 		assert.Equal(t, lists, 2+4, "every 3 s")
+
+		// A copy that other VMs keep up to date is neither compared nor told of.
+		told := func() string {
+			item, _ := items.Get(time.Now(), spread.ID{Kind: kindRead, Key: "vm-0"})
+			return string(item.Value)
+		}
+		p.pauses = nil
+		revision++
+		p.check(prober.ReasonLate)
+		assert.Equal(t, told(), `{"changed":{"r/":0},"version":1}`)
+		m.Pause()
+		synctest.Wait()
+		m.Confirm(time.Now().Add(time.Second))
+		before := lists
+		revision++
+		p.check(prober.ReasonLate)
+		assert.Equal(t, lists, before)
+		assert.Equal(t, told(), `{"changed":{},"version":1}`)
 	})
 }
--- a/io/entry/reads.go
+++ b/io/entry/reads.go
@@ -80,7 +80,7 @@
 func (r *reads) tell(began time.Time, mirrors []*mirror.Mirror) {
 	value := readItem{Changed: map[string]kvs.Revision{}, Version: r.version()}
 	for _, m := range mirrors {
-		if !m.CompleteAt().Before(began) {
+		if m.Watching() && !m.CompleteAt().Before(began) {
 			value.Changed[m.Prefix()] = m.Changed()
 		}
 	}
--- a/io/mirror/pause.go
+++ b/io/mirror/pause.go
@@ -28,6 +28,9 @@
 	m.Reread()
 }
 
+// Paused reports whether the mirror makes no calls until Resume. It may be called from any goroutine.
+func (m *Mirror) Paused() bool { return m.pause.paused.Load() }
+
 // Watching reports whether all keys were read and a watch follows their changes. It may be called
 // from any goroutine.
 func (m *Mirror) Watching() bool { return m.pause.watching.Load() }
