From 30 VMs on only the VMs in the order read the store; the limit of readers' claims is taken back

Change: late reads are left to fleets of fewer than 30 VMs (State.OrderOnly); the notices go to all VMs as before. Readers claim their list again as long as their watch is open.

Why late reads harm is not known.

--- a/core/prober/schedule.go
+++ b/core/prober/schedule.go
@@ -60,6 +60,8 @@
 type State struct {
 	// Isolated is true if no other VM has answered for some time.
 	Isolated bool
+	// OrderOnly leaves reading to the VMs in the order and to isolated ones.
+	OrderOnly bool
 	// Age is how old the last read is that confirms this VM's copy, zero if that does not matter now.
 	Age time.Duration
 }
@@ -144,6 +146,8 @@
 	switch {
 	case state.Isolated:
 		reason = ReasonIsolated
+	case s.rank < 0 && state.OrderOnly:
+		return "", false
 	case s.rank < 0:
 		reason, wait = ReasonLate, late
 	case s.rank > 0:
@@ -151,7 +155,7 @@
 		wait += time.Duration(s.rank) * s.config.Step
 	}
 	if now.Sub(s.last).Abs() < wait {
-		if state.Age < late || now.Sub(s.own).Abs() < late {
+		if state.OrderOnly || state.Age < late || now.Sub(s.own).Abs() < late {
 			return "", false
 		}
 		reason = ReasonLate
--- a/io/entry/bounds.go
+++ b/io/entry/bounds.go
@@ -41,11 +41,6 @@
 	return time.Duration(listAgeFraction * float64(c.changeBound()))
 }
 
-// claimAge returns the age of a reader's list, by reads of the store, from which the reader does not say
-// any more that it is complete: after a read was missed and another VM has made one. With listAge it is
-// below the bound for a change.
-func (c *Config) claimAge() time.Duration { return c.probeInterval() + 3*c.probeStep()/2 }
-
 // probeInterval returns how often the store's revision is read.
 func (c *Config) probeInterval() time.Duration {
 	return max(minProbeInterval, min(maxProbeInterval, time.Duration(probeIntervalFraction*float64(c.changeBound()))))
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -272,7 +272,7 @@
 	e.probe.pauses = map[string]time.Duration{suspectPrefix: c.StableTime}
 	e.probe.recovered = func(lastDown time.Duration) { e.replicas.storeRecovered(probePrefix, lastDown) }
 	if e.readers, err = newReaders(readersConfig{
-		self: c.VM, zone: c.Zone, maxAge: c.listAge(), claimAge: c.claimAge(), minVMs: c.ReadersFrom, others: e.members.others, isProber: e.probe.isProber, storeUp: e.storeStatus.up,
+		self: c.VM, zone: c.Zone, maxAge: c.listAge(), minVMs: c.ReadersFrom, others: e.members.others, isProber: e.probe.isProber, storeUp: e.storeStatus.up,
 		digest: e.replicas.digest, notify: e.gossip.Notify, ahead: e.clocks.ahead, now: e.options.Now, log: e.log,
 	}); err != nil {
 		return errors.Trace(err)
@@ -301,7 +301,7 @@
 	}
 	return &probe{
 		list: e.options.Source.Store.List, members: e.members, push: e.pushReplicas, reads: e.reads, schedule: schedule,
-		grace: c.probeGrace(), interval: c.probeInterval(), log: e.log,
+		grace: c.probeGrace(), interval: c.probeInterval(), orderFrom: c.ReadersFrom, log: e.log,
 		observe: func(reason prober.Reason, result probeResult) {
 			e.metrics.probes.WithLabelValues(string(reason), string(result)).Inc()
 		},
--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -57,7 +57,9 @@
 	// grace is how long the watches have to deliver a change themselves, interval the time between two
 	// reads.
 	grace, interval time.Duration
-	log             logrus.FieldLogger
+	// orderFrom is the number of known VMs, this one included, from which only the VMs in the order read.
+	orderFrom int
+	log       logrus.FieldLogger
 	// recovered is called when the store answers again after an outage, with how long ago it
 	// was last known to be down. In an outage in which the store is silent, no watch fails.
 	recovered func(lastDown time.Duration)
@@ -119,7 +121,7 @@
 
 // due reports whether this VM has to probe now, and why.
 func (p *probe) due(now time.Time) (prober.Reason, bool) {
-	state := prober.State{Isolated: !p.members.contactedWithin(now, isolatedAfter), Age: p.oldest()}
+	state := prober.State{Isolated: !p.members.contactedWithin(now, isolatedAfter), OrderOnly: p.members.count() >= p.orderFrom, Age: p.oldest()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.updateSchedule(now)
--- a/io/entry/readers.go
+++ b/io/entry/readers.go
@@ -53,7 +53,6 @@
 	Pause()
 	Resume(completeAt time.Time)
 	Confirm(at time.Time)
-	Age() time.Duration
 }
 
 var _ replicaMirror = (*mirror.Mirror)(nil)
@@ -62,9 +61,8 @@
 type readersConfig struct {
 	self call.VMID
 	zone call.Zone
-	// maxAge is the age at which the list is too old, claimAge that from which a reader does not say any
-	// more that its own list is complete.
-	maxAge, claimAge time.Duration
+	// maxAge is the age at which the list is too old.
+	maxAge time.Duration
 	// minVMs is the number of known VMs, this one included, from which there are readers.
 	minVMs   int
 	others   func() []member
@@ -313,14 +311,13 @@
 }
 
 // claim returns the item that says up to which time this VM's list is complete: until now while a
-// watch is under way, and its answers or a read of the store by any VM have confirmed the list within
-// claimAge. A watch alone may be dead, as when the store does not answer this VM. The time is taken before the digest, and the digest before the changes that
+// watch is under way. The time is taken before the digest, and the digest before the changes that
 // are sent with it.
 func (r *readers) claim() (spread.Item, error) {
 	now := r.now()
 	value := readerItem{Lost: !r.storeUp()}
 	r.mu.Lock()
-	complete := !value.Lost && r.mirror != nil && r.mirror.Watching() && r.mirror.Age() < r.claimAge
+	complete := !value.Lost && r.mirror != nil && r.mirror.Watching()
 	cached := r.digestChange == r.lastChange && now.Sub(r.digestAt).Abs() < digestTime
 	change := r.lastChange
 	value.Digest = r.digestOf
