Any VM reads the store late in all fleets; late reads push replicas only

Cause of that: a VM whose late read finds that its watch of the configuration lacks a change pushed, to all VMs, every replica that has changed since the revision of the configuration, which is nearly all of them. Change: late reads of the configuration and of the records of crashes push nothing. The notice of the read tells the others of the version, and each fetches it. OrderOnly and orderFrom go.

--- a/core/prober/schedule.go
+++ b/core/prober/schedule.go
@@ -60,8 +60,6 @@
 type State struct {
 	// Isolated is true if no other VM has answered for some time.
 	Isolated bool
-	// OrderOnly leaves reading to the VMs in the order and to isolated ones.
-	OrderOnly bool
 	// Age is how old the last read is that confirms this VM's copy, zero if that does not matter now.
 	Age time.Duration
 }
@@ -146,8 +144,6 @@
 	switch {
 	case state.Isolated:
 		reason = ReasonIsolated
-	case s.rank < 0 && state.OrderOnly:
-		return "", false
 	case s.rank < 0:
 		reason, wait = ReasonLate, late
 	case s.rank > 0:
@@ -155,7 +151,7 @@
 		wait += time.Duration(s.rank) * s.config.Step
 	}
 	if now.Sub(s.last).Abs() < wait {
-		if state.OrderOnly || state.Age < late || now.Sub(s.own).Abs() < late {
+		if state.Age < late || now.Sub(s.own).Abs() < late {
 			return "", false
 		}
 		reason = ReasonLate
--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -57,9 +57,9 @@
 	// grace is how long the watches have to deliver a change themselves, interval the time between two
 	// reads.
 	grace, interval time.Duration
-	// orderFrom is the number of known VMs, this one included, from which only the VMs in the order read.
-	orderFrom int
-	log       logrus.FieldLogger
+	// replicaPrefix is the prefix of the list of replicas in the store.
+	replicaPrefix string
+	log           logrus.FieldLogger
 	// recovered is called when the store answers again after an outage, with how long ago it
 	// was last known to be down. In an outage in which the store is silent, no watch fails.
 	recovered func(lastDown time.Duration)
@@ -121,7 +121,7 @@
 
 // due reports whether this VM has to probe now, and why.
 func (p *probe) due(now time.Time) (prober.Reason, bool) {
-	state := prober.State{Isolated: !p.members.contactedWithin(now, isolatedAfter), OrderOnly: p.members.count() >= p.orderFrom, Age: p.oldest()}
+	state := prober.State{Isolated: !p.members.contactedWithin(now, isolatedAfter), Age: p.oldest()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.updateSchedule(now)
@@ -330,7 +330,7 @@
 // has just delivered one pauses for longer than one of them.
 const probeGracePeriods = 2
 
-// passOn applies a list that a mirror lacks, tells the other VMs of the changes in it, and restarts
+// passOn applies a list that a mirror lacks, pushes the changes of replicas to the other VMs, and restarts
 // the watch that has not delivered them.
 func (p *probe) passOn(m *mirror.Mirror, list kvs.Snapshot, readAt time.Time, reason prober.Reason) {
 	known := m.Revision()
@@ -338,12 +338,18 @@
 		"event": "probe", "prefix": m.Prefix(), "revision": list.Revision, "known": known, "age": m.Age().String(), "reason": reason,
 	}).Warn("a watch has missed a change, the keys that were read are in force")
 	p.restarted(m.Prefix(), noticedByProbe)
+	push := func() { p.push(known) }
+	// Many VMs may do so at a time. The notice of the read tells the others of a configuration, and of records
+	// of crashes nothing is pushed.
+	if reason == prober.ReasonLate && m.Prefix() != p.replicaPrefix {
+		push = func() {}
+	}
 	if !m.Adopt(list, readAt) {
 		m.Reread()
-		time.AfterFunc(rereadTime, func() { p.push(known) })
+		time.AfterFunc(rereadTime, push)
 		return
 	}
-	p.push(known)
+	push()
 	m.Rewatch()
 }
 
--- a/io/entry/probe_test.go
+++ b/io/entry/probe_test.go
@@ -79,3 +79,30 @@
 		assert.Equal(t, told(), `{"changed":{},"version":1}`)
 	})
 }
+
+// Guards against a fleet of many VMs in which each one that reads the store late sends all replicas to all
+// others: reads became late by that, and more VMs read.
+func TestLateReadsPushReplicasOnly(t *testing.T) {
+	for name, test := range map[string]struct {
+		prefix string
+		reason prober.Reason
+		want   int
+	}{
+		"configuration, in turn":   {"c", prober.ReasonFirst, 1},
+		"configuration, took over": {"c", prober.ReasonTakeover, 1},
+		"configuration, late":      {"c", prober.ReasonLate, 0},
+		"replicas, late":           {"r/", prober.ReasonLate, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newReadMirror(t, test.prefix)
+				log, _ := logtest.NewNullLogger()
+				pushes := 0
+				p := &probe{replicaPrefix: "r/", push: func(kvs.Revision) { pushes++ }, restarted: func(string, watchNotice) {}, log: log}
+				p.passOn(m, kvs.Snapshot{Revision: 9, Entries: kvs.Entries{{Key: test.prefix + "a", ModRevision: 9}}}, time.Now(), test.reason)
+				assert.Equal(t, m.Revision(), kvs.Revision(9))
+				assert.Equal(t, pushes, test.want)
+			})
+		})
+	}
+}
