--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -339,8 +339,8 @@
 	}).Warn("a watch has missed a change, the keys that were read are in force")
 	p.restarted(m.Prefix(), noticedByProbe)
 	push := func() { p.push(known) }
-	// Many VMs may do so at a time. The notice of the read tells the others of a configuration, and of records
-	// of crashes nothing is pushed.
+	// Many VMs may read late at a time. The notice of the read tells the others of a configuration, and
+	// records of crashes are not pushed.
 	if reason == prober.ReasonLate && m.Prefix() != p.replicaPrefix {
 		push = func() {}
 	}
