From 30 VMs on, late reads beside newer ones are told by gossip only

The read of the first VM confirmed nothing until it had given its own dead watch 500 ms, and what it found reached the others as their late reads began. Each late read was told to all VMs by notices, some 90 of them, on VMs that are short of processor time.

Change: a VM that reads late though it has heard of another VM's read within an interval and a step leaves telling of it to gossip, from 30 VMs on. Each VM still reads by itself past its bound, so no choice of VMs counts more than before.

TestLateReadsBesideOthersAreToldByGossip fails before (a notice to each VM) and passes after; the model with any set of VMs still plays it from 30 VMs on.

--- a/core/prober/model_test.go
+++ b/core/prober/model_test.go
@@ -15,31 +15,34 @@
 
 // The times of the model; those of the platform are bound, contact and stretch.
 const (
-	modelTick     = 10 * time.Millisecond
-	modelInterval = 700 * time.Millisecond
-	modelStep     = 250 * time.Millisecond
-	modelGrace    = 2 * modelStep           // that the watches have to deliver a change themselves
-	modelPause    = 400 * time.Millisecond  // between two watch calls
-	modelWait     = 18 * time.Second        // after which a watch call without an answer has failed
-	modelQuiet    = 16 * time.Second        // that a watch call waits without a change
-	modelGossip   = 400 * time.Millisecond  // between two exchanges that a VM begins
-	modelTimeout  = 2 * time.Second         // of an exchange
-	modelRead     = time.Second             // of a read
-	modelIsolated = 1500 * time.Millisecond // without an answer of another VM
-	modelRoles    = 500 * time.Millisecond  // between two choices of the VMs that probe
-	modelLimit    = bound                   // that a watch has for a change that another VM has told of
-	modelChange   = 5600 * time.Millisecond // between two changes in calm
-	modelStorm    = 330 * time.Millisecond  // and in a storm
-	bound         = 2 * time.Second
-	contact       = 3 * time.Second
-	stretched     = bound + 5*time.Second
+	modelTick       = 10 * time.Millisecond
+	modelInterval   = 700 * time.Millisecond
+	modelStep       = 250 * time.Millisecond
+	modelGossipFrom = 30                      // VMs, from which only gossip tells of late reads beside newer ones
+	modelGrace      = 2 * modelStep           // that the watches have to deliver a change themselves
+	modelPause      = 400 * time.Millisecond  // between two watch calls
+	modelWait       = 18 * time.Second        // after which a watch call without an answer has failed
+	modelQuiet      = 16 * time.Second        // that a watch call waits without a change
+	modelGossip     = 400 * time.Millisecond  // between two exchanges that a VM begins
+	modelTimeout    = 2 * time.Second         // of an exchange
+	modelRead       = time.Second             // of a read
+	modelIsolated   = 1500 * time.Millisecond // without an answer of another VM
+	modelRoles      = 500 * time.Millisecond  // between two choices of the VMs that probe
+	modelLimit      = bound                   // that a watch has for a change that another VM has told of
+	modelChange     = 5600 * time.Millisecond // between two changes in calm
+	modelStorm      = 330 * time.Millisecond  // and in a storm
+	bound           = 2 * time.Second
+	contact         = 3 * time.Second
+	stretched       = bound + 5*time.Second
 )
 
-// readNotice tells of a read: which VM began it when, and how many changes it knew after it.
+// readNotice tells of a read: which VM began it when, how many changes it knew after it, and whether
+// only gossip tells of it.
 type readNotice struct {
-	reader  call.VMID
-	at      time.Time
-	changes int
+	reader     call.VMID
+	at         time.Time
+	changes    int
+	gossipOnly bool
 }
 
 // modelVM is a VM of the model.
@@ -66,9 +69,9 @@
 	// answers counts those to the watch while every third one is lost.
 	answers int
 	// completeAt is when the copy was last known to be complete, told the newest read that it has heard of,
-	// contactAt when another VM last answered.
-	completeAt, contactAt time.Time
-	told                  readNotice
+	// contactAt when another VM last answered, heardOther the newest read of another VM.
+	completeAt, contactAt, heardOther time.Time
+	told                              readNotice
 	// scheduledAt is when the schedule was last told of the VMs.
 	scheduledAt time.Time
 	// unreachable holds the VMs that have not answered, failing when the call of each fails.
@@ -112,7 +115,7 @@
 	assert.NilError(t, err)
 	vm.unreachable, vm.failing, vm.inbox = map[call.VMID]bool{}, map[call.VMID]time.Time{}, nil
 	vm.known, vm.delivered = len(m.changes), len(m.changes)
-	vm.completeAt, vm.contactAt, vm.told = m.now, m.now, readNotice{}
+	vm.completeAt, vm.contactAt, vm.heardOther, vm.told = m.now, m.now, time.Time{}, readNotice{}
 	vm.passOn, vm.readUntil, vm.suspectAt, vm.fruitless, vm.nextCall, vm.scheduledAt = time.Time{}, time.Time{}, time.Time{}, 0, time.Time{}, time.Time{}
 	m.lists++
 	m.call(vm)
@@ -237,7 +240,7 @@
 			}
 		}
 		if !m.single {
-			m.tell(vm)
+			m.tell(vm, reason == ReasonLate && len(m.vms) >= modelGossipFrom && m.now.Sub(vm.heardOther) < modelInterval+modelStep)
 		}
 	}
 	if vm.passOn.IsZero() || m.now.Before(vm.passOn) {
@@ -261,12 +264,14 @@
 }
 
 // tell tells the other VMs of a read that has just been answered.
-func (m *model) tell(vm *modelVM) {
-	vm.told = readNotice{vm.ID, m.now, vm.known}
+func (m *model) tell(vm *modelVM, gossipOnly bool) {
+	vm.told = readNotice{vm.ID, m.now, vm.known, gossipOnly}
 	if vm.completeAt.Before(m.now) {
 		vm.told.changes = len(m.changes) // the copy lacks a change, and so confirms none that does
 	}
-	m.passOn(vm)
+	if !gossipOnly {
+		m.passOn(vm)
+	}
 }
 
 // passOn tells a VM's children in the tree of the newest read that it knows.
@@ -284,12 +289,14 @@
 	if !notice.at.After(vm.told.at) {
 		return
 	}
-	vm.told = notice
+	vm.told, vm.heardOther = notice, notice.at
 	vm.schedule.Heard(notice.at)
 	if vm.known >= notice.changes && notice.at.After(vm.completeAt) {
 		vm.completeAt = notice.at
 	}
-	m.passOn(vm)
+	if !notice.gossipOnly {
+		m.passOn(vm)
+	}
 }
 
 // send delivers a message in the next tick, or when the VM goes on. One that is not answered marks the
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -301,7 +301,7 @@
 	}
 	return &probe{
 		list: e.options.Source.Store.List, members: e.members, push: e.pushReplicas, reads: e.reads, schedule: schedule,
-		grace: c.probeGrace(), interval: c.probeInterval(), replicaPrefix: e.options.Source.ReplicaPrefix, log: e.log,
+		grace: c.probeGrace(), interval: c.probeInterval(), gossipFrom: c.ReadersFrom, replicaPrefix: e.options.Source.ReplicaPrefix, log: e.log,
 		observe: func(reason prober.Reason, result probeResult) {
 			e.metrics.probes.WithLabelValues(string(reason), string(result)).Inc()
 		},
--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -57,6 +57,9 @@
 	// grace is how long the watches have to deliver a change themselves, interval the time between two
 	// reads.
 	grace, interval time.Duration
+	// gossipFrom is the number of known VMs, this one included, from which only gossip tells of late reads
+	// beside newer ones.
+	gossipFrom int
 	// replicaPrefix is the prefix of the list of replicas in the store.
 	replicaPrefix string
 	log           logrus.FieldLogger
@@ -210,6 +213,9 @@
 // compareAll compares the mirrors that have not reached a revision that was read, and tells the other VMs
 // of the read: once the comparisons are done or tellAfter is over, and again after one that took longer.
 func (p *probe) compareAll(revision kvs.Revision, began time.Time, reason prober.Reason) {
+	// If other VMs read in turn and only do not confirm the copies, all VMs may read late at a time: notices
+	// of each of these reads to all VMs would be the square of their number.
+	gossipOnly := reason == prober.ReasonLate && len(p.reads.peers())+1 >= p.gossipFrom && p.reads.heardOther(began) < p.interval+p.grace
 	var comparisons sync.WaitGroup
 	var told atomic.Bool
 	for _, m := range p.mirrors {
@@ -227,7 +233,7 @@
 		comparisons.Go(func() {
 			p.compare(m, reason)
 			if told.Load() {
-				p.reads.tell(began, p.mirrors)
+				p.reads.tell(began, p.mirrors, gossipOnly)
 			}
 		})
 	}
@@ -241,7 +247,7 @@
 	case <-time.After(tellAfter):
 	}
 	told.Store(true)
-	p.reads.tell(began, p.mirrors)
+	p.reads.tell(began, p.mirrors, gossipOnly)
 }
 
 // mayCompare reports whether a comparison of a prefix may begin now, and records that it does.
--- a/io/entry/probe_test.go
+++ b/io/entry/probe_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +12,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 
+	"gentianwell/core/call"
 	"gentianwell/core/prober"
 	"gentianwell/core/spread"
 	"gentianwell/io/kvs"
@@ -106,3 +109,63 @@
 		})
 	}
 }
+
+// Guards against a fleet in which all VMs read late at a time and each of them sends notices to all others.
+func TestLateReadsBesideOthersAreToldByGossip(t *testing.T) {
+	const others = 29
+	for name, test := range map[string]struct {
+		reason prober.Reason
+		// heard is how old the newest read of another VM is, want how many notices all VMs send.
+		heard time.Duration
+		fewer bool
+		want  int
+	}{
+		"in turn":                             {prober.ReasonFirst, 500 * time.Millisecond, false, others},
+		"late, no read was heard of":          {prober.ReasonLate, 1500 * time.Millisecond, false, others},
+		"late, a read does not confirm":       {prober.ReasonLate, 500 * time.Millisecond, false, 0},
+		"the same, fewer VMs":                 {prober.ReasonLate, 500 * time.Millisecond, true, others},
+		"taken over, a read does not confirm": {prober.ReasonTakeover, 500 * time.Millisecond, false, others},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := newReadMirror(t, "c")
+				log, _ := logtest.NewNullLogger()
+				var sent atomic.Int32
+				newOne := func(self int) (*reads, *spread.Store) {
+					id := func(i int) call.VMID { return call.VMID(fmt.Sprintf("vm-%02d", i)) }
+					var peers []peer.Peer
+					for i := range others + 1 {
+						if i != self {
+							peers = append(peers, peer.Peer{ID: id(i)})
+						}
+					}
+					items := spread.New(spread.Config{Self: id(self), Rand: rand.New(rand.NewPCG(1, 2))})
+					return newReads(readsConfig{
+						self: id(self), items: items, peers: func() []peer.Peer { return peers },
+						notify: func(time.Time, peer.Peer, spread.Items) error { sent.Add(1); return nil },
+						mirror: func(string) *mirror.Mirror { return m }, configPrefix: "c",
+						heard: func(time.Time) {}, missing: func(*mirror.Mirror, kvs.Revision) {},
+						version: func() int64 { return 1 }, now: time.Now, log: log,
+					}), items
+				}
+				reader, items := newOne(0)
+				reader.note("vm-01", time.Now())
+				time.Sleep(test.heard)
+				p := &probe{reads: reader, interval: 700 * time.Millisecond, grace: 250 * time.Millisecond, gossipFrom: others + 1, mirrors: []*mirror.Mirror{m}}
+				if test.fewer {
+					p.gossipFrom++
+				}
+				p.compareAll(5, time.Now(), test.reason)
+				item, ok := items.Get(time.Now(), spread.ID{Kind: kindRead, Key: "vm-00"})
+				assert.Assert(t, ok)
+				for i := range others {
+					listener, _ := newOne(1 + i)
+					listener.apply(time.Now(), item)
+				}
+				synctest.Wait()
+				assert.Equal(t, int(sent.Load()), test.want)
+				assert.Equal(t, m.Age(), time.Duration(0))
+			})
+		})
+	}
+}
--- a/io/entry/reads.go
+++ b/io/entry/reads.go
@@ -34,6 +34,8 @@
 	Changed map[string]kvs.Revision `json:"changed"`
 	// Version is that of the configuration in force on the VM.
 	Version int64 `json:"version"`
+	// GossipOnly is true if no notices tell of the read.
+	GossipOnly bool `json:"gossipOnly,omitempty"`
 }
 
 // readsConfig configures reads. All fields are required.
@@ -69,16 +71,18 @@
 	// newest is the newest read that this VM made or heard of, and whose it was.
 	newest   time.Time
 	newestOf call.VMID
+	// newestOther is the newest read of another VM that was news when this VM heard of it.
+	newestOther time.Time
 }
 
 func newReads(c readsConfig) *reads {
 	return &reads{readsConfig: c, telling: map[call.VMID]bool{}}
 }
 
-// tell tells the other VMs of a read of this VM and of the mirrors that were complete when it began. It
-// does not wait for them.
-func (r *reads) tell(began time.Time, mirrors []*mirror.Mirror) {
-	value := readItem{Changed: map[string]kvs.Revision{}, Version: r.version()}
+// tell tells the other VMs of a read of this VM and of the mirrors that were complete when it began, by
+// notices and gossip or by gossip only. It does not wait for them.
+func (r *reads) tell(began time.Time, mirrors []*mirror.Mirror, gossipOnly bool) {
+	value := readItem{Changed: map[string]kvs.Revision{}, Version: r.version(), GossipOnly: gossipOnly}
 	for _, m := range mirrors {
 		if m.Watching() && !m.CompleteAt().Before(began) {
 			value.Changed[m.Prefix()] = m.Changed()
@@ -95,7 +99,9 @@
 	item := spread.Item{ID: id, Version: max(kept.Version+1, uint64(now.UnixMilli())), Value: raw, Expires: now.Add(readTTL - time.Since(began))}
 	r.items.Put(now, item)
 	r.note(r.self, began)
-	r.pass(now, item)
+	if !gossipOnly {
+		r.pass(now, item)
+	}
 }
 
 // note records a read and reports whether it is the newest.
@@ -106,6 +112,9 @@
 		return false
 	}
 	r.newest, r.newestOf = at, reader
+	if reader != r.self {
+		r.newestOther = at
+	}
 	return true
 }
 
@@ -188,11 +197,18 @@
 		r.missing(m, changed)
 	}
 	// A comparison that took longer is told of with the time of its read.
-	if r.note(reader, at) || now.Sub(at) < probeTimeout {
+	if newest := r.note(reader, at); !value.GossipOnly && (newest || now.Sub(at) < probeTimeout) {
 		r.pass(now, item)
 	}
 }
 
+// heardOther returns how old the newest read of another VM was at a time.
+func (r *reads) heardOther(at time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return at.Sub(r.newestOther)
+}
+
 // lastHeard returns whose read this VM has heard of last, or made, and how long ago it was.
 func (r *reads) lastHeard(now time.Time) string {
 	r.mu.Lock()
